Keep a woken entry from using a table that a move has overtaken

Cause: an entry that slept (SIGSTOP) through a move used its old table for the requests that had reached its socket; they ran on an instance that already served another pool.

Ruled out: the claim of a keyed request, which hides the fault because its write gives the heartbeat time; the fence, which guards appends and not routing.

--- a/pumicespur/planning/_decision.py
+++ b/pumicespur/planning/_decision.py
@@ -29,6 +29,8 @@
     listed: Mapping[str, ListedInstance]
     # Tokens of orders that the platform took before the list was made.
     acknowledged: frozenset[str]
+    # Tokens of drain orders taken long enough ago for an instance to change pool.
+    settled: frozenset[str]
     # Instances that have been out of the list for too long.
     missing: frozenset[InstanceId]
     now_ms: int
--- a/pumicespur/planning/_lifecycle.py
+++ b/pumicespur/planning/_lifecycle.py
@@ -90,7 +90,11 @@
 ) -> None:
     if assignment.reason is DrainReason.OPERATOR:
         return
-    ordered = drain_token(assignment) in known.acknowledged
+    # An entry that slept through the drain may still use its old table for a while; an
+    # instance changes pool only when every entry has heard of it or doubts its table.
+    is_move = assignment.reason is DrainReason.MOVE
+    enough = known.settled if is_move else known.acknowledged
+    ordered = drain_token(assignment) in enough
     if ordered and listed is not None and listed.drained:
         _finish_drain(known, decision, assignment, listed)
     elif _timed_out(known, assignment, known.settings.drain_timeout_s):
--- a/pumicespur/planning/_planner.py
+++ b/pumicespur/planning/_planner.py
@@ -119,6 +119,7 @@
             fleet=fleet,
             listed=self.listing.instances,
             acknowledged=self.effects.taken_before(self.listing.seen_at),
+            settled=self.effects.taken_before(self.listing.seen_at - self.settings.move_settle_s),
             missing=self._missing(fleet),
             now_ms=now_ms(),
             settings=self.settings,
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -40,7 +40,13 @@
     "process": {"heartbeat_s": "0.1", "poll_s": "0.2"},
     "platform": {"timeout_s": "0.5", "writes_per_s": "50"},
     "entry": {"stop_grace_s": "10", "eject_s": "1"},
-    "manager": {"lease_s": "1.5", "tick_s": "0.1", "missing_s": "3", "drain_timeout_s": "10"},
+    "manager": {
+        "lease_s": "1.5",
+        "tick_s": "0.1",
+        "missing_s": "3",
+        "drain_timeout_s": "10",
+        "move_settle_s": "0.5",
+    },
 }
 """Settings that make a test or demo quick."""
 
@@ -137,7 +143,11 @@
         return self.start(name, "standins.backend", *options)
 
     def start_role(
-        self, role: str, name: str, platform: Child, **sections: dict[str, str]
+        self,
+        role: str,
+        name: str,
+        platform: Child,
+        sections: dict[str, dict[str, str]] | None = None,
     ) -> Child:
         """Start an entry or a manager; wait_ready it later."""
         settings = {
@@ -152,7 +162,7 @@
         }
         lines = []
         for section, values in settings.items():
-            merged = QUICK.get(section, {}) | values | sections.get(section, {})
+            merged = QUICK.get(section, {}) | values | (sections or {}).get(section, {})
             lines.append(f"[{section}]")
             lines += [f"{key} = {value}" for key, value in merged.items()]
         path = Path(self._folder.name) / f"{name}.ini"
--- a/standins/model.py
+++ b/standins/model.py
@@ -141,6 +141,7 @@
             fleet=self.fleet,
             listed=listed,
             acknowledged=frozenset(self.taken),
+            settled=frozenset(self.taken),
             missing=frozenset(missing),
             now_ms=START_MS + self.round * ROUND_MS,
             settings=self.settings,
--- a/tests/base.py
+++ b/tests/base.py
@@ -74,12 +74,18 @@
     )
 
 
+def quiet_loop() -> None:
+    """Switch off the debug mode of unittest's loop, which reports every slow step."""
+    loop = asyncio.get_running_loop()
+    loop.set_debug(False)
+    loop.slow_callback_duration = float("inf")
+
+
 class ClusterCase(unittest.IsolatedAsyncioTestCase):
     """Tests against real processes; each test starts what it needs."""
 
     async def asyncSetUp(self) -> None:
-        # The debug mode of unittest's loop reports every slow step.
-        asyncio.get_running_loop().set_debug(False)
+        quiet_loop()
 
     def setUp(self) -> None:
         self.launcher = Launcher()
@@ -117,7 +123,7 @@
     ) -> Child:
         """Start one entry or manager without waiting for it."""
         name = f"{role}-{number}"
-        return self.launcher.start_role(role, name, self.platform, **(sections or {}))
+        return self.launcher.start_role(role, name, self.platform, sections)
 
     async def apply(self, declaration: Declaration) -> int:
         """Apply a declaration and return its revision."""
