--- a/pumicespur/utils/_servers.py
+++ b/pumicespur/utils/_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import sys
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -46,6 +47,8 @@
     config.include_server_header = False
     config.h11_max_incomplete_size = HEADER_BYTES
     config.keep_alive_timeout = HEADER_SECONDS
+    # By default a connection is closed without notice after 1,000 requests.
+    config.keep_alive_max_requests = sys.maxsize
     config.graceful_timeout = 0.5
     config.loglevel = "ERROR"
     return config
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -53,7 +53,8 @@
     """One instance: what it is, where its stand-in takes orders, and what it runs."""
 
     listed: pb.ListedInstance
-    control: BackendControlClient
+    # None for an instance that is only listed and takes no orders.
+    control: BackendControlClient | None
     tasks: dict[str, Resources] = field(default_factory=dict)
 
 
@@ -217,6 +218,8 @@
                 order = BackendOrder(reboot_ms=self.state.reboot_ms)
             case _:
                 raise ConnectError(Code.INVALID_ARGUMENT, "no such order")
+        if machine.control is None:
+            raise ConnectError(Code.FAILED_PRECONDITION, "the instance takes no orders")
         self.state.tokens.add(request.token)
         try:
             await machine.control.give(order, timeout_ms=1000)
@@ -280,14 +283,19 @@
     async def add_instances(self, request: AddInstancesRequest, ctx: object, /) -> Empty:
         """Add instances to the list, or take them from it."""
         for listed in request.instances:
-            url = f"http://{request.controls[listed.id]}"
-            client = BackendControlClient(url, http_client=Client(self.state.transport))
-            self.state.machines[listed.id] = Machine(listed, client)
+            control = request.controls.get(listed.id)
+            self.state.machines[listed.id] = Machine(listed, self._client(control))
         for name in request.removed:
             self.state.machines.pop(name, None)
         await inspect_all(self.state)
         return Empty()
 
+    def _client(self, control: str | None) -> BackendControlClient | None:
+        if control is None:
+            return None
+        client = Client(self.state.transport)
+        return BackendControlClient(f"http://{control}", http_client=client)
+
     async def history(self, request: Empty, ctx: object, /) -> HistoryResponse:
         """Tell all that happened."""
         rows = self.state.rows
@@ -307,6 +315,8 @@
 async def inspect(state: State, machine: Machine) -> pb.ListedInstance | None:
     """Ask an instance how it is; None if it does not answer."""
     listed = machine.listed
+    if machine.control is None:
+        return listed
     try:
         seen = await machine.control.inspect(Empty(), timeout_ms=500)
     except ConnectError:
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -6,6 +6,7 @@
 import uuid
 
 import anyio
+from anyio.streams.buffered import BufferedByteReceiveStream
 
 from pumicespur.schema.fleet_pb import Declaration, Team
 from pumicespur.schema.operators_pb import DrainRequest
@@ -55,6 +56,18 @@
             answer = await self.http.get(f"{self.entries[0].url}/issuance/x")
             self.assertEqual(answer.status_code, 200, fault)
 
+    async def test_a_kept_connection_is_not_closed_without_notice(self) -> None:
+        """Hypercorn's default closes a connection silently after 1,000 requests."""
+        await self.start_cluster(one_pool(1, 0), backends=1)
+        host, _, port = self.entries[0].ready["listen"].rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            reader = BufferedByteReceiveStream(stream)
+            for _ in range(1100):
+                await stream.send(b"GET /nowhere/x HTTP/1.1\r\nhost: x\r\n\r\n")
+                head = await reader.receive_until(b"\r\n\r\n", 4096)
+                length = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+                await reader.receive_exactly(length)
+
     async def test_many_callers_get_their_own_answers(self) -> None:
         await self.start_cluster(one_pool(2, 1), backends=2)
         wrong: list[str] = []
