--- a/benchmarks/entry.py
+++ b/benchmarks/entry.py
@@ -17,7 +17,7 @@
 from standins.launcher import Child, Launcher, PlatformOrders, wait_until
 from standins.schema.standins_pb import AddInstancesRequest
 
-ENDPOINTS = (200, 1000)
+ENDPOINTS = (8, 40, 200, 1000)
 SECONDS = 3.0
 REPEATS = 3
 IDLE_CONNECTIONS = 500
--- a/pumicespur/routing/_queue.py
+++ b/pumicespur/routing/_queue.py
@@ -65,19 +65,19 @@
         ahead = len(self.waiting[urgency])
         if urgency is Urgency.BATCH:
             ahead += len(self.waiting[Urgency.LIVE])
-        width = sum(min(backend.limit, backend.slots) for backend in eligible(self.backends))
         if not ahead:
             return 0.0
+        width = sum(min(backend.limit, backend.slots) for backend in eligible(self.backends))
         return ahead * self.service_s / max(1, width)
 
     def refusal(self, request: CallerRequest) -> Refusal | None:
         """Return why a request can't be served in time, None if it probably can."""
-        if not eligible(self.backends):
+        if all(backend.leaving for backend in self.backends):
             return Refusal("no backend server", 1.0)
         if len(self.waiting[request.urgency]) >= self.max_queue:
             return Refusal("queue full", self.expected_wait_s(request.urgency))
         wait = self.expected_wait_s(request.urgency)
-        if wait + self.service_s > request.remaining_s():
+        if wait > max(0.0, request.remaining_s()):
             return Refusal("deadline can't be met", wait)
         return None
 
