Document operation; skip planning rounds that can decide nothing

Cause: a round at 20,000 workers takes 0.22 s and ran twice a second at rest. Ruled out: a longer tick, which would delay urgent work. Change: with nothing under way and list and revision unchanged, a round is skipped for up to 5 s; open orders are given all the same.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	$(PROTOC) --py_out=pumicespur/schema --connectrpc_out=pumicespur/schema $(SHIPPED_PROTOS)
 	$(PROTOC) --py_out=standins/schema --connectrpc_out=standins/schema schema/standins.proto
 	sed -i -E 's/^from \. import (fleet|platform)_pb/from pumicespur.schema import \1_pb/; s/^from \.(fleet|platform)_pb import/from pumicespur.schema.\1_pb import/' standins/schema/*.py
+	$(PYTHON) -m pumicespur.config._reference > docs/operate/settings.md
 
 schema-check: $(STAMP)
 	$(PYTHON) -m tests.schema_check
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,32 @@
+"""Run every benchmark, or those named: entry, routing, decisions, control, claims."""
+
+from __future__ import annotations
+
+import inspect
+import sys
+
+import anyio
+
+from benchmarks import claims, control, decisions, entry, routing
+
+BENCHMARKS = {
+    "decisions": decisions.main,
+    "routing": routing.main,
+    "claims": claims.main,
+    "control": control.main,
+    "entry": entry.main,
+}
+
+
+def main() -> None:
+    """Run benchmarks one after the other."""
+    for name in sys.argv[1:] or BENCHMARKS:
+        act = BENCHMARKS[name]
+        if inspect.iscoroutinefunction(act):
+            anyio.run(act)
+        else:
+            act()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,74 @@
+"""Measure claims: keys a second, writes a key and latency, by load and store delay."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+
+from benchmarks._report import percentile, print_section, print_table
+from pumicespur.platform import PlatformClient
+from pumicespur.routing import ClaimBook
+from pumicespur.schema.claims_pb import ClaimState
+from pumicespur.schema.settings_pb import PlatformSettings
+from standins.launcher import Launcher, PlatformOrders
+from standins.schema.standins_pb import PlatformFault
+
+SECONDS = 4.0
+ENTRIES = 8
+WRITES_PER_S = 6
+LOADS = (8, 40, 200)
+DELAYS_MS = (0, 20)
+
+
+async def measure(delay_ms: int, rate: float) -> tuple[object, ...]:
+    """Claim keys at a rate through eight entries' books."""
+    launcher = Launcher()
+    try:
+        platform = launcher.start_platform()
+        await PlatformOrders(platform).fail(PlatformFault.UNSPECIFIED, delay_ms=delay_ms)
+        settings = PlatformSettings(url=platform.url, timeout_s=2, writes_per_s=WRITES_PER_S)
+        books = [ClaimBook(PlatformClient(settings), f"entry-{n}") for n in range(ENTRIES)]
+        latencies: list[float] = []
+
+        async def claim(book: ClaimBook, key: str) -> None:
+            started = time.monotonic()
+            await book.write(key, book.new_claim(ClaimState.HELD, b""), 0, 5)
+            latencies.append(time.monotonic() - started)
+
+        async with anyio.create_task_group() as runners:
+            for book in books:
+                runners.start_soon(book.run)
+            end = time.monotonic() + SECONDS
+            async with anyio.create_task_group() as tasks:
+                number = 0
+                while time.monotonic() < end:
+                    await anyio.sleep(random.expovariate(rate))
+                    tasks.start_soon(claim, random.choice(books), f"k{number}")
+                    number += 1
+            runners.cancel_scope.cancel()
+        writes = sum(book.transactions for book in books)
+        return (
+            delay_ms,
+            rate,
+            f"{number / SECONDS:.0f}",
+            f"{writes / SECONDS:.1f}",
+            f"{writes / number:.2f}",
+            f"{percentile(latencies, 0.5) * 1000:.0f}",
+            f"{percentile(latencies, 0.99) * 1000:.0f}",
+        )
+    finally:
+        launcher.close()
+
+
+async def main() -> None:
+    """Print claims by load and by the store's delay."""
+    print_section(f"Claims through {ENTRIES} entries, {WRITES_PER_S} writes/s each at most")
+    rows = [await measure(delay, rate) for delay in DELAYS_MS for rate in LOADS]
+    header = ("STORE MS", "ASKED/S", "KEYS/S", "WRITES/S", "WRITES/KEY", "P50 MS", "P99 MS")
+    print_table(header, rows)
+
+
+if __name__ == "__main__":
+    anyio.run(main)
--- a/pumicespur/peers/_links.py
+++ b/pumicespur/peers/_links.py
@@ -56,6 +56,8 @@
         self.dump = dump
         self.stopping = False
         self.heard_at: dict[str, float] = {}
+        # Bytes of messages exchanged, without what TCP adds.
+        self.bytes = 0
         self._listener = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         bound = self._listener.listen(f"tcp://{settings.peer_listen}")
         self.address = str(bound.local_address)
@@ -84,7 +86,9 @@
         with self._listener.new_context() as context:
             while True:
                 content = await context.arecv()
-                await context.asend(self._reply(content).to_binary())
+                answer = self._reply(content).to_binary()
+                self.bytes += len(content) + len(answer)
+                await context.asend(answer)
 
     def _reply(self, content: bytes) -> PeerReply:
         try:
@@ -163,7 +167,9 @@
         if reply.heartbeat is not None and self.replica.revision >= theirs:
             self.replica.confirm()
 
-    @staticmethod
-    async def _exchange(socket: pynng.Req0, request: PeerRequest) -> PeerReply:
-        await socket.asend(request.to_binary())
-        return PeerReply.from_binary(await socket.arecv())
+    async def _exchange(self, socket: pynng.Req0, request: PeerRequest) -> PeerReply:
+        content = request.to_binary()
+        await socket.asend(content)
+        answer = await socket.arecv()
+        self.bytes += len(content) + len(answer)
+        return PeerReply.from_binary(answer)
--- a/pumicespur/planning/_planner.py
+++ b/pumicespur/planning/_planner.py
@@ -16,8 +16,11 @@
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from pumicespur.platform import PlatformClient
     from pumicespur.schema.operators_pb import Finding
+    from pumicespur.schema.platform_pb import ListedInstance
     from pumicespur.schema.settings_pb import ManagerSettings
     from pumicespur.state import Lease, Replica, Retention
     from pumicespur.structure import Fleet, InstanceId
@@ -33,6 +36,9 @@
 IDLE_LIST_AGE_S = 5.0
 """How often a manager fetches the list that does not hold the lease."""
 
+MAX_IDLE_S = 5.0
+"""How often a round runs although nothing has changed: waves have windows."""
+
 
 class Planner:
     """Plans while this process holds the lease; only watches otherwise."""
@@ -58,6 +64,9 @@
         self._missing_since: dict[InstanceId, float] = {}
         self._saved_revision = 0
         self._observed_at = float("-inf")
+        self._idle_since = float("-inf")
+        self._idle_revision = 0
+        self._idle_instances: Mapping[str, ListedInstance] = {}
 
     async def run(self) -> None:
         """Plan a round at every tick, and at once when the state changes."""
@@ -91,6 +100,10 @@
         """Decide, commit and carry out; stop at the first step that fails."""
         if time.monotonic() - self.listing.seen_at > MAX_LIST_AGE_S:
             return
+        if self._is_quiet():
+            # Orders that the platform did not take before are given again all the same.
+            await self.effects.carry_out(self.replica.fleet)
+            return
         self.rounds += 1
         answer = await self.replica.append(self._build, [self.lease.fence()])
         match answer:
@@ -102,11 +115,33 @@
             case Result(error=fault):
                 log.warning("decision not committed", epoch=self.lease.epoch, fault=str(fault))
 
+    def _is_quiet(self) -> bool:
+        """Tell whether a round would decide nothing, like the one before it.
+
+        Nothing is under way and nothing that decisions look at has changed, but for the
+        time of day, for which a round runs now and then.
+        """
+        if time.monotonic() - self._idle_since > MAX_IDLE_S:
+            return False
+        return (
+            self.replica.revision == self._idle_revision
+            and self.listing.instances == self._idle_instances
+        )
+
+    def _note_idle(self, fleet: Fleet, decision: Decision) -> None:
+        """Remember what was looked at when nothing was decided and nothing is under way."""
+        busy = any(a.state is not InstanceState.SERVING for a in fleet.assignments.values())
+        if decision.record() is None and not busy and not self._missing_since:
+            self._idle_since = time.monotonic()
+            self._idle_revision = fleet.revision
+            self._idle_instances = self.listing.instances
+
     def _build(self, fleet: Fleet) -> Record | None:
         started = time.perf_counter()
         decision = self.decide(fleet)
         self.decide_s = time.perf_counter() - started
         self.findings = decision.findings
+        self._note_idle(fleet, decision)
         record = decision.record()
         if record is not None:
             record.author = self.lease.me
--- a/pumicespur/processes/_common.py
+++ b/pumicespur/processes/_common.py
@@ -91,6 +91,7 @@
                 "reads": self.platform.reads,
                 "writes": self.platform.writes,
             },
+            "peer_bytes": self.peers.bytes,
             "members": {
                 member.id: {
                     "role": member.role.name.lower(),
@@ -127,6 +128,7 @@
             "store_silent_seconds": self.platform.silent_s(),
             "store_reads_total": self.platform.reads,
             "store_writes_total": self.platform.writes,
+            "peer_bytes_total": self.peers.bytes,
             "members": len(self.members.members),
             "stopping": float(self.stopping),
         }
--- a/tests/schema_check.py
+++ b/tests/schema_check.py
@@ -7,6 +7,8 @@
 import tempfile
 from pathlib import Path
 
+from pumicespur.config._reference import settings_reference
+
 ROOT = Path(__file__).parent.parent
 SHIPPED = ROOT / "pumicespur" / "schema"
 
@@ -25,6 +27,9 @@
             for path in sorted(Path(folder).glob("*.py"))
             if path.read_text() != _committed(path.name)
         ]
+    page = ROOT / "docs" / "operate" / "settings.md"
+    if page.read_text() != settings_reference():
+        stale.append(page.name)
     for name in stale:
         print(f"schema: {name} is not what the schema gives; run `make schema`")
     return 1 if stale else 0
