--- a/pumicespur/commands/apply.py
+++ b/pumicespur/commands/apply.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from pumicespur.commands._output import print_changes, print_json
 from pumicespur.config import format_finding, has_errors, load_declaration
 from pumicespur.exceptions import ConfigurationError
 from pumicespur.operators import SCHEMA_VERSION, OperatorClient
 from pumicespur.schema.fleet_pb import Declaration, Removals
-from pumicespur.schema.operators_pb import ApplyRequest, ApplyResponse
+from pumicespur.schema.operators_pb import ApplyRequest
 from pumicespur.structure import sections_of
 
 if TYPE_CHECKING:
@@ -23,7 +24,8 @@
     base: int | None,
     prune: bool,
     dry_run: bool,
-) -> ApplyResponse:
+    as_json: bool,
+) -> None:
     """Check the files, then put what differs; with `prune`, remove what the files lack."""
     declaration, warnings = load_declaration(paths)
     for finding in warnings:
@@ -40,7 +42,10 @@
     response = await client.apply(request)
     if has_errors(response.findings):
         raise ConfigurationError(response.findings)
-    return response
+    if as_json:
+        print_json(response)
+    else:
+        print_changes(response, dry_run=dry_run)
 
 
 def missing_sections(current: Declaration, wanted: Declaration) -> Removals:
--- a/pumicespur/operators/_client.py
+++ b/pumicespur/operators/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
 from connectrpc.code import Code
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
+    from pathlib import Path
 
     from pumicespur.schema.peer_pb import DumpReply
 
@@ -33,12 +35,39 @@
 TIMEOUT_MS = 15_000
 
 
+def _read(path: Path | None) -> bytes | None:
+    if path is None:
+        return None
+    try:
+        return path.read_bytes()
+    except OSError as failure:
+        raise PumicespurError(f"{path}: can't be read: {failure.strerror}") from failure
+
+
+@dataclass(frozen=True)
+class ClientTls:
+    """Files for calls over TLS; none for plain HTTP."""
+
+    authority: Path | None = None
+    certificate: Path | None = None
+    key: Path | None = None
+
+
+PLAIN = ClientTls()
+
+
 class OperatorClient:
     """Calls to a manager; failures are raised as errors for the user."""
 
-    def __init__(self, url: str, operator: str) -> None:
+    def __init__(self, url: str, operator: str, tls: ClientTls = PLAIN) -> None:
         self.url = url
-        transport = HTTPTransport(proxy=[], enable_otel=False)
+        transport = HTTPTransport(
+            proxy=[],
+            enable_otel=False,
+            tls_ca_cert=_read(tls.authority),
+            tls_cert=_read(tls.certificate),
+            tls_key=_read(tls.key),
+        )
         self._stub = Stub(
             url, http_client=Client(transport), timeout_ms=TIMEOUT_MS, send_compression=None
         )
--- a/pumicespur/processes/_manager.py
+++ b/pumicespur/processes/_manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -58,7 +59,9 @@
         if manager.tls_certificate:
             config.certfile = manager.tls_certificate
             config.keyfile = manager.tls_key
-            config.ca_certs = manager.tls_client_authority or None
+        if manager.tls_client_authority:
+            config.ca_certs = manager.tls_client_authority
+            config.verify_mode = ssl.CERT_REQUIRED
         await serve_app(operators_app(self.service), config)
 
     def addresses(self) -> dict[str, str]:
