Try a repeatable request again beside a try that gets no answer

Cause: an attempt had the whole deadline, so a frozen backend server (SIGSTOP: it accepts and never answers) cost each repeatable request sent to it: 'unknown' in both new tests.

Ruled out: cutting an attempt at a part of the deadline, as work that needs most of its deadline would then never finish; one hedge only, which in a pool with half of its servers frozen met a second frozen one (the test still failed).

Change: after half of the time that is left, another try starts beside the earlier ones, out of the retry budget; the outrun server counts a failure, so it is left out soon.

Before: 'unknown' among 20 requests with one of three frozen, and with two of four frozen while the store hung.

Conclusion: holds while the retry budget lasts; with more frozen servers than it pays for before they are left out, callers see 'unknown'.

--- a/pumicespur/routing/_dispatcher.py
+++ b/pumicespur/routing/_dispatcher.py
@@ -47,6 +47,12 @@
 CLAIM_RESERVE_S = 0.05
 SERVER_ERROR = 500
 
+HEDGE_SHARE = 0.5
+"""Share of the time left to a repeatable request after which another try starts."""
+
+CAUTION = (NotRun, Unknown, Answered)
+"""Ends of a repeatable request's tries, the one that counts last."""
+
 
 @dataclass
 class RetryBudget:
@@ -122,32 +128,40 @@
     # Repeatable requests
 
     async def _run_repeatable(self, queue: PoolQueue, request: CallerRequest) -> Outcome:
-        if not self.settings.hedge_after_s:
-            return await self._try_repeatedly(queue, request)
-        return await self._hedge(queue, request)
+        """Try, and try again beside the earlier tries while no answer comes.
 
-    async def _hedge(self, queue: PoolQueue, request: CallerRequest) -> Outcome:
-        """Send a second time if the first answer is late; the first good end counts."""
+        The first answer counts. Without one the most cautious end does: if either try may
+        have run, the request may have.
+        """
+        self.retries.earn()
         ends: list[Outcome] = []
+        tried: set[str] = set()
+        ended = anyio.Event()
+        async with anyio.create_task_group() as tasks:
 
-        async def run(scope: anyio.CancelScope, delay_s: float) -> None:
-            await anyio.sleep(delay_s)
-            if delay_s:
-                if not self.retries.spend():
-                    return
+            async def run() -> None:
+                ends.append(await self._try_repeatedly(queue, request, tried))
+                ended.set()
+                if isinstance(ends[-1], Answered):
+                    tasks.cancel_scope.cancel()
+
+            tasks.start_soon(run)
+            for _ in range(MAX_ATTEMPTS - 1):
+                with anyio.move_on_after(self._hedge_delay_s(request)):
+                    await ended.wait()
+                if ended.is_set() or not self._may_retry(request):
+                    break
                 self.counts.hedges += 1
-            ends.append(await self._try_repeatedly(queue, request))
-            scope.cancel()
+                tasks.start_soon(run)
+        return max(ends, key=lambda end: CAUTION.index(type(end)))
 
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(run, tasks.cancel_scope, 0.0)
-            tasks.start_soon(run, tasks.cancel_scope, self.settings.hedge_after_s)
-        return ends[0]
+    def _hedge_delay_s(self, request: CallerRequest) -> float:
+        return self.settings.hedge_after_s or request.remaining_s() * HEDGE_SHARE
 
-    async def _try_repeatedly(self, queue: PoolQueue, request: CallerRequest) -> Outcome:
+    async def _try_repeatedly(
+        self, queue: PoolQueue, request: CallerRequest, tried: set[str]
+    ) -> Outcome:
         """Try until there is an answer, the deadline passes or the retry budget is spent."""
-        self.retries.earn()
-        tried: set[str] = set()
         maybe_ran = False
         reason = ""
         for attempt in range(MAX_ATTEMPTS):
@@ -156,8 +170,8 @@
             acquired = await queue.acquire(request, tried)
             match acquired:
                 case Result(tag="ok", ok=backend):
-                    result = await self._attempt(queue, backend, request)
                     tried.add(backend.id)
+                    result = await self._attempt(queue, backend, request)
                 case Result(error=refusal):
                     reason = refusal.reason
                     break
@@ -208,8 +222,8 @@
                 break
             match await queue.acquire(request, tried):
                 case Result(tag="ok", ok=backend):
-                    result = await self._attempt(queue, backend, request)
                     tried.add(backend.id)
+                    result = await self._attempt(queue, backend, request)
                 case Result(error=refusal):
                     return NotSent(refusal.reason)
             if isinstance(result, Answered | Lost):
@@ -268,13 +282,14 @@
         """Send once to one backend server and note what it says of its health."""
         self.counts.attempts += 1
         started = time.monotonic()
-        result: AttemptResult = Lost("cancelled")
+        # Cancelled when the second of two tries was quicker: that is a failure, too.
+        result: AttemptResult = Lost("outrun by another try")
         try:
             result = await backend.send(request, f"{request.id}-{uuid.uuid4().hex[:8]}")
+            return result
         finally:
+            note_health(backend, result)
             queue.release(backend, time.monotonic() - started)
-        note_health(backend, result)
-        return result
 
     def _enter_team(self, team: TeamId) -> bool:
         running = self.team_running.get(team, 0)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -80,6 +80,8 @@
                 await anyio.sleep_forever()
             case BackendFault.TRUNCATE:
                 return 200, [("x-truncate", "1"), ("pumicespur-request-id", echo)], body
+            case BackendFault.DUPLICATE:
+                return 200, [("x-duplicate", "1"), ("pumicespur-request-id", echo)], body
             case BackendFault.SWAP:
                 return 200, [("pumicespur-request-id", self.last_request)], body
         self.last_request = echo
@@ -129,9 +131,10 @@
             if truncated:
                 await stream.send(head + body[: len(body) // 2])
                 raise DroppedError
-            await stream.send(
+            whole = (
                 head + connection.send(h11.Data(data=body)) + connection.send(h11.EndOfMessage())
             )
+            await stream.send(whole * (2 if ("x-duplicate", "1") in headers else 1))
             if connection.our_state is not h11.DONE:
                 return
             connection.start_next_cycle()
--- /dev/null
+++ b/tests/test_request_faults.py
@@ -0,0 +1,129 @@
+"""Tests of the request path under faults of callers, networks and several at once."""
+
+from __future__ import annotations
+
+import signal
+
+import anyio
+import httpx
+
+from standins.launcher import BackendOrders, wait_until
+from standins.schema.standins_pb import BackendFault, BackendOrder, PlatformFault
+from tests.base import ClusterCase, one_pool, outcome_of
+
+
+class TestBackendFaults(ClusterCase):
+    """Backend servers that freeze, hang or repeat themselves."""
+
+    async def get_all(self, count: int) -> list[str]:
+        """Send repeatable requests one after the other; return their outcomes."""
+        url = f"{self.entries[0].url}/issuance/x"
+        headers = {"pumicespur-timeout-ms": "2000"}
+        return [outcome_of(await self.http.get(url, headers=headers)) for _ in range(count)]
+
+    async def test_a_duplicated_answer_reaches_nobody_else(self) -> None:
+        await self.start_cluster(one_pool(1, 0), backends=1)
+        backend = BackendOrders(self.backends[0])
+        await backend.give(BackendOrder(fault=BackendFault.DUPLICATE))
+        for number in range(10):
+            answer = await self.post(self.entries[0], f"k{number}")
+            self.assertIn(outcome_of(answer), ("answered", "unknown"))
+            if outcome_of(answer) == "answered":
+                self.assertEqual(answer.json()["key"], f"k{number}")
+            self.assertLessEqual(await self.runs(f"k{number}"), 1)
+
+    async def test_a_frozen_backend_server_costs_no_repeatable_request(self) -> None:
+        await self.start_cluster(one_pool(3, 0), backends=3, entry={"eject_s": "60"})
+        self.backends[0].send_signal(signal.SIGSTOP)
+        self.assertEqual(set(await self.get_all(20)), {"answered"})
+
+    async def test_a_rack_frozen_while_the_store_is_down(self) -> None:
+        quick_ejection = {"eject_s": "60", "eject_after": "2"}
+        await self.start_cluster(one_pool(4, 0), backends=4, racks=2, entry=quick_ejection)
+        await self.orders.fail(PlatformFault.HANG)
+        for backend in self.backends[::2]:
+            backend.send_signal(signal.SIGSTOP)
+        self.assertEqual(set(await self.get_all(20)), {"answered"})
+        answer = await self.post(self.entries[0], "k1")
+        self.assertEqual(outcome_of(answer), "unknown")
+
+    async def test_a_hang_is_over_when_it_is_over(self) -> None:
+        await self.start_cluster(one_pool(1, 0), backends=1)
+        backend = BackendOrders(self.backends[0])
+        await backend.give(BackendOrder(fault=BackendFault.HANG))
+        headers = {"pumicespur-timeout-ms": "300"}
+        for _ in range(3):
+            answer = await self.http.get(f"{self.entries[0].url}/issuance/x", headers=headers)
+            self.assertEqual(outcome_of(answer), "unknown")
+        await backend.give(BackendOrder())
+        self.assertEqual(await self.get_all(3), ["answered"] * 3)
+
+    async def test_a_backend_server_that_comes_back_is_used_again(self) -> None:
+        await self.start_cluster(one_pool(1, 0), backends=1, entry={"eject_s": "0.1"})
+        await BackendOrders(self.backends[0]).give(BackendOrder(reboot_ms=500))
+
+        async def outcome(wanted: str) -> bool:
+            return (await self.get_all(1))[0] == wanted
+
+        await wait_until(lambda: outcome("not-run"), "it is down")
+        await wait_until(lambda: outcome("answered"), "it is back")
+
+
+class TestCallerFaults(ClusterCase):
+    """Callers that are slow, go away, or come all at once."""
+
+    async def connect(self) -> anyio.abc.SocketStream:
+        host, _, port = self.entries[0].ready["listen"].rpartition(":")
+        return await anyio.connect_tcp(host, int(port))
+
+    async def test_slow_callers_hold_up_nobody(self) -> None:
+        await self.start_cluster(one_pool(1, 0), backends=1)
+        slow = [await self.connect() for _ in range(100)]
+        for stream in slow[:50]:
+            await stream.send(b"GET /issuance/x HTTP/1.1\r\nhost:")
+        for stream in slow[50:]:
+            await stream.send(
+                b"PUT /issuance/x HTTP/1.1\r\nhost: x\r\npumicespur-timeout-ms: 300\r\n"
+                b"content-length: 10\r\n\r\n123"
+            )
+        answer = await self.http.get(f"{self.entries[0].url}/issuance/x")
+        self.assertEqual(answer.status_code, 200)
+        head = await slow[-1].receive()
+        self.assertIn(b" 408 ", head)
+        self.assertIn(b"pumicespur-outcome: not-run", head)
+        for stream in slow:
+            await stream.aclose()
+
+        async def idle() -> bool:
+            return bool(self.entries[0].describe()["running"] == 0)
+
+        await wait_until(idle, "nothing is held for slow callers")
+
+    async def test_a_wave_of_cancellations_leaves_nothing_behind(self) -> None:
+        await self.start_cluster(one_pool(2, 0), backends=2)
+        for backend in self.backends:
+            await BackendOrders(backend).give(BackendOrder(delay_ms=300))
+        entry = self.entries[0]
+
+        async def call(number: int) -> None:
+            with anyio.move_on_after(0.1):
+                async with httpx.AsyncClient(trust_env=False) as client:
+                    headers = {"idempotency-key": f"k{number}"}
+                    await client.post(f"{entry.url}/issuance/x", headers=headers)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(60):
+                tasks.start_soon(call, number)
+
+        async def idle() -> bool:
+            dump = entry.describe()
+            backends = dump["pools"]["issuance"]["backends"].values()
+            return dump["running"] == 0 and not any(b["in_flight"] for b in backends)
+
+        await wait_until(idle, "all have ended")
+        for number in range(60):
+            self.assertLessEqual(await self.runs(f"k{number}"), 1)
+        for backend in self.backends:
+            await BackendOrders(backend).give(BackendOrder())
+        answer = await self.post(entry, "after")
+        self.assertEqual(outcome_of(answer), "answered")
