--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -26,7 +26,7 @@
 INSTANCES = 200
 PAIRS = (2, 4, 8)
 DEFAULTS = {
-    "process": {"heartbeat_s": "1", "poll_s": "0.5"},
+    "process": {"heartbeat_s": "1", "poll_s": "1"},
     "platform": {"timeout_s": "2", "writes_per_s": "6"},
     "manager": {"lease_s": "6", "tick_s": "0.5"},
 }
--- a/pumicespur/routing/_table.py
+++ b/pumicespur/routing/_table.py
@@ -22,7 +22,7 @@
 
 log = Logger(__name__)
 
-LIST_POLL_S = 1.0
+LIST_POLL_S = 2.0
 
 
 class RoutingTable:
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -150,6 +150,17 @@
         sections: dict[str, dict[str, str]] | None = None,
     ) -> Child:
         """Start an entry or a manager; wait_ready it later."""
+        path = self.write_settings(role, name, platform, sections)
+        return self.start(name, "pumicespur", role, str(path))
+
+    def write_settings(
+        self,
+        role: str,
+        name: str,
+        platform: Child,
+        sections: dict[str, dict[str, str]] | None,
+    ) -> Path:
+        """Write a settings file with free ports and quick timers, and what `sections` has."""
         settings = {
             "process": {
                 "id": name,
@@ -167,7 +178,7 @@
             lines += [f"{key} = {value}" for key, value in merged.items()]
         path = Path(self._folder.name) / f"{name}.ini"
         path.write_text("\n".join(lines) + "\n")
-        return self.start(name, "pumicespur", role, str(path))
+        return path
 
 
 class PlatformOrders:
