--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,4 +1,4 @@
-"""Run every benchmark, or those named: entry, routing, decisions, control, claims."""
+"""Run every benchmark, or those named: decisions, reports, routing, claims, control, entry."""
 
 from __future__ import annotations
 
@@ -7,10 +7,11 @@
 
 import anyio
 
-from benchmarks import claims, control, decisions, entry, routing
+from benchmarks import claims, control, decisions, entry, reports, routing
 
 BENCHMARKS = {
     "decisions": decisions.main,
+    "reports": reports.main,
     "routing": routing.main,
     "claims": claims.main,
     "control": control.main,
