--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -26,7 +26,7 @@
 INSTANCES = 200
 PAIRS = (2, 4, 8)
 DEFAULTS = {
-    "process": {"heartbeat_s": "1", "poll_s": "1"},
+    "process": {"heartbeat_s": "2", "poll_s": "1"},
     "platform": {"timeout_s": "2", "writes_per_s": "6"},
     "manager": {"lease_s": "6", "tick_s": "0.5"},
 }
@@ -146,6 +146,18 @@
     }
 
 
+def print_rest(processes: int, role: str, used: list[tuple[float, float, float]]) -> None:
+    """Print a role's use at rest: the median, and the range of the processor time."""
+    cores, memory, messages = (sorted(column) for column in zip(*used, strict=True))
+    middle = len(used) // 2
+    print(
+        f"{processes} processes at rest, {role}: {cores[middle]:.1f}% of a core "
+        f"({cores[0]:.1f}-{cores[-1]:.1f}), {memory[middle]:.0f} MB, "
+        f"{messages[middle] / 1000:.1f} KB/s with peers",
+        flush=True,
+    )
+
+
 def peer_bytes(child: Child) -> float:
     """Return the bytes that a process has exchanged with peers."""
     return float(child.describe()["peer_bytes"])
@@ -172,13 +184,13 @@
         spread = await propagation(cluster, operator)
         urgent = await urgent_starts(cluster, operator)
         planner = (await operator.status()).planner
-        idle_manager = next(m.name for m in cluster.managers if m.name != planner)
-        shown = {"entry": "entry-1", "planner": planner, "other manager": idle_manager}
-        figures = "; ".join(
-            f"{role} {used[name][0]:.1f}% {used[name][1]:.0f} MB {used[name][2] / 1000:.1f} KB/s"
-            for role, name in shown.items()
-        )
-        print(f"{pairs * 2 + 1} processes at rest: {figures}", flush=True)
+        groups = {
+            "entries": [child.name for child in cluster.entries],
+            "planner": [planner],
+            "other managers": [m.name for m in cluster.managers if m.name != planner],
+        }
+        for role, names in groups.items():
+            print_rest(pairs * 2 + 1, role, [used[name] for name in names])
         return [
             (
                 pairs * 2 + 1,
--- a/pumicespur/peers/_members.py
+++ b/pumicespur/peers/_members.py
@@ -24,7 +24,7 @@
 
 MEMBER_PREFIX = "member/"
 REFRESH_S = 20.0
-SCAN_S = 2.0
+SCAN_S = 5.0
 FORGET_S = 4 * REFRESH_S
 
 
