Place tasks by what they were seen to use; lose halls and racks mid-wave

Ruled out: lowering a declared size to what was seen, as a lagging report may miss a peak.

Change: usage reports correct a job's size upwards, a failed task is placed elsewhere, and an instance with three failed tasks and none that runs gets no new ones. Failure tests on real processes: a data hall lost mid-wave, a rack lost together with the planner, a wave whose instances do not come back.

Before: two tasks of 2 declared and 6 used went on one host of 10. After: one, and the other is told to have no room.

Conclusion: decisions are proved; a failed task on a real process is not, and listed.

--- a/pumicespur/planning/__init__.py
+++ b/pumicespur/planning/__init__.py
@@ -9,6 +9,7 @@
 from pumicespur.planning._moves import plan_moves
 from pumicespur.planning._placement import plan_placements
 from pumicespur.planning._planner import Planner
+from pumicespur.planning._usage import UsageBook
 from pumicespur.planning._waves import in_window, plan_waves
 
 __all__ = [
@@ -18,6 +19,7 @@
     "PlanInput",
     "Planner",
     "PoolAvailability",
+    "UsageBook",
     "advance",
     "decide",
     "in_window",
--- a/pumicespur/planning/_decision.py
+++ b/pumicespur/planning/_decision.py
@@ -9,6 +9,7 @@
 from pumicespur.planning._lifecycle import advance
 from pumicespur.planning._moves import plan_moves
 from pumicespur.planning._placement import plan_placements
+from pumicespur.planning._usage import UsageBook
 from pumicespur.planning._waves import plan_waves
 from pumicespur.schema.fleet_pb import Assignment, Placement, Record, WaveProgress
 from pumicespur.structure import Fleet, InstanceId, TaskId, WaveId, task_id
@@ -35,6 +36,7 @@
     missing: frozenset[InstanceId]
     now_ms: int
     settings: ManagerSettings
+    usage: UsageBook = field(default_factory=UsageBook)
 
 
 @dataclass
--- a/pumicespur/planning/_placement.py
+++ b/pumicespur/planning/_placement.py
@@ -32,9 +32,13 @@
     free: Resources
     tasks: Counter[str] = field(default_factory=Counter)
 
-    def take(self, job: Job) -> None:
+    @property
+    def name(self) -> str:
+        """The instance's id."""
+        return self.assignment.instance
+
+    def take(self, job: Job, needs: Resources) -> None:
         """Use the resources of one task."""
-        needs = job.needs or Resources()
         self.free.millicores -= needs.millicores
         self.free.memory_mb -= needs.memory_mb
         self.free.accelerators -= needs.accelerators
@@ -90,8 +94,10 @@
             host = self._host_of(placement, job)
             if job is None or placement.index >= job.tasks:
                 self._remove(placement)
+            elif self.known.usage.has_failed(key, placement.instance):
+                self.lost[key] = placement
             elif host is not None:
-                host.take(job)
+                host.take(job, self.known.usage.needs(job))
                 self._charge_team(job)
                 self.kept.add(key)
             elif self._is_really_gone(placement):
@@ -128,7 +134,7 @@
             key = task_id(job.id, index)
             if key in self.kept:
                 continue
-            chosen = self._choose(job)
+            chosen = self._choose(job, self.lost.get(key))
             if isinstance(chosen, str):
                 unplaced += 1
                 reason = chosen
@@ -137,17 +143,22 @@
         if unplaced:
             self._report(job, f"{unplaced} task(s) not placed: {reason}")
 
-    def _choose(self, job: Job) -> Host | str:
+    def _choose(self, job: Job, before: Placement | None) -> Host | str:
         """Return the host that spreads the job best, or why there is none."""
-        needs = job.needs or Resources()
+        needs = self.known.usage.needs(job)
         if not self._within_quota(job):
             return f"team {job.team} is at its quota"
         hosts = self.hosts.get(PoolId(job.pool), {})
-        fitting = [host for host in hosts.values() if covers(host.free, needs)]
+        large_enough = [host for host in hosts.values() if covers(host.total, needs)]
+        sound = [h for h in large_enough if not self.known.usage.is_avoided(h.name)]
+        fitting = [host for host in sound if covers(host.free, needs)]
+        elsewhere = [host for host in fitting if before is None or host.name != before.instance]
         if fitting:
-            return self._best(job, fitting, hosts)
-        if any(covers(host.total, needs) for host in hosts.values()):
+            return self._best(job, elsewhere or fitting, hosts)
+        if sound:
             return "no instance of the pool has room now"
+        if large_enough:
+            return "every instance of the pool that is large enough fails its tasks"
         return "no instance of the pool is large enough, so it can never run there"
 
     def _best(self, job: Job, fitting: list[Host], hosts: dict[str, Host]) -> Host:
@@ -179,7 +190,7 @@
             instance=host.assignment.instance,
             attempt=before.attempt + 1 if before else 1,
         )
-        host.take(job)
+        host.take(job, self.known.usage.needs(job))
         self._charge_team(job)
         self.decision.place([placement])
 
@@ -187,12 +198,11 @@
         team = self.known.fleet.teams.get(TeamId(job.team))
         if team is None or not team.max_millicores:
             return True
-        needs = job.needs or Resources()
+        needs = self.known.usage.needs(job)
         return self.team_millicores[job.team] + needs.millicores <= team.max_millicores
 
     def _charge_team(self, job: Job) -> None:
-        needs = job.needs or Resources()
-        self.team_millicores[job.team] += needs.millicores
+        self.team_millicores[job.team] += self.known.usage.needs(job).millicores
 
     def _report(self, job: Job, message: str) -> None:
         self.decision.findings.append(
--- a/pumicespur/planning/_planner.py
+++ b/pumicespur/planning/_planner.py
@@ -11,6 +11,7 @@
 
 from pumicespur.planning._decision import Decision, PlanInput, decide
 from pumicespur.planning._effects import Effects
+from pumicespur.planning._usage import UsageBook
 from pumicespur.platform import Conflict, Listing
 from pumicespur.schema.fleet_pb import InstanceState, Record
 from pumicespur.utils import now_ms
@@ -36,6 +37,9 @@
 IDLE_LIST_AGE_S = 5.0
 """How often a manager fetches the list that does not hold the lease."""
 
+USAGE_AGE_S = 2.0
+"""How often the planner fetches what tasks use."""
+
 MAX_IDLE_S = 5.0
 """How often a round runs although nothing has changed: waves have windows."""
 
@@ -61,6 +65,8 @@
         self.findings: list[Finding] = []
         self.rounds = 0
         self.decide_s = 0.0
+        self.usage = UsageBook()
+        self._usage_at = float("-inf")
         self._missing_since: dict[InstanceId, float] = {}
         self._saved_revision = 0
         self._observed_at = float("-inf")
@@ -90,6 +96,16 @@
                 self.listing = listing
                 self._observed_at = time.monotonic()
                 self._note_missing()
+        if self.replica.fleet.placements and self.lease.held:
+            await self._observe_usage()
+
+    async def _observe_usage(self) -> None:
+        if time.monotonic() - self._usage_at < USAGE_AGE_S:
+            return
+        match await self.platform.list_usage():
+            case Result(tag="ok", ok=listing):
+                self.usage.observe(listing.tasks)
+                self._usage_at = time.monotonic()
 
     def _note_missing(self) -> None:
         now = time.monotonic()
@@ -108,6 +124,8 @@
         answer = await self.replica.append(self._build, [self.lease.fence()])
         match answer:
             case Result(tag="ok"):
+                # Each report of a failed task is acted upon once; the next may lag.
+                self.usage.failed_now = frozenset()
                 await self.effects.carry_out(self.replica.fleet)
                 await self._save_snapshot()
             case Result(error=Conflict()):
@@ -125,6 +143,7 @@
             return False
         return (
             self.replica.revision == self._idle_revision
+            and not self.usage.failed_now
             and self.listing.instances == self._idle_instances
         )
 
@@ -158,6 +177,7 @@
             missing=self._missing(fleet),
             now_ms=now_ms(),
             settings=self.settings,
+            usage=self.usage,
         )
         return decide(known)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -31,6 +31,7 @@
 from standins.schema.standins_pb import (
     AddInstancesRequest,
     BackendOrder,
+    BackendState,
     Empty,
     HistoryEvent,
     HistoryResponse,
@@ -56,6 +57,7 @@
     # None for an instance that is only listed and takes no orders.
     control: BackendControlClient | None
     tasks: dict[str, Resources] = field(default_factory=dict)
+    up: bool = True
 
 
 class State:
@@ -320,9 +322,13 @@
     try:
         seen = await machine.control.inspect(Empty(), timeout_ms=500)
     except ConnectError:
-        return None
+        seen = BackendState(down=True)
     if seen.down:
+        if machine.up:
+            state.note("down", listed.id)
+        machine.up = False
         return None
+    machine.up = True
     if listed.boot != seen.boot:
         state.note("up", listed.id, seen.boot)
     drained = seen.draining and not seen.running and not machine.tasks
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -7,12 +7,19 @@
 from __future__ import annotations
 
 import signal
+from typing import TYPE_CHECKING
 
 import anyio
 
 from pumicespur.exceptions import ConflictError, PumicespurError, UnreachableError
 from pumicespur.operators import SCHEMA_VERSION, OperatorClient
-from pumicespur.schema.fleet_pb import Declaration, Record, WavePhase
+from pumicespur.schema.fleet_pb import (
+    Declaration,
+    FailureDomain,
+    InstanceState,
+    Record,
+    WavePhase,
+)
 from pumicespur.schema.operators_pb import (
     ApplyRequest,
     ApplyResponse,
@@ -22,9 +29,12 @@
 )
 from standins.checker import lowest_availability, pool_clashes
 from standins.launcher import BackendOrders, Child, wait_until
-from standins.schema.standins_pb import PlatformFault
+from standins.schema.standins_pb import HistoryEvent, PlatformFault
 from tests.base import ClusterCase, make_pool, make_wave, one_pool, outcome_of
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 
 class WaveCase(ClusterCase):
     """Tests that run a wave over one pool and judge it in the end."""
@@ -145,6 +155,82 @@
         return bool(manager.describe()["lease"]["held"])
 
 
+QUICK_LOSS = {"reboot_timeout_s": "2", "missing_s": "2"}
+
+
+class TestLosses(WaveCase):
+    """Instances lost together in the middle of a wave."""
+
+    async def test_a_data_hall_lost_mid_wave_leaves_the_budget(self) -> None:
+        pool = make_pool("issuance", 8, 3, FailureDomain.DATA_HALL)
+        wave = make_wave("issuance", halt_share=1)
+        declaration = Declaration(pools=[pool], waves=[wave])
+        await self.start_cluster(declaration, backends=8, racks=4, manager=QUICK_LOSS)
+        await self.act(WaveAction.START)
+        await self.wait_event("order-reboot", 2)
+        for backend in self.backends[::2]:
+            backend.kill()
+
+        async def dropped() -> bool:
+            return len((await self.status()).assignments) == 4
+
+        await wait_until(dropped, "the lost instances are dropped")
+        await self.wait_settled()
+        drains = self.count("order-drain", (await self.orders.history()).events)
+        history = await self.orders.history()
+        seen = lowest_availability(history)["issuance"]
+        self.assertGreaterEqual(seen.lowest, seen.minimum)
+        # With one hall left its loss would take all, so nothing more may start.
+        status = await self.status()
+        self.assertIs(status.waves[0].phase, WavePhase.RUNNING)
+        self.assertEqual(self.count("order-drain", history.events), drains)
+
+    async def wait_settled(self) -> None:
+        """Wait until every instance that is left serves."""
+
+        async def serving() -> bool:
+            assignments = (await self.status()).assignments
+            return all(a.state is InstanceState.SERVING for a in assignments)
+
+        await wait_until(serving, "all that are left serve")
+
+    @staticmethod
+    def count(kind: str, events: Sequence[HistoryEvent]) -> int:
+        """Count events of a kind."""
+        return sum(event.kind == kind for event in events)
+
+    async def test_the_planner_dies_as_a_rack_does(self) -> None:
+        pool = make_pool("issuance", 8, 3, FailureDomain.RACK)
+        wave = make_wave("issuance", halt_share=1)
+        declaration = Declaration(pools=[pool], waves=[wave])
+        await self.start_cluster(declaration, backends=8, racks=4, managers=2, manager=QUICK_LOSS)
+        planner = await self.planner()
+        operator = await self.other(planner)
+        await self.act(WaveAction.START, operator)
+        await self.wait_event("order-drain", 2)
+        planner.kill()
+        for backend in self.backends[::4]:
+            backend.kill()
+        await self.wait_phase(WavePhase.DONE, operator)
+        history = await self.orders.history()
+        seen = lowest_availability(history)["issuance"]
+        self.assertGreaterEqual(seen.lowest, seen.minimum)
+        self.assertEqual(pool_clashes(history), [])
+
+    async def test_a_wave_halts_when_its_instances_do_not_come_back(self) -> None:
+        quick = {"reboot_timeout_s": "1", "missing_s": "600"}
+        declaration = one_pool(4, 2, [make_wave("issuance")])
+        await self.start_cluster(declaration, backends=4, manager=quick)
+        await self.act(WaveAction.START)
+        await self.wait_event("order-reboot", 2)
+        for backend in self.backends:
+            backend.kill()
+        await self.wait_phase(WavePhase.HALTED)
+        status = await self.status()
+        self.assertGreater(status.waves[0].failed, 0)
+        self.assertIn("failed", status.waves[0].reason)
+
+
 class TestStoreFailures(WaveCase):
     """A store that is down, slow or loses answers breaks nothing."""
 
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -20,7 +20,8 @@
     Wave,
     WavePhase,
 )
-from pumicespur.structure import SPARE_POOL, InstanceId, JobId, PoolId, TeamId, WaveId
+from pumicespur.schema.platform_pb import TaskUsage
+from pumicespur.structure import SPARE_POOL, InstanceId, JobId, PoolId, TaskId, TeamId, WaveId
 from standins.model import ModelPlatform, build
 from tests.base import make_pool, make_wave
 from tests.naive import naive_available, naive_decide, naive_fits, naive_may_take_down
@@ -214,6 +215,12 @@
         self.assertEqual(filled, min(wanted_all, len(model.instances)))
 
 
+def usage(task: str, instance: str, millicores: int, failed: bool = False) -> TaskUsage:
+    """Make one task's report."""
+    used = Resources(millicores=millicores)
+    return TaskUsage(task=task, instance=instance, used=used, failed=failed)
+
+
 class TestPlacement(unittest.TestCase):
     """Tasks run where there is room, spread, and no more often than needed."""
 
@@ -280,6 +287,38 @@
             model = self.place(jobs, hosts, teams)
             self.assertIn(reason, model.last.findings[0].message)
 
+    def test_a_size_declared_too_small_is_corrected_for_new_tasks(self) -> None:
+        model = self.place([self.job("j", 1, 2)], [10])
+        model.usage.observe([usage("j/0", "i0", 6)])
+        model.fleet.jobs[JobId("j")] = self.job("j", 2, 2)
+        model.step()
+        self.assertEqual(len(model.fleet.placements), 1)
+        self.assertIn("no instance of the pool has room now", model.last.findings[0].message)
+
+    def test_a_failed_task_is_placed_elsewhere(self) -> None:
+        model = self.place([self.job("j", 1, 2)], [10, 10])
+        before = model.fleet.placements[TaskId("j/0")]
+        model.usage.observe([usage("j/0", before.instance, 2, failed=True)])
+        model.step()
+        after = model.fleet.placements[TaskId("j/0")]
+        self.assertNotEqual(after.instance, before.instance)
+        self.assertEqual(after.attempt, before.attempt + 1)
+        model.step()
+        self.assertEqual(model.fleet.placements[TaskId("j/0")], after)
+
+    def test_an_instance_that_fails_everything_is_avoided_until_a_task_runs(self) -> None:
+        model = self.place([], [10, 10])
+        model.usage.observe([usage(f"x/{n}", "i0", 1, failed=True) for n in range(3)])
+        model.fleet.jobs[JobId("j")] = self.job("j", 4, 1)
+        model.step()
+        hosts = {placement.instance for placement in model.fleet.placements.values()}
+        self.assertEqual(hosts, {"i1"})
+        model.usage.observe([usage("x/9", "i0", 1)])
+        model.fleet.jobs[JobId("j")] = self.job("j", 6, 1)
+        model.step()
+        hosts = {placement.instance for placement in model.fleet.placements.values()}
+        self.assertEqual(hosts, {"i0", "i1"})
+
     def test_a_drain_moves_only_the_tasks_of_that_instance(self) -> None:
         model = self.place([self.job("j", 4, 1)], [10, 10, 10, 10])
         before = {key: p.instance for key, p in model.fleet.placements.items()}
