End the program with its exit code, whatever its libraries' threads do

Cause: the generated client's transport (pyqwest) has threads of its own; one that wakes up during the interpreter's clean-up ends the process with SIGABRT. A command then ended with -6 instead of 4; seen in 1 of 4 runs of the TLS test here and in a run from a fresh clone.

Ruled out: the TLS handshake itself, as the message was printed whole; closing the transport first would leave the race to whatever is still on its way.

Change: output is flushed and the process ends by os._exit with the code; an unexpected failure prints its traceback and ends with 70.

--- a/pumicespur/__main__.py
+++ b/pumicespur/__main__.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import getpass
+import os
 import sys
+import traceback
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -24,6 +26,7 @@
 from pumicespur.schema.operators_pb import WaveAction
 from pumicespur.schema.peer_pb import Role
 
+UNEXPECTED_EXIT_CODE = 70
 DEFAULT_MANAGER = "http://127.0.0.1:8090"
 
 SETTINGS_HELP = "The settings file of this process."
@@ -55,7 +58,8 @@
 
 EXIT_CODES = """
 Exit codes: 0 done, 1 refused, 2 faulty settings, declarations or arguments,
-3 conflict with another operator, 4 no answer (the change may hold; look at status).
+3 conflict with another operator, 4 no answer (the change may hold; look at status),
+70 a fault of the program itself, with a traceback.
 """
 
 
@@ -249,6 +253,19 @@
 
 
 def main() -> None:
+    """Run a command and end the process with its exit code.
+
+    The process ends without the interpreter's clean-up. The HTTP client of the generated
+    calls has threads of its own, and one that wakes up during the clean-up ends the process
+    with SIGABRT instead of the exit code.
+    """
+    code = execute()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
+def execute() -> int:
     """Run a command; print an expected failure as one line for each finding."""
     try:
         app()
@@ -256,10 +273,16 @@
         for finding in failure.findings:
             print(format_finding(finding), file=sys.stderr)
         print(f"pumicespur: {failure}", file=sys.stderr)
-        sys.exit(failure.exit_code)
+        return failure.exit_code
     except PumicespurError as failure:
         print(f"pumicespur: {failure}", file=sys.stderr)
-        sys.exit(failure.exit_code)
+        return failure.exit_code
+    except SystemExit as stop:
+        return stop.code if isinstance(stop.code, int) else int(stop.code is not None)
+    except Exception:
+        traceback.print_exc()
+        return UNEXPECTED_EXIT_CODE
+    return 0
 
 
 if __name__ == "__main__":
