--- /dev/null
+++ b/pumicespur/operators/_review.py
@@ -0,0 +1,51 @@
+"""What applying a request would change, and what stands against it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pumicespur.schema.fleet_pb import Declaration, Record, Removals
+from pumicespur.schema.operators_pb import ApplyResponse, Conflict, Finding, Severity
+from pumicespur.structure import (
+    Fleet,
+    SectionName,
+    changed_sections,
+    check_declaration,
+    sections_of,
+)
+
+if TYPE_CHECKING:
+    from pumicespur.schema.operators_pb import ApplyRequest
+
+
+def review(fleet: Fleet, request: ApplyRequest) -> ApplyResponse:
+    """Find what applying a request would change, and what stands against it."""
+    put = request.put or Declaration()
+    removals = request.removals or Removals()
+    changed = changed_sections(fleet.declaration(), put, removals)
+    conflicts = [
+        Conflict(section=name, revision=change.revision, author=change.author)
+        for name in changed
+        if (change := fleet.changes.get(SectionName(name)))
+        and change.revision > request.base_revision
+    ]
+    after = Fleet.from_snapshot(fleet.snapshot())
+    after.apply(Record(revision=fleet.revision + 1, put=put, removals=removals))
+    findings = check_declaration(after.declaration())
+    findings += _unknown_removals(fleet, removals)
+    return ApplyResponse(changed=list(changed), conflicts=conflicts, findings=findings)
+
+
+def _unknown_removals(fleet: Fleet, removals: Removals) -> list[Finding]:
+    present = sections_of(fleet.declaration())
+    named = [
+        *(f"pool {name}" for name in removals.pools),
+        *(f"job {name}" for name in removals.jobs),
+        *(f"team {name}" for name in removals.teams),
+        *(f"wave {name}" for name in removals.waves),
+    ]
+    return [
+        Finding(severity=Severity.WARNING, section=name, message="is not there to be removed")
+        for name in named
+        if name not in present
+    ]
--- a/pumicespur/operators/_service.py
+++ b/pumicespur/operators/_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import uuid
 from typing import TYPE_CHECKING, Any
 
 import pynng
@@ -11,30 +10,24 @@
 from expression import Result
 from logbook import Logger
 
+from pumicespur.config import has_errors
+from pumicespur.operators._changes import drained, next_progress, resumed
+from pumicespur.operators._review import review
 from pumicespur.operators._status import measure_pools
 from pumicespur.schema.fleet_pb import (
     Assignment,
-    Declaration,
-    DrainReason,
-    InstanceState,
     Record,
-    Removals,
-    WavePhase,
     WaveProgress,
 )
 from pumicespur.schema.operators_connect import Operators, OperatorsASGIApplication
 from pumicespur.schema.operators_pb import (
     ApplyRequest,
     ApplyResponse,
-    Conflict,
     DrainRequest,
     DrainResponse,
-    Finding,
     ProcessDumpRequest,
-    Severity,
     StatusRequest,
     StatusResponse,
-    WaveAction,
     WaveRequest,
     WaveResponse,
 )
@@ -43,13 +36,7 @@
 from pumicespur.structure import (
     Fleet,
     InstanceId,
-    SectionName,
-    WaveId,
-    changed_sections,
-    check_declaration,
-    sections_of,
 )
-from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,20 +54,6 @@
 OPERATOR_HEADER = "pumicespur-operator"
 ANONYMOUS = "anonymous"
 
-TRANSITIONS: dict[WaveAction, tuple[set[WavePhase | None], WavePhase]] = {
-    WaveAction.START: (
-        {None, WavePhase.DONE, WavePhase.ABORTED, WavePhase.HALTED},
-        WavePhase.RUNNING,
-    ),
-    WaveAction.PAUSE: ({WavePhase.RUNNING}, WavePhase.PAUSED),
-    WaveAction.RESUME: ({WavePhase.PAUSED, WavePhase.HALTED}, WavePhase.RUNNING),
-    WaveAction.ABORT: (
-        {WavePhase.RUNNING, WavePhase.PAUSED, WavePhase.HALTED},
-        WavePhase.ABORTED,
-    ),
-}
-"""For each action on a wave: the phases it takes, and the phase it leads to."""
-
 
 class OperatorService(Operators):
     """Answers operators from this process's replica, and appends what they change."""
@@ -111,7 +84,7 @@
         def build(fleet: Fleet) -> Record | None:
             nonlocal response
             response = review(fleet, request)
-            acceptable = not response.conflicts and not _has_errors(response.findings)
+            acceptable = not response.conflicts and not has_errors(response.findings)
             if request.dry_run or not acceptable or not response.changed:
                 return None
             return Record(author=author_of(ctx), put=request.put, removals=request.removals)
@@ -208,6 +181,7 @@
     async def _append(self, build: Callable[[Fleet], Record | None]) -> int:
         match await self.replica.append(build):
             case Result(tag="ok", ok=revision):
+                log.info("operator's call answered", revision=revision)
                 return revision
             case Result(error=Uncertain(token=token)):
                 text = f"the table service's answer was lost; the change may hold (token {token})"
@@ -224,100 +198,3 @@
 def author_of(ctx: RequestContext[Any, Any]) -> str:
     """Return who makes a call."""
     return ctx.request_headers.get(OPERATOR_HEADER) or ANONYMOUS
-
-
-def review(fleet: Fleet, request: ApplyRequest) -> ApplyResponse:
-    """Find what applying a request would change, and what stands against it."""
-    put = request.put or Declaration()
-    removals = request.removals or Removals()
-    changed = changed_sections(fleet.declaration(), put, removals)
-    conflicts = [
-        Conflict(section=name, revision=change.revision, author=change.author)
-        for name in changed
-        if (change := fleet.changes.get(SectionName(name)))
-        and change.revision > request.base_revision
-    ]
-    after = Fleet.from_snapshot(fleet.snapshot())
-    after.apply(Record(revision=fleet.revision + 1, put=put, removals=removals))
-    findings = check_declaration(after.declaration())
-    findings += _unknown_removals(fleet, removals)
-    return ApplyResponse(changed=list(changed), conflicts=conflicts, findings=findings)
-
-
-def _unknown_removals(fleet: Fleet, removals: Removals) -> list[Finding]:
-    present = sections_of(fleet.declaration())
-    named = [
-        *(f"pool {name}" for name in removals.pools),
-        *(f"job {name}" for name in removals.jobs),
-        *(f"team {name}" for name in removals.teams),
-        *(f"wave {name}" for name in removals.waves),
-    ]
-    return [
-        Finding(severity=Severity.WARNING, section=name, message="is not there to be removed")
-        for name in named
-        if name not in present
-    ]
-
-
-def _has_errors(findings: list[Finding]) -> bool:
-    return any(finding.severity is Severity.ERROR for finding in findings)
-
-
-def drained(assignment: Assignment) -> Assignment | None:
-    """Return the assignment of an instance that an operator drains; None if it is drained."""
-    if assignment.state is not InstanceState.SERVING:
-        if assignment.reason is DrainReason.OPERATOR:
-            return None
-        text = f"instance: {assignment.instance} is {assignment.state.name.lower()} already"
-        raise ConnectError(Code.FAILED_PRECONDITION, text)
-    changed = Assignment.from_binary(assignment.to_binary())
-    changed.state = InstanceState.DRAINING
-    changed.reason = DrainReason.OPERATOR
-    changed.token = uuid.uuid4().hex
-    changed.since_ms = now_ms()
-    return changed
-
-
-def resumed(assignment: Assignment) -> Assignment:
-    """Return the assignment of an instance that an operator takes back into service."""
-    serving = assignment.state is InstanceState.SERVING
-    if not serving and assignment.reason is not DrainReason.OPERATOR:
-        text = f"instance: {assignment.instance} was not drained by an operator"
-        raise ConnectError(Code.FAILED_PRECONDITION, text)
-    changed = Assignment.from_binary(assignment.to_binary())
-    if serving:
-        # Drained by somebody else: a resume under a new token takes it back.
-        changed.reason = DrainReason.OPERATOR
-        changed.token = uuid.uuid4().hex
-    changed.state = InstanceState.RETURNING
-    changed.since_ms = now_ms()
-    return changed
-
-
-def next_progress(fleet: Fleet, request: WaveRequest) -> WaveProgress:
-    """Return a wave's progress after an action; raise ConnectError if it takes none such."""
-    name = WaveId(request.wave)
-    if name not in fleet.waves:
-        raise ConnectError(Code.NOT_FOUND, f"wave: no such wave {request.wave!r}")
-    if request.action not in TRANSITIONS:
-        raise ConnectError(Code.INVALID_ARGUMENT, "action: takes start, pause, resume or abort")
-    current = fleet.progress.get(name)
-    phase = current.phase if current else None
-    takes, leads_to = TRANSITIONS[request.action]
-    if phase not in takes:
-        shown = phase.name.lower() if phase else "not started"
-        text = f"wave: {request.wave} is {shown} and can't {request.action.name.lower()}"
-        raise ConnectError(Code.FAILED_PRECONDITION, text)
-    if request.action is WaveAction.START or current is None:
-        run = current.run + 1 if current else 1
-        return WaveProgress(wave=name, phase=leads_to, started_ms=now_ms(), run=run)
-    changed = WaveProgress.from_binary(current.to_binary())
-    changed.phase = leads_to
-    changed.reason = ""
-    if request.action is WaveAction.RESUME:
-        # Operators resume a halted wave after looking: its failures get another try.
-        changed.failed = 0
-        changed.resumed_ms = now_ms()
-    if request.action is WaveAction.ABORT:
-        changed.ended_ms = now_ms()
-    return changed
--- a/pumicespur/peers/_links.py
+++ b/pumicespur/peers/_links.py
@@ -46,6 +46,17 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 
+def open_request_socket(address: str) -> pynng.Req0:
+    """Open a socket for requests to one peer; it connects when the peer is there."""
+    socket = pynng.Req0(
+        recv_timeout=REPLY_TIMEOUT_MS,
+        send_timeout=REPLY_TIMEOUT_MS,
+        recv_max_size=MAX_MESSAGE_BYTES,
+    )
+    socket.dial(f"tcp://{address}", block=False)
+    return socket
+
+
 class PeerNetwork:
     """The listener for peers and one link to each of them."""
 
@@ -80,12 +91,7 @@
 
     async def ask(self, address: str, request: PeerRequest) -> PeerReply:
         """Send one request to a peer; raise pynng.NNGException if it does not answer."""
-        with pynng.Req0(
-            recv_timeout=REPLY_TIMEOUT_MS,
-            send_timeout=REPLY_TIMEOUT_MS,
-            recv_max_size=MAX_MESSAGE_BYTES,
-        ) as socket:
-            socket.dial(f"tcp://{address}", block=False)
+        with open_request_socket(address) as socket:
             return await self._exchange(socket, request)
 
     async def _serve(self) -> None:
@@ -156,12 +162,7 @@
                 await anyio.sleep(self.settings.heartbeat_s)
 
     async def _converse(self, address: str) -> None:
-        with pynng.Req0(
-            recv_timeout=REPLY_TIMEOUT_MS,
-            send_timeout=REPLY_TIMEOUT_MS,
-            recv_max_size=MAX_MESSAGE_BYTES,
-        ) as socket:
-            socket.dial(f"tcp://{address}", block=False)
+        with open_request_socket(address) as socket:
             while True:
                 changed = self.replica.changed
                 await self._beat(socket)
--- a/pumicespur/planning/_lifecycle.py
+++ b/pumicespur/planning/_lifecycle.py
@@ -14,6 +14,7 @@
 from pumicespur.schema.operators_pb import Finding, Severity
 from pumicespur.schema.platform_pb import Liveness
 from pumicespur.structure import SPARE_POOL, WaveId
+from pumicespur.utils import replace_fields
 
 if TYPE_CHECKING:
     from pumicespur.planning._decision import Decision, PlanInput
@@ -37,14 +38,6 @@
     return f"{assignment.token}/resume"
 
 
-def changed(assignment: Assignment, **fields: object) -> Assignment:
-    """Return a copy of an assignment with some fields replaced."""
-    copy = Assignment.from_binary(assignment.to_binary())
-    for name, value in fields.items():
-        setattr(copy, name, value)
-    return copy
-
-
 def advance(known: PlanInput, decision: Decision) -> None:
     """Take every instance that is not simply serving one step further, if it is ready."""
     for name, assignment in known.fleet.assignments.items():
@@ -59,7 +52,7 @@
 
 def _check_serving(decision: Decision, assignment: Assignment, listed: ListedInstance) -> None:
     if listed.address != assignment.address:
-        decision.assign(changed(assignment, address=listed.address))
+        decision.assign(replace_fields(assignment, address=listed.address))
     if listed.drained:
         # Somebody else drained it, perhaps a script not moved over yet: it is charged to
         # the budget and left alone until an operator takes it back.
@@ -98,7 +91,7 @@
     if ordered and listed is not None and listed.drained:
         _finish_drain(known, decision, assignment, listed)
     elif _timed_out(known, assignment, known.settings.drain_timeout_s):
-        returning = changed(
+        returning = replace_fields(
             assignment, state=InstanceState.RETURNING, next_pool="", since_ms=known.now_ms
         )
         decision.assign(returning)
@@ -114,7 +107,7 @@
             pool = assignment.next_pool
             if pool != SPARE_POOL and pool not in known.fleet.pools:
                 pool = SPARE_POOL
-            moved = changed(
+            moved = replace_fields(
                 assignment,
                 pool=pool,
                 next_pool="",
@@ -123,7 +116,7 @@
             )
             decision.assign(moved)
         case _:
-            rebooting = changed(
+            rebooting = replace_fields(
                 assignment,
                 state=InstanceState.MAINTAINING,
                 boot=listed.boot,
@@ -164,7 +157,7 @@
 
 
 def _serving(assignment: Assignment, listed: ListedInstance, now_ms: int) -> Assignment:
-    return changed(
+    return replace_fields(
         assignment,
         state=InstanceState.SERVING,
         reason=DrainReason.UNSPECIFIED,
@@ -196,7 +189,7 @@
     progress = _progress(known, decision, assignment)
     if progress is not None and assignment.outcome is WaveOutcome.UNSPECIFIED:
         progress.failed += 1
-        decision.assign(changed(assignment, outcome=WaveOutcome.FAILED))
+        decision.assign(replace_fields(assignment, outcome=WaveOutcome.FAILED))
 
 
 def _progress(known: PlanInput, decision: Decision, assignment: Assignment) -> WaveProgress | None:
@@ -208,5 +201,5 @@
     if current.run != assignment.wave_run:
         return None
     if wave not in decision.waves:
-        decision.waves[wave] = WaveProgress.from_binary(current.to_binary())
+        decision.waves[wave] = replace_fields(current)
     return decision.waves[wave]
--- a/pumicespur/planning/_moves.py
+++ b/pumicespur/planning/_moves.py
@@ -10,11 +10,11 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from pumicespur.planning._lifecycle import changed
 from pumicespur.schema.fleet_pb import Assignment, DrainReason, InstanceState, Pool, Resources
 from pumicespur.schema.operators_pb import Finding, Severity
 from pumicespur.schema.platform_pb import ListedInstance, Liveness
 from pumicespur.structure import SPARE_POOL, InstanceId, PoolId
+from pumicespur.utils import replace_fields
 
 if TYPE_CHECKING:
     from pumicespur.planning._availability import Availability
@@ -86,7 +86,7 @@
             return False
         chosen = self._best(fitting, name)
         self.members[SPARE_POOL].remove(chosen)
-        moved = changed(chosen, pool=name, since_ms=self.known.now_ms)
+        moved = replace_fields(chosen, pool=name, since_ms=self.known.now_ms)
         self.members[name].append(moved)
         self.decision.assign(moved)
         return True
@@ -111,7 +111,7 @@
         return len(staying) - pool.size
 
     def _drain_towards(self, assignment: Assignment, pool: PoolId) -> None:
-        draining = changed(
+        draining = replace_fields(
             assignment,
             state=InstanceState.DRAINING,
             reason=DrainReason.MOVE,
--- a/pumicespur/planning/_placement.py
+++ b/pumicespur/planning/_placement.py
@@ -18,6 +18,7 @@
 from pumicespur.schema.operators_pb import Finding, Severity
 from pumicespur.schema.platform_pb import Liveness
 from pumicespur.structure import JobId, PoolId, TaskId, TeamId, task_id
+from pumicespur.utils import replace_fields
 
 if TYPE_CHECKING:
     from pumicespur.planning._decision import Decision, PlanInput
@@ -84,7 +85,7 @@
                 continue
             if assignment.state is InstanceState.SERVING and not assignment.removed:
                 total = listed.resources or Resources()
-                free = Resources.from_binary(total.to_binary())
+                free = replace_fields(total)
                 hosts[name] = Host(assignment, total, free)
 
     def _keep_or_lose(self) -> None:
@@ -123,9 +124,7 @@
         return assignment.state is not InstanceState.SERVING or assignment.pool != job.pool
 
     def _remove(self, placement: Placement) -> None:
-        gone = Placement.from_binary(placement.to_binary())
-        gone.removed = True
-        self.decision.place([gone])
+        self.decision.place([replace_fields(placement, removed=True)])
 
     def _place_job(self, job: Job) -> None:
         unplaced = 0
--- a/pumicespur/planning/_waves.py
+++ b/pumicespur/planning/_waves.py
@@ -6,7 +6,6 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from pumicespur.planning._lifecycle import changed
 from pumicespur.schema.fleet_pb import (
     Assignment,
     DrainReason,
@@ -17,6 +16,7 @@
     WaveProgress,
 )
 from pumicespur.structure import InstanceId, WaveId
+from pumicespur.utils import replace_fields
 
 if TYPE_CHECKING:
     from pumicespur.planning._availability import Availability
@@ -95,7 +95,7 @@
 def _draining(known: PlanInput, assignment: Assignment, progress: WaveProgress) -> Assignment:
     same_run = assignment.wave == progress.wave and assignment.wave_run == progress.run
     again = same_run and assignment.outcome is WaveOutcome.UNSPECIFIED
-    return changed(
+    return replace_fields(
         assignment,
         state=InstanceState.DRAINING,
         reason=DrainReason.WAVE,
@@ -134,8 +134,6 @@
 def _end(
     known: PlanInput, decision: Decision, progress: WaveProgress, phase: WavePhase, reason: str
 ) -> None:
-    ended = WaveProgress.from_binary(progress.to_binary())
-    ended.phase = phase
-    ended.reason = reason
-    ended.ended_ms = known.now_ms
-    decision.waves[WaveId(ended.wave)] = ended
+    decision.waves[WaveId(progress.wave)] = replace_fields(
+        progress, phase=phase, reason=reason, ended_ms=known.now_ms
+    )
--- a/pumicespur/processes/_entry.py
+++ b/pumicespur/processes/_entry.py
@@ -75,7 +75,7 @@
         return super().describe() | {
             "running": self.app.running,
             "requests": vars(self.dispatcher.counts),
-            "retry_tokens": self.dispatcher.retries.tokens,
+            "retry_tokens": self.dispatcher.attempts.budget.tokens,
             "claims": {
                 "pending": len(self.claims.pending),
                 "transactions": self.claims.transactions,
--- a/pumicespur/processes/_manager.py
+++ b/pumicespur/processes/_manager.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-from logbook import Logger
 
 from pumicespur.operators import OperatorService, measure_pools, operators_app
 from pumicespur.planning import Planner
@@ -19,8 +18,6 @@
 if TYPE_CHECKING:
     from pumicespur.config import Settings
 
-log = Logger(__name__)
-
 
 class ManagerProcess(Process):
     """Answers operators and plans while it holds the lease."""
--- a/pumicespur/routing/_claims.py
+++ b/pumicespur/routing/_claims.py
@@ -14,7 +14,6 @@
 
 import anyio
 from expression import Result
-from logbook import Logger
 
 from pumicespur.platform import (
     AnswerLost,
@@ -34,8 +33,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-log = Logger(__name__)
-
 MAX_PENDING = 2000
 MAX_GROUP = 100
 RESEND_TRIES = 3
--- a/pumicespur/routing/_entry_app.py
+++ b/pumicespur/routing/_entry_app.py
@@ -11,7 +11,6 @@
 
 import anyio
 from expression import Error, Ok, Result
-from logbook import Logger
 
 from pumicespur.routing._messages import (
     DEADLINE,
@@ -36,8 +35,6 @@
     from pumicespur.routing._dispatcher import Dispatcher
     from pumicespur.schema.settings_pb import EntrySettings
 
-log = Logger(__name__)
-
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 """Methods that are idempotent by RFC 9110, section 9.2.2."""
 
--- a/pumicespur/routing/_table.py
+++ b/pumicespur/routing/_table.py
@@ -7,7 +7,6 @@
 
 import anyio
 from expression import Result
-from logbook import Logger
 
 from pumicespur.routing._backend import Backend
 from pumicespur.routing._queue import PoolQueue
@@ -20,8 +19,6 @@
     from pumicespur.schema.settings_pb import EntrySettings
     from pumicespur.state import Replica
 
-log = Logger(__name__)
-
 LIST_POLL_S = 2.0
 
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -99,7 +99,7 @@
     def __init__(self) -> None:
         self.children: list[Child] = []
         self._folder = tempfile.TemporaryDirectory(prefix="pumicespur-")
-        self._errors = (Path(self._folder.name) / "errors.log").open("w+")
+        self.error_file = (Path(self._folder.name) / "errors.log").open("w+")
 
     def close(self) -> None:
         """End every process that was started."""
@@ -111,12 +111,12 @@
             child.process.wait(STOP_S)
             if child.process.stdout is not None:
                 child.process.stdout.close()
-        self._errors.close()
+        self.error_file.close()
         self._folder.cleanup()
 
     def errors(self) -> str:
         """Return all that the processes wrote to their error output."""
-        self._errors.flush()
+        self.error_file.flush()
         return (Path(self._folder.name) / "errors.log").read_text()
 
     def start(self, name: str, *arguments: str) -> Child:
@@ -124,7 +124,7 @@
         process = subprocess.Popen(
             [sys.executable, "-m", *arguments],
             stdout=subprocess.PIPE,
-            stderr=self._errors,
+            stderr=self.error_file,
             text=True,
         )
         child = Child(name, process)
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.planning import Decision, in_window
-from pumicespur.planning._lifecycle import advance, changed
+from pumicespur.planning._lifecycle import advance
 from pumicespur.planning._waves import is_due
 from pumicespur.schema.fleet_pb import (
     DrainReason,
@@ -14,10 +14,10 @@
     InstanceState,
     WaveOutcome,
     WavePhase,
-    WaveProgress,
 )
 from pumicespur.schema.platform_pb import Liveness
 from pumicespur.structure import minimum_available
+from pumicespur.utils import replace_fields
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -72,12 +72,10 @@
         newest = [decision.assignments.get(key, a) for key, a in known.fleet.assignments.items()]
         due = [a for a in newest if a.pool in wave.pools and is_due(a, progress)]
         if not due:
-            ended = WaveProgress.from_binary(progress.to_binary())
-            ended.phase = WavePhase.DONE
-            decision.waves[name] = ended
+            decision.waves[name] = replace_fields(progress, phase=WavePhase.DONE)
         elif all(a.state is InstanceState.SERVING for a in due) and in_window(wave, known.now_ms):
             decision.assign(
-                changed(
+                replace_fields(
                     due[0],
                     state=InstanceState.DRAINING,
                     reason=DrainReason.WAVE,
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -214,6 +214,7 @@
         process = subprocess.Popen(
             [sys.executable, str(built), role, str(settings)],
             stdout=subprocess.PIPE,
+            stderr=self.launcher.error_file,
             text=True,
             env=os.environ | {"SHIV_ROOT": str(unpacked)},
         )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from pumicespur.routing import Backend, PoolQueue, Refusal, pick_least_loaded
-from pumicespur.routing._dispatcher import RETRY_BURST, RetryBudget
+from pumicespur.routing._attempts import RETRY_BURST, RetryBudget
 from pumicespur.routing._messages import CallerRequest
 from pumicespur.routing._picker import SAMPLE
 from pumicespur.schema.fleet_pb import Assignment, Urgency
