--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -24,7 +24,7 @@
 from pumicespur.operators import SCHEMA_VERSION, OperatorClient
 from pumicespur.schema.fleet_pb import WavePhase
 from pumicespur.schema.operators_pb import ApplyRequest, WaveAction, WaveRequest
-from standins.checker import count_runs, lowest_availability, pool_clashes
+from standins.checker import count_moves, count_runs, lowest_availability, pool_clashes
 from standins.launcher import BackendOrders, Child, Launcher, PlatformOrders, wait_until
 
 DECLARATION = Path(__file__).parent / "demo.ini"
@@ -164,14 +164,14 @@
     )
     print()
     clashes = pool_clashes(history)
-    moves = sum(1 for event in history.events if event.kind == "task-start")
+    moves = count_moves(history)
     rows = [
         ("not-repeatable requests doubled", len(doubled)),
         ('ran although told "not run"', len(false_not_run)),
         ("answered although never run", len(lost)),
         ("answers to another request", tally.wrong_answers),
         ("instances in two pools", len(clashes)),
-        ("task starts", moves),
+        ("moves of instances / tasks", f"{moves.instances} / {moves.tasks}"),
         ("roll-out time, s", round(rollout_s, 1)),
         ("store writes / reads", f"{history.writes} / {history.reads}"),
     ]
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.schema.fleet_pb import Pool, Record
-from pumicespur.structure import Fleet, minimum_available
+from pumicespur.structure import SPARE_POOL, Fleet, minimum_available
 
 if TYPE_CHECKING:
     from standins.schema.standins_pb import BackendState, HistoryEvent, HistoryResponse
@@ -100,6 +100,27 @@
     return clashes
 
 
+@dataclass
+class Moves:
+    """Instances that changed pool, spare ones left out, and tasks that changed place."""
+
+    instances: int = 0
+    tasks: int = 0
+
+
+def count_moves(history: HistoryResponse) -> Moves:
+    """Count the moves that the log decided."""
+    moves = Moves()
+    pools: dict[str, str] = {}
+    for record in history.records:
+        for assignment in record.assignments:
+            before = pools.get(assignment.instance, SPARE_POOL)
+            moves.instances += before not in (SPARE_POOL, assignment.pool)
+            pools[assignment.instance] = assignment.pool
+        moves.tasks += sum(placement.attempt > 1 for placement in record.placements)
+    return moves
+
+
 def count_runs(state: BackendState) -> Counter[str]:
     """Return how often each not-repeatable request ran on a backend server."""
     return Counter(run.key for run in state.runs if run.key)
