Say "not run" of no key whose row was not asked; pass the path on as written

Cause 1: an entry at its limit of requests, and one that refused a body, said "not run" of a keyed request without looking whether an earlier delivery of the key had run. Cause 2: the decoded path was passed on, so an encoded slash or question mark became a real one.

Ruled out: asking the row at the limit, which would let a flood of callers spend the store's writes; a request that is malformed in itself keeps "not run", as it is so everywhere.

Before: 413 and 503 with not-run for a key that had run; '/a/b?c?d' for '/a%2Fb%3Fc?d'. After: unknown; the path as it was written.

Conclusion: every way out of the entry before the claim has been read through for this.

--- a/pumicespur/routing/_entry_app.py
+++ b/pumicespur/routing/_entry_app.py
@@ -63,7 +63,8 @@
         if scope["type"] != "http":
             return
         if self.running >= self.settings.max_connections:
-            await self._write(send, NotRun(503, "too many requests at this entry"))
+            full = NotRun(503, "too many requests at this entry")
+            await self._write(send, cautious(full, has_key(scope)))
             return
         self.running += 1
         try:
@@ -101,7 +102,7 @@
         with anyio.move_on_after(request.remaining_s()):
             body = await read_body(receive, self.settings.max_body_bytes)
         if body.is_error():
-            return body.error
+            return cautious(body.error, bool(request.key))
         return await self._carry(replace(request, body=body.ok))
 
     async def _carry(self, request: CallerRequest) -> Outcome:
@@ -122,6 +123,21 @@
             await send({"type": "http.response.body", "body": body})
 
 
+def has_key(scope: dict[str, Any]) -> bool:
+    """Tell whether a request names a key, before anything else of it is looked at."""
+    return any(name.lower() == KEY.encode() for name, _ in scope["headers"])
+
+
+def cautious(refused: NotRun, keyed: bool) -> Outcome:
+    """Say "unknown" of a keyed request whose row was not asked.
+
+    An earlier delivery of the same key may have run, whatever is wrong with this one.
+    """
+    if keyed:
+        return Unknown(refused.status, refused.reason, refused.retry_after_s)
+    return refused
+
+
 def parse_request(
     scope: dict[str, Any], headers: list[tuple[str, str]], settings: EntrySettings
 ) -> Result[CallerRequest, NotRun]:
@@ -130,7 +146,8 @@
     The path is `/POOL/REST`; the backend server gets `/REST`.
     """
     fields = {name.lower(): value for name, value in headers}
-    pool, _, rest = scope["path"].lstrip("/").partition("/")
+    # The raw path: a decoded one would turn an encoded slash or question mark into a real one.
+    pool, _, rest = scope["raw_path"].decode("ascii").lstrip("/").partition("/")
     if not pool:
         return Error(NotRun(404, "the path names no pool; it is /POOL/..."))
     method = scope["method"]
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -72,7 +72,7 @@
         fault = self.take_fault()
         if fault is BackendFault.FAIL:
             return 500, [NOT_RUN_HEADER, ("pumicespur-request-id", echo)], b"failed"
-        body = await self.run(headers.get("idempotency-key", ""), echo)
+        body = await self.run(headers.get("idempotency-key", ""), echo, request.target.decode())
         match fault:
             case BackendFault.CLOSE:
                 raise DroppedError
@@ -88,7 +88,7 @@
         load = f"{self.state.running}/{self.slots.total_tokens}"
         return 200, [("pumicespur-request-id", echo), ("pumicespur-load", load)], body
 
-    async def run(self, key: str, echo: str) -> bytes:
+    async def run(self, key: str, echo: str, target: str) -> bytes:
         """Take a slot, do the work and note the run."""
         self.state.running += 1
         try:
@@ -98,7 +98,7 @@
                 busy = int(self.slots.borrowed_tokens)
                 self.state.most_running = max(self.state.most_running, busy)
                 await anyio.sleep((self.work_ms + self.order.delay_ms) / 1000)
-                return json.dumps({"request": echo, "key": key}).encode()
+                return json.dumps({"request": echo, "key": key, "target": target}).encode()
         finally:
             self.state.running -= 1
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -56,6 +56,12 @@
             answer = await self.http.get(f"{self.entries[0].url}/issuance/x")
             self.assertEqual(answer.status_code, 200, fault)
 
+    async def test_the_target_is_passed_on_as_it_was_written(self) -> None:
+        await self.start_cluster(one_pool(1, 0), backends=1)
+        for target in ("/a%2Fb%3Fc?d=%20e", "/", "/x?y", "/%C3%A9"):
+            answer = await self.http.get(f"{self.entries[0].url}/issuance{target}")
+            self.assertEqual(answer.json()["target"], target)
+
     async def test_a_kept_connection_is_not_closed_without_notice(self) -> None:
         """Hypercorn's default closes a connection silently after 1,000 requests."""
         await self.start_cluster(one_pool(1, 0), backends=1)
@@ -170,6 +176,28 @@
         again = await self.post(self.entries[1], "k1")
         self.assertNotEqual(outcome_of(again), "not-run")
 
+    async def test_a_refusal_that_looks_at_no_row_never_says_not_run(self) -> None:
+        """An earlier delivery of the key may have run, whatever is wrong with this one."""
+        limits = {"max_connections": "1", "max_body_bytes": "100"}
+        await self.start_cluster(one_pool(1, 0), backends=1, entry=limits)
+        await self.post(self.entries[0], "k1")
+        url = f"{self.entries[0].url}/issuance/licences"
+        headers = {"idempotency-key": "k1"}
+        large = await self.http.post(url, headers=headers, content=b"x" * 200)
+        self.assertEqual((large.status_code, outcome_of(large)), (413, "unknown"))
+        await BackendOrders(self.backends[0]).give(BackendOrder(delay_ms=1000))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.http.get, url)
+
+            async def running() -> bool:
+                return (await BackendOrders(self.backends[0]).inspect()).running == 1
+
+            await wait_until(running, "the entry is full")
+            full = await self.http.post(url, headers=headers, content=b"k1")
+            plain = await self.http.get(url)
+        self.assertEqual((full.status_code, outcome_of(full)), (503, "unknown"))
+        self.assertEqual((plain.status_code, outcome_of(plain)), (503, "not-run"))
+
     async def test_a_frozen_entry_that_wakes_up_runs_nothing_twice(self) -> None:
         await self.start_cluster(one_pool(1, 0), backends=1, entries=2)
         await BackendOrders(self.backends[0]).give(BackendOrder(delay_ms=300))
