--- a/standins/platform.py
+++ b/standins/platform.py
@@ -50,7 +50,7 @@
 
 
 @dataclass
-class Machine:
+class KnownInstance:
     """One instance: what it is, where its stand-in takes orders, and what it runs."""
 
     listed: pb.ListedInstance
@@ -68,7 +68,7 @@
         self.rows: dict[str, pb.Row] = {}
         self.keys: list[str] = []
         self.objects: dict[str, bytes] = {}
-        self.machines: dict[str, Machine] = {}
+        self.instances: dict[str, KnownInstance] = {}
         self.tokens: set[str] = set()
         self.fault = SetFaultRequest()
         self.faults_left = 0
@@ -203,14 +203,14 @@
 
     async def give_order(self, request: pb.OrderRequest, ctx: object, /) -> pb.OrderResponse:
         """Carry out an order unless its token was carried out before."""
-        machine = await self.faulty(lambda: self.state.machines.get(request.instance))
-        if machine is None:
+        instance = await self.faulty(lambda: self.state.instances.get(request.instance))
+        if instance is None:
             raise ConnectError(Code.NOT_FOUND, f"no instance {request.instance!r}")
         if request.token not in self.state.tokens:
-            await self._carry_out(machine, request)
+            await self._carry_out(instance, request)
         return pb.OrderResponse()
 
-    async def _carry_out(self, machine: Machine, request: pb.OrderRequest) -> None:
+    async def _carry_out(self, instance: KnownInstance, request: pb.OrderRequest) -> None:
         match request.order:
             case pb.Order.DRAIN:
                 order = BackendOrder(drain=True)
@@ -220,16 +220,16 @@
                 order = BackendOrder(reboot_ms=self.state.reboot_ms)
             case _:
                 raise ConnectError(Code.INVALID_ARGUMENT, "no such order")
-        if machine.control is None:
+        if instance.control is None:
             raise ConnectError(Code.FAILED_PRECONDITION, "the instance takes no orders")
         self.state.tokens.add(request.token)
         try:
-            await machine.control.give(order, timeout_ms=1000)
+            await instance.control.give(order, timeout_ms=1000)
         except ConnectError:
             self.state.tokens.discard(request.token)
             raise
         if request.order is pb.Order.REBOOT:
-            machine.tasks.clear()
+            instance.tasks.clear()
         self.state.note(f"order-{request.order.name.lower()}", request.instance, request.token)
 
     async def run_task(self, request: pb.TaskRequest, ctx: object, /) -> pb.TaskResponse:
@@ -237,20 +237,20 @@
         return await self.faulty(lambda: self._run_task(request))
 
     def _run_task(self, request: pb.TaskRequest) -> pb.TaskResponse:
-        machine = self.state.machines.get(request.instance)
-        if machine is None:
+        instance = self.state.instances.get(request.instance)
+        if instance is None:
             return pb.TaskResponse(accepted=request.stop, reason="no such instance")
         if request.token in self.state.tokens:
             return pb.TaskResponse(accepted=True)
         if request.stop:
-            machine.tasks.pop(request.task, None)
+            instance.tasks.pop(request.task, None)
         else:
-            used = sum(needs.millicores for needs in machine.tasks.values())
-            resources = machine.listed.resources or Resources()
+            used = sum(needs.millicores for needs in instance.tasks.values())
+            resources = instance.listed.resources or Resources()
             needs = request.needs or Resources()
             if used + needs.millicores > resources.millicores:
                 return pb.TaskResponse(reason="not enough millicores")
-            machine.tasks[request.task] = needs
+            instance.tasks[request.task] = needs
         self.state.tokens.add(request.token)
         kind = "task-stop" if request.stop else "task-start"
         self.state.note(kind, request.instance, request.task)
@@ -262,8 +262,8 @@
         """List what each task uses."""
         tasks = [
             pb.TaskUsage(instance=name, task=task, used=needs)
-            for name, machine in self.state.machines.items()
-            for task, needs in machine.tasks.items()
+            for name, instance in self.state.instances.items()
+            for task, needs in instance.tasks.items()
         ]
         return await self.faulty(lambda: pb.ListUsageResponse(tasks=tasks, age_ms=1))
 
@@ -286,9 +286,9 @@
         """Add instances to the list, or take them from it."""
         for listed in request.instances:
             control = request.controls.get(listed.id)
-            self.state.machines[listed.id] = Machine(listed, self._client(control))
+            self.state.instances[listed.id] = KnownInstance(listed, self._client(control))
         for name in request.removed:
-            self.state.machines.pop(name, None)
+            self.state.instances.pop(name, None)
         await inspect_all(self.state)
         return Empty()
 
@@ -314,24 +314,24 @@
         )
 
 
-async def inspect(state: State, machine: Machine) -> pb.ListedInstance | None:
+async def inspect(state: State, instance: KnownInstance) -> pb.ListedInstance | None:
     """Ask an instance how it is; None if it does not answer."""
-    listed = machine.listed
-    if machine.control is None:
+    listed = instance.listed
+    if instance.control is None:
         return listed
     try:
-        seen = await machine.control.inspect(Empty(), timeout_ms=500)
+        seen = await instance.control.inspect(Empty(), timeout_ms=500)
     except ConnectError:
         seen = BackendState(down=True)
     if seen.down:
-        if machine.up:
+        if instance.up:
             state.note("down", listed.id)
-        machine.up = False
+        instance.up = False
         return None
-    machine.up = True
+    instance.up = True
     if listed.boot != seen.boot:
         state.note("up", listed.id, seen.boot)
-    drained = seen.draining and not seen.running and not machine.tasks
+    drained = seen.draining and not seen.running and not instance.tasks
     listed.boot = seen.boot
     return pb.ListedInstance.from_binary(
         pb.ListedInstance(
@@ -353,15 +353,15 @@
     """Take a new list of live instances."""
     found: list[pb.ListedInstance] = []
 
-    async def one(machine: Machine) -> None:
-        listed = await inspect(state, machine)
+    async def one(instance: KnownInstance) -> None:
+        listed = await inspect(state, instance)
         if listed is not None:
             found.append(listed)
 
     taken_at = time.monotonic()
     async with anyio.create_task_group() as tasks:
-        for machine in state.machines.values():
-            tasks.start_soon(one, machine)
+        for instance in state.instances.values():
+            tasks.start_soon(one, instance)
     state.lists.append((taken_at, found))
 
 
