Make two checks bite; late answers and servers killed mid-request

Cause: the check that a lost data hall stops the wave compared two counts taken at the same moment, so it could not fail; and the abort test could lose a race on a busy machine. Change: another planning round passes between the counts; the reboot in the abort test takes 1.5 s. New tests: answers after their deadline reach nobody else; a backend server killed with requests on it costs the repeatable ones nothing and leaves the others unknown. Conclusion: no code changed.

--- a/tests/base.py
+++ b/tests/base.py
@@ -90,6 +90,8 @@
 class ClusterCase(unittest.IsolatedAsyncioTestCase):
     """Tests against real processes; each test starts what it needs."""
 
+    reboot_ms = 200
+
     async def asyncSetUp(self) -> None:
         quiet_loop()
 
@@ -111,7 +113,7 @@
         **sections: dict[str, str],
     ) -> None:
         """Start processes, apply a declaration and wait until its pools are full."""
-        self.platform = self.launcher.start_platform()
+        self.platform = self.launcher.start_platform(self.reboot_ms)
         self.orders = PlatformOrders(self.platform)
         self.backends = [self.launcher.start_backend(f"b{n}", work_ms) for n in range(backends)]
         self.entries = [self.start_role("entry", n, sections) for n in range(entries)]
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -177,6 +177,7 @@
         await wait_until(dropped, "the lost instances are dropped")
         await self.wait_settled()
         drains = self.count("order-drain", (await self.orders.history()).events)
+        await self.wait_round()
         history = await self.orders.history()
         seen = lowest_availability(history)["issuance"]
         self.assertGreaterEqual(seen.lowest, seen.minimum)
@@ -185,6 +186,15 @@
         self.assertIs(status.waves[0].phase, WavePhase.RUNNING)
         self.assertEqual(self.count("order-drain", history.events), drains)
 
+    async def wait_round(self) -> None:
+        """Wait until the planner has decided once more."""
+        rounds = self.managers[0].describe()["rounds"]
+
+        async def decided() -> bool:
+            return bool(self.managers[0].describe()["rounds"] > rounds)
+
+        await wait_until(decided, "another round")
+
     async def wait_settled(self) -> None:
         """Wait until every instance that is left serves."""
 
@@ -367,6 +377,7 @@
         await self.operator.drain(DrainRequest(instance="b1"))
 
     async def test_pause_resume_and_abort(self) -> None:
+        self.reboot_ms = 1500  # so slow that the wave can't end before it is aborted
         await self.start_wave_cluster(managers=1)
         await self.act(WaveAction.START)
         await self.wait_event("order-drain")
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -32,6 +32,46 @@
                 self.assertEqual(answer.json()["key"], f"k{number}")
             self.assertLessEqual(await self.runs(f"k{number}"), 1)
 
+    async def test_a_late_answer_reaches_nobody_else(self) -> None:
+        await self.start_cluster(one_pool(1, 0), backends=1)
+        backend = BackendOrders(self.backends[0])
+        for number in range(5):
+            await backend.give(BackendOrder(delay_ms=400))
+            late = await self.post(self.entries[0], f"late-{number}", timeout_ms=200)
+            self.assertEqual(outcome_of(late), "unknown")
+            await backend.give(BackendOrder())
+            answer = await self.post(self.entries[0], f"next-{number}")
+            self.assertEqual(answer.json()["key"], f"next-{number}")
+            self.assertLessEqual(await self.runs(f"late-{number}"), 1)
+
+    async def test_one_killed_while_requests_run_on_it(self) -> None:
+        """What may be repeated is answered elsewhere; what may not is unknown."""
+        await self.start_cluster(one_pool(2, 0), backends=2)
+        for backend in self.backends:
+            await BackendOrders(backend).give(BackendOrder(delay_ms=1000))
+        ends: dict[str, list[str]] = {"GET": [], "POST": []}
+
+        async def call(method: str, number: int) -> None:
+            headers = {"idempotency-key": f"k{number}"} if method == "POST" else {}
+            url = f"{self.entries[0].url}/issuance/x"
+            answer = await self.http.request(method, url, headers=headers)
+            ends[method].append(outcome_of(answer))
+
+        async def running() -> bool:
+            states = [await BackendOrders(backend).inspect() for backend in self.backends]
+            return sum(state.running for state in states) == 8
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(4):
+                tasks.start_soon(call, "GET", number)
+                tasks.start_soon(call, "POST", number)
+            await wait_until(running, "all requests run")
+            lost = await BackendOrders(self.backends[0]).inspect()
+            self.backends[0].kill()
+        self.assertEqual(ends["GET"], ["answered"] * 4)
+        keyed = sum(1 for run in lost.runs if run.key)
+        self.assertEqual(sorted(ends["POST"]), ["answered"] * (4 - keyed) + ["unknown"] * keyed)
+
     async def test_a_frozen_backend_server_costs_no_repeatable_request(self) -> None:
         await self.start_cluster(one_pool(3, 0), backends=3, entry={"eject_s": "60"})
         self.backends[0].send_signal(signal.SIGSTOP)
