Restart the platform stand-in by order, in the middle of a wave

Change: the stand-in closes its listener, stays away and comes back with its rows; a wave goes on over three restarts of the store while an entry answers. Before: no such order. Conclusion: no product code changed.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -199,6 +199,10 @@
         )
         await self.stub.set_fault(request)
 
+    async def restart(self, away_ms: int) -> None:
+        """Let the platform close every connection and stay away for a while."""
+        await self.stub.set_fault(SetFaultRequest(restart_ms=away_ms))
+
     async def heal(self) -> None:
         """Lift every fault."""
         await self.fail(PlatformFault.UNSPECIFIED)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,7 +22,7 @@
 from pumicespur.schema import platform_pb as pb
 from pumicespur.schema.fleet_pb import Record, Resources
 from pumicespur.schema.platform_connect import Platform, PlatformASGIApplication
-from pumicespur.utils import hypercorn_config, listen, now_ms, serve_app
+from pumicespur.utils import bound_address, hypercorn_config, listen, now_ms, serve_app
 from standins.schema.standins_connect import (
     BackendControlClient,
     PlatformControl,
@@ -40,6 +40,7 @@
 )
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
     from typing import TypeVar
 
@@ -73,6 +74,7 @@
         self.fault = SetFaultRequest()
         self.faults_left = 0
         self.fault_changed = anyio.Event()
+        self.restarting = anyio.Event()
         self.lists: deque[tuple[float, list[pb.ListedInstance]]] = deque(maxlen=2000)
         self.events: list[HistoryEvent] = []
         self.reads = 0
@@ -280,6 +282,8 @@
         self.state.faults_left = request.count
         self.state.fault_changed.set()
         self.state.fault_changed = anyio.Event()
+        if request.restart_ms:
+            self.state.restarting.set()
         return Empty()
 
     async def add_instances(self, request: AddInstancesRequest, ctx: object, /) -> Empty:
@@ -372,6 +376,19 @@
         await anyio.sleep(INSPECT_S)
 
 
+async def serve_calls(state: State, bound: socket.socket) -> None:
+    """Serve the platform's calls, with the restarts that are ordered."""
+    service = PlatformASGIApplication(Service(state))
+    address = bound_address(bound)
+    while True:
+        await serve_app(service, hypercorn_config(bound), state.restarting.wait)
+        # Hypercorn has closed the descriptor by now.
+        bound.detach()
+        await anyio.sleep(state.fault.restart_ms / 1000)
+        state.restarting = anyio.Event()
+        bound = listen(address)
+
+
 async def main() -> None:
     """Run the stand-in until it is stopped."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -380,10 +397,9 @@
     arguments = parser.parse_args()
     state = State(arguments.reboot_ms)
     calls, orders = listen(arguments.listen), listen("127.0.0.1:0")
-    service = PlatformASGIApplication(Service(state))
     control = PlatformControlASGIApplication(Control(state))
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve_app, service, hypercorn_config(calls))
+        tasks.start_soon(serve_calls, state, calls)
         tasks.start_soon(serve_app, control, hypercorn_config(orders))
         tasks.start_soon(watch, state)
         ready = {
--- a/standins/schema/standins_pb.py
+++ b/standins/schema/standins_pb.py
@@ -23,7 +23,7 @@
     from .platform_pb import ListedInstance
 
 
-_SetFaultRequestFields: TypeAlias = Literal["fault", "delay_ms", "list_lag_ms", "count"]
+_SetFaultRequestFields: TypeAlias = Literal["fault", "delay_ms", "list_lag_ms", "count", "restart_ms"]
 
 class SetFaultRequest(Message[_SetFaultRequestFields]):
     """
@@ -50,9 +50,15 @@
             ```proto
             int32 count = 4;
             ```
+        restart_ms:
+            Close every connection, stay away for this long and come back with all rows.
+
+            ```proto
+            int32 restart_ms = 5;
+            ```
     """
 
-    __slots__ = ("fault", "delay_ms", "list_lag_ms", "count")
+    __slots__ = ("fault", "delay_ms", "list_lag_ms", "count", "restart_ms")
 
     if TYPE_CHECKING:
 
@@ -63,6 +69,7 @@
             delay_ms: int = 0,
             list_lag_ms: int = 0,
             count: int = 0,
+            restart_ms: int = 0,
         ) -> None:
             pass
 
@@ -70,6 +77,7 @@
         delay_ms: int
         list_lag_ms: int
         count: int
+        restart_ms: int
 
 _AddInstancesRequestFields: TypeAlias = Literal["instances", "removed", "controls"]
 
@@ -480,7 +488,7 @@
 
 
 _DESC = file_desc(
-    b'\n\x0estandins.proto\x12\rpumicespur.v1\x1a\x0bfleet.proto\x1a\x0eplatform.proto"\x96\x01\n\x0fSetFaultRequest\x122\n\x05fault\x18\x01 \x01(\x0e2\x1c.pumicespur.v1.PlatformFaultR\x05fault\x12\x19\n\x08delay_ms\x18\x02 \x01(\x05R\x07delayMs\x12\x1e\n\x0blist_lag_ms\x18\x03 \x01(\x05R\tlistLagMs\x12\x14\n\x05count\x18\x04 \x01(\x05R\x05count"\xf7\x01\n\x13AddInstancesRequest\x12;\n\tinstances\x18\x01 \x03(\x0b2\x1d.pumicespur.v1.ListedInstanceR\tinstances\x12\x18\n\x07removed\x18\x02 \x03(\tR\x07removed\x12L\n\x08controls\x18\x03 \x03(\x0b20.pumicespur.v1.AddInstancesRequest.ControlsEntryR\x08controls\x1a;\n\rControlsEntry\x12\x10\n\x03key\x18\x01 \x01(\tR\x03key\x12\x14\n\x05value\x18\x02 \x01(\tR\x05value:\x028\x01"\x07\n\x05Empty"i\n\x0cHistoryEvent\x12\x13\n\x05at_ms\x18\x01 \x01(\x03R\x04atMs\x12\x12\n\x04kind\x18\x02 \x01(\tR\x04kind\x12\x1a\n\x08instance\x18\x03 \x01(\tR\x08instance\x12\x14\n\x05token\x18\x04 \x01(\tR\x05token"\xa5\x01\n\x0fHistoryResponse\x123\n\x06events\x18\x01 \x03(\x0b2\x1b.pumicespur.v1.HistoryEventR\x06events\x12/\n\x07records\x18\x02 \x03(\x0b2\x15.pumicespur.v1.RecordR\x07records\x12\x14\n\x05reads\x18\x03 \x01(\x03R\x05reads\x12\x16\n\x06writes\x18\x04 \x01(\x03R\x06writes"\xbd\x01\n\x0cBackendOrder\x121\n\x05fault\x18\x01 \x01(\x0e2\x1b.pumicespur.v1.BackendFaultR\x05fault\x12\x19\n\x08delay_ms\x18\x02 \x01(\x05R\x07delayMs\x12\x14\n\x05drain\x18\x03 \x01(\x08R\x05drain\x12\x16\n\x06resume\x18\x04 \x01(\x08R\x06resume\x12\x1b\n\treboot_ms\x18\x05 \x01(\x05R\x08rebootMs\x12\x14\n\x05count\x18\x06 \x01(\x05R\x05count"M\n\nBackendRun\x12\x10\n\x03key\x18\x01 \x01(\tR\x03key\x12\x18\n\x07request\x18\x02 \x01(\tR\x07request\x12\x13\n\x05at_ms\x18\x03 \x01(\x03R\x04atMs"\xe9\x01\n\x0cBackendState\x12\x12\n\x04boot\x18\x01 \x01(\tR\x04boot\x12\x1a\n\x08draining\x18\x02 \x01(\x08R\x08draining\x12\x12\n\x04down\x18\x03 \x01(\x08R\x04down\x12\x18\n\x07running\x18\x04 \x01(\x05R\x07running\x12-\n\x04runs\x18\x05 \x03(\x0b2\x19.pumicespur.v1.BackendRunR\x04runs\x12!\n\x0cmost_running\x18\x06 \x01(\x05R\x0bmostRunning\x12)\n\x10most_connections\x18\x07 \x01(\x05R\x0fmostConnections*\x84\x01\n\rPlatformFault\x12\x1e\n\x1aPLATFORM_FAULT_UNSPECIFIED\x10\x00\x12\x19\n\x15PLATFORM_FAULT_REFUSE\x10\x01\x12\x17\n\x13PLATFORM_FAULT_HANG\x10\x02\x12\x1f\n\x1bPLATFORM_FAULT_LOSE_ANSWERS\x10\x03*\xc7\x01\n\x0cBackendFault\x12\x1d\n\x19BACKEND_FAULT_UNSPECIFIED\x10\x00\x12\x16\n\x12BACKEND_FAULT_FAIL\x10\x01\x12\x17\n\x13BACKEND_FAULT_CLOSE\x10\x02\x12\x1a\n\x16BACKEND_FAULT_TRUNCATE\x10\x03\x12\x16\n\x12BACKEND_FAULT_SWAP\x10\x04\x12\x16\n\x12BACKEND_FAULT_HANG\x10\x05\x12\x1b\n\x17BACKEND_FAULT_DUPLICATE\x10\x062\xde\x01\n\x0fPlatformControl\x12@\n\x08SetFault\x12\x1e.pumicespur.v1.SetFaultRequest\x1a\x14.pumicespur.v1.Empty\x12H\n\x0cAddInstances\x12".pumicespur.v1.AddInstancesRequest\x1a\x14.pumicespur.v1.Empty\x12?\n\x07History\x12\x14.pumicespur.v1.Empty\x1a\x1e.pumicespur.v1.HistoryResponse2\x90\x01\n\x0eBackendControl\x12@\n\x04Give\x12\x1b.pumicespur.v1.BackendOrder\x1a\x1b.pumicespur.v1.BackendState\x12<\n\x07Inspect\x12\x14.pumicespur.v1.Empty\x1a\x1b.pumicespur.v1.BackendStateb\x06proto3',
+    b'\n\x0estandins.proto\x12\rpumicespur.v1\x1a\x0bfleet.proto\x1a\x0eplatform.proto"\xb5\x01\n\x0fSetFaultRequest\x122\n\x05fault\x18\x01 \x01(\x0e2\x1c.pumicespur.v1.PlatformFaultR\x05fault\x12\x19\n\x08delay_ms\x18\x02 \x01(\x05R\x07delayMs\x12\x1e\n\x0blist_lag_ms\x18\x03 \x01(\x05R\tlistLagMs\x12\x14\n\x05count\x18\x04 \x01(\x05R\x05count\x12\x1d\n\nrestart_ms\x18\x05 \x01(\x05R\trestartMs"\xf7\x01\n\x13AddInstancesRequest\x12;\n\tinstances\x18\x01 \x03(\x0b2\x1d.pumicespur.v1.ListedInstanceR\tinstances\x12\x18\n\x07removed\x18\x02 \x03(\tR\x07removed\x12L\n\x08controls\x18\x03 \x03(\x0b20.pumicespur.v1.AddInstancesRequest.ControlsEntryR\x08controls\x1a;\n\rControlsEntry\x12\x10\n\x03key\x18\x01 \x01(\tR\x03key\x12\x14\n\x05value\x18\x02 \x01(\tR\x05value:\x028\x01"\x07\n\x05Empty"i\n\x0cHistoryEvent\x12\x13\n\x05at_ms\x18\x01 \x01(\x03R\x04atMs\x12\x12\n\x04kind\x18\x02 \x01(\tR\x04kind\x12\x1a\n\x08instance\x18\x03 \x01(\tR\x08instance\x12\x14\n\x05token\x18\x04 \x01(\tR\x05token"\xa5\x01\n\x0fHistoryResponse\x123\n\x06events\x18\x01 \x03(\x0b2\x1b.pumicespur.v1.HistoryEventR\x06events\x12/\n\x07records\x18\x02 \x03(\x0b2\x15.pumicespur.v1.RecordR\x07records\x12\x14\n\x05reads\x18\x03 \x01(\x03R\x05reads\x12\x16\n\x06writes\x18\x04 \x01(\x03R\x06writes"\xbd\x01\n\x0cBackendOrder\x121\n\x05fault\x18\x01 \x01(\x0e2\x1b.pumicespur.v1.BackendFaultR\x05fault\x12\x19\n\x08delay_ms\x18\x02 \x01(\x05R\x07delayMs\x12\x14\n\x05drain\x18\x03 \x01(\x08R\x05drain\x12\x16\n\x06resume\x18\x04 \x01(\x08R\x06resume\x12\x1b\n\treboot_ms\x18\x05 \x01(\x05R\x08rebootMs\x12\x14\n\x05count\x18\x06 \x01(\x05R\x05count"M\n\nBackendRun\x12\x10\n\x03key\x18\x01 \x01(\tR\x03key\x12\x18\n\x07request\x18\x02 \x01(\tR\x07request\x12\x13\n\x05at_ms\x18\x03 \x01(\x03R\x04atMs"\xe9\x01\n\x0cBackendState\x12\x12\n\x04boot\x18\x01 \x01(\tR\x04boot\x12\x1a\n\x08draining\x18\x02 \x01(\x08R\x08draining\x12\x12\n\x04down\x18\x03 \x01(\x08R\x04down\x12\x18\n\x07running\x18\x04 \x01(\x05R\x07running\x12-\n\x04runs\x18\x05 \x03(\x0b2\x19.pumicespur.v1.BackendRunR\x04runs\x12!\n\x0cmost_running\x18\x06 \x01(\x05R\x0bmostRunning\x12)\n\x10most_connections\x18\x07 \x01(\x05R\x0fmostConnections*\x84\x01\n\rPlatformFault\x12\x1e\n\x1aPLATFORM_FAULT_UNSPECIFIED\x10\x00\x12\x19\n\x15PLATFORM_FAULT_REFUSE\x10\x01\x12\x17\n\x13PLATFORM_FAULT_HANG\x10\x02\x12\x1f\n\x1bPLATFORM_FAULT_LOSE_ANSWERS\x10\x03*\xc7\x01\n\x0cBackendFault\x12\x1d\n\x19BACKEND_FAULT_UNSPECIFIED\x10\x00\x12\x16\n\x12BACKEND_FAULT_FAIL\x10\x01\x12\x17\n\x13BACKEND_FAULT_CLOSE\x10\x02\x12\x1a\n\x16BACKEND_FAULT_TRUNCATE\x10\x03\x12\x16\n\x12BACKEND_FAULT_SWAP\x10\x04\x12\x16\n\x12BACKEND_FAULT_HANG\x10\x05\x12\x1b\n\x17BACKEND_FAULT_DUPLICATE\x10\x062\xde\x01\n\x0fPlatformControl\x12@\n\x08SetFault\x12\x1e.pumicespur.v1.SetFaultRequest\x1a\x14.pumicespur.v1.Empty\x12H\n\x0cAddInstances\x12".pumicespur.v1.AddInstancesRequest\x1a\x14.pumicespur.v1.Empty\x12?\n\x07History\x12\x14.pumicespur.v1.Empty\x1a\x1e.pumicespur.v1.HistoryResponse2\x90\x01\n\x0eBackendControl\x12@\n\x04Give\x12\x1b.pumicespur.v1.BackendOrder\x1a\x1b.pumicespur.v1.BackendState\x12<\n\x07Inspect\x12\x14.pumicespur.v1.Empty\x1a\x1b.pumicespur.v1.BackendStateb\x06proto3',
     [
         fleet_pb.desc(),
         platform_pb.desc(),
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -260,6 +260,17 @@
         await self.wait_phase(WavePhase.DONE)
         await self.assert_promises()
 
+    async def test_a_wave_goes_on_after_restarts_of_the_store(self) -> None:
+        await self.start_wave_cluster(managers=2, entries=1)
+        await self.act(WaveAction.START)
+        for number in range(1, 4):
+            await self.wait_event("order-drain", number)
+            await self.orders.restart(300)
+            answer = await self.http.get(f"{self.entries[0].url}/issuance/x")
+            self.assertEqual(answer.status_code, 200)
+        await self.wait_phase(WavePhase.DONE)
+        await self.assert_promises()
+
     async def test_nothing_starts_while_the_store_is_down(self) -> None:
         await self.start_wave_cluster(managers=1)
         await self.orders.fail(PlatformFault.REFUSE)
