--- a/benchmarks/_naive_entry.py
+++ b/benchmarks/_naive_entry.py
@@ -10,7 +10,7 @@
 import anyio
 import httpx
 
-from pumicespur.utils import bound_address, hypercorn_config, listen, serve_app
+from pumicespur.servers import bound_address, hypercorn_config, listen, serve_app
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -8,7 +8,7 @@
 import anyio
 
 from benchmarks._report import percentile, print_section, print_table
-from pumicespur.platform import PlatformClient
+from pumicespur.connect import PlatformClient
 from pumicespur.routing import ClaimBook
 from pumicespur.schema.claims_pb import ClaimState
 from pumicespur.schema.settings_pb import PlatformSettings
--- a/benchmarks/reports.py
+++ b/benchmarks/reports.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from benchmarks._report import print_section, print_table, timed
-from pumicespur.platform import PlatformClient
+from pumicespur.connect import PlatformClient
 from pumicespur.routing import RoutingTable
 from pumicespur.schema.fleet_pb import Assignment, InstanceState, Pool, Resources
 from pumicespur.schema.platform_pb import (
--- a/pumicespur/platform/_client.py
+++ b/pumicespur/connect/_client.py
@@ -15,10 +15,10 @@
 from expression import Error, Ok, Result
 from pyqwest import Client, HTTPTransport
 
-from pumicespur.platform._faults import AnswerLost, Conflict, Fault, Unavailable
-from pumicespur.platform._rows import Listing, Row, Transaction, UsageListing, Write
 from pumicespur.schema import platform_pb as pb
 from pumicespur.schema.platform_connect import PlatformClient as Stub
+from pumicespur.store._faults import AnswerLost, Conflict, Fault, Unavailable
+from pumicespur.store._rows import Listing, Row, Transaction, UsageListing, Write
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Sequence
--- /dev/null
+++ b/pumicespur/jobs/__init__.py
@@ -0,0 +1,18 @@
+"""The job service: submissions, their owners, and the workers that run their tasks."""
+
+from __future__ import annotations
+
+from pumicespur.jobs._journal import Ownership
+from pumicespur.jobs._keys import OWNERS_TABLE, owner_key
+from pumicespur.jobs._owner import PoolOwner
+from pumicespur.jobs._service import Cancellation, JobService, Submission
+
+__all__ = [
+    "OWNERS_TABLE",
+    "Cancellation",
+    "JobService",
+    "Ownership",
+    "PoolOwner",
+    "Submission",
+    "owner_key",
+]
--- /dev/null
+++ b/pumicespur/jobs/_job.py
@@ -0,0 +1,225 @@
+"""A submitted job in its owner's memory: its steps, its tasks and how far they are."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from pumicespur.model import JobId, RouteName, TaskName, WorkerId, task_name
+from pumicespur.schema.jobs_pb import JobPhase, ProgressRecord, TaskRecord
+
+if TYPE_CHECKING:
+    from pumicespur.model import Rack, Route
+    from pumicespur.schema.jobs_pb import JobRecord, StepRecord
+
+ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
+
+
+class TaskState(Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    """A worker is chosen; the choice is not recorded yet."""
+    STARTING = "starting"
+    """The order to start may have reached the worker."""
+    RUNNING = "running"
+    DONE = "done"
+
+
+@dataclass(eq=False)
+class Task:
+    """One task; `index` is its place among all tasks of the job."""
+
+    group: StepGroup
+    index: int
+    name: TaskName
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    worker: WorkerId | None = None
+    percent: int = 0
+    progressed_at: float = 0.0
+    """Monotonic time at which the percent last changed, in seconds."""
+    started_at: float = 0.0
+    stop_sent_at: float = float("-inf")
+    """Monotonic time of the last order to stop the present run."""
+    pace: int = 100
+    ticket: str = ""
+    """Permission of the advising service for the present worker."""
+    figure: float = 0.0
+    """Measured latency (ms) or processor use, see `Running`."""
+    away_since: float | None = None
+    """Monotonic time since which a long-running task has not been at work."""
+
+    @property
+    def job(self) -> Job:
+        """Return the job that the task belongs to."""
+        return self.group.job
+
+    @property
+    def spec(self) -> StepRecord:
+        """Return the step that the task belongs to."""
+        return self.group.spec
+
+    def release(self, checkpoint: str = "") -> None:
+        """Let the task wait for its next start."""
+        self.state = TaskState.WAITING
+        self.worker = None
+        self.percent = 0
+        self.pace = 100
+        if checkpoint:
+            self.checkpoint = checkpoint
+
+
+@dataclass(eq=False)
+class StepGroup:
+    """The tasks of one step in one repeat."""
+
+    job: Job
+    repeat: int
+    number: int
+    spec: StepRecord
+    due_ms: int
+    """Time of day before which no task may start, in milliseconds since 1970; 0 for none."""
+    tasks: list[Task] = field(default_factory=list)
+    done: int = 0
+    rack: Rack | None = None
+    """The rack of the first placed task, for steps that stay in one rack."""
+
+    @property
+    def complete(self) -> bool:
+        """Whether every task has ended well."""
+        return self.done == len(self.tasks)
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that wait for a start."""
+        return [task for task in self.tasks if task.state is TaskState.WAITING]
+
+
+@dataclass(eq=False)
+class Job:
+    """A job with all its repeats."""
+
+    id: JobId
+    record: JobRecord
+    route: RouteName
+    priority: int
+    max_attempts: int
+    deadline_ms: float
+    """Time of day by which the job ought to be completed, in milliseconds since 1970."""
+    phase: JobPhase = JobPhase.QUEUED
+    begun: bool = False
+    groups: list[StepGroup] = field(default_factory=list)
+    tasks: list[Task] = field(default_factory=list)
+    by_name: dict[TaskName, Task] = field(default_factory=dict)
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more is to be done for the job."""
+        return self.phase in ENDED_PHASES
+
+    def group(self, repeat: int, step: int) -> StepGroup:
+        """Return the group of a step in a repeat."""
+        return self.groups[repeat * len(self.record.steps) + step]
+
+    def ready_groups(self, now_ms: float) -> list[StepGroup]:
+        """Return the groups that have waiting tasks whose turn has come."""
+        return [group for group in self.groups if self._is_ready(group, now_ms)]
+
+    def _is_ready(self, group: StepGroup, now_ms: float) -> bool:
+        if group.complete or group.due_ms > now_ms:
+            return False
+        return all(self.group(group.repeat, number).complete for number in group.spec.depends_on)
+
+    def finish_task(self, task: Task) -> None:
+        """Note that a task ended well; the job is completed with its last one."""
+        if task.state is TaskState.DONE:
+            return
+        task.state = TaskState.DONE
+        task.worker = None
+        task.group.done += 1
+        if all(group.complete for group in self.groups):
+            self.phase = JobPhase.COMPLETED
+
+    def progress(self, now_ms: int) -> ProgressRecord:
+        """Write how far the job is."""
+        record = ProgressRecord(phase=self.phase, changed_ms=now_ms, route=self.route)
+        if self.ended:
+            return record
+        done = 0
+        for task in self.tasks:
+            if task.state is TaskState.DONE:
+                done |= 1 << task.index
+            elif task.run:
+                record.tasks.append(_task_record(task))
+        record.done = done.to_bytes((done.bit_length() + 7) // 8, "little")
+        return record
+
+    def restore(self, progress: ProgressRecord) -> None:
+        """Take over what an earlier owner recorded."""
+        self.phase = progress.phase or JobPhase.QUEUED
+        done = int.from_bytes(progress.done, "little")
+        for task in self.tasks:
+            if done >> task.index & 1:
+                self.finish_task(task)
+        for kept in progress.tasks:
+            task = self.tasks[kept.index]
+            task.run = kept.run
+            task.failures = kept.failures
+            task.checkpoint = kept.checkpoint
+            if kept.worker and task.state is not TaskState.DONE:
+                task.worker = WorkerId(kept.worker)
+                task.state = TaskState.STARTING
+        self.begun = bool(done or progress.tasks)
+
+
+def _task_record(task: Task) -> TaskRecord:
+    return TaskRecord(
+        index=task.index,
+        run=task.run,
+        worker=task.worker or "",
+        failures=task.failures,
+        checkpoint=task.checkpoint,
+    )
+
+
+def make_job(record: JobRecord, route: Route | None) -> Job:
+    """Lay out a job's tasks; without its route it can't be started but can be kept."""
+    chain_ms = longest_chain_ms(record)
+    stretch = route.stretch if route else 1.0
+    objective_ms = route.latency_objective_s * 1000 if route else 0.0
+    job = Job(
+        id=JobId(record.id),
+        record=record,
+        route=RouteName(record.route),
+        priority=route.priority if route else 0,
+        max_attempts=route.max_attempts if route else 1,
+        deadline_ms=record.accepted_ms + objective_ms + stretch * chain_ms,
+    )
+    for repeat in range(max(1, record.repeats)):
+        due_ms = record.first_due_ms + repeat * record.interval_ms if record.repeats else 0
+        for number, spec in enumerate(record.steps):
+            _add_group(job, StepGroup(job, repeat, number, spec, due_ms))
+    return job
+
+
+def _add_group(job: Job, group: StepGroup) -> None:
+    job.groups.append(group)
+    for place in range(group.spec.count):
+        name = task_name(job.id, group.repeat, group.number, place)
+        task = Task(group, len(job.tasks), name)
+        group.tasks.append(task)
+        job.tasks.append(task)
+        job.by_name[name] = task
+
+
+def longest_chain_ms(record: JobRecord) -> float:
+    """Return the longest sum of estimates along the steps' dependencies, in milliseconds."""
+    ends: list[float] = []
+    for step in record.steps:
+        start = max((ends[number] for number in step.depends_on), default=0.0)
+        ends.append(start + step.estimated_ms)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/pumicespur/jobs/_journal.py
@@ -0,0 +1,117 @@
+"""Commits of a pool's owner: each one applies once, and none after the pool has a new owner."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs._keys import commit_key, owner_key
+from pumicespur.schema.jobs_pb import CommitRecord
+from pumicespur.store import AnswerLost, Condition, Conflict, Transaction, Write
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._keys import PoolId
+    from pumicespur.platform import PlatformTable
+
+log = Logger(__name__)
+
+RETRY_S = 0.05
+"""First pause after a fault of the store; a few of its usual answers."""
+
+MAX_RETRY_S = 0.5
+"""Longest pause after a fault, so that work goes on soon after an outage."""
+
+
+class OwnershipLostError(Exception):
+    """Another process owns the pool now; nothing more may be ordered or recorded."""
+
+
+@dataclass(frozen=True)
+class Ownership:
+    """A pool that this process owns under a fencing token, since a monotonic time."""
+
+    pool: PoolId
+    token: int
+    incarnation: str
+    acquired_at: float
+
+
+class Journal:
+    """Writes an owner's commits one after the other."""
+
+    def __init__(self, table: PlatformTable, ownership: Ownership, last_version: int) -> None:
+        self.table = table
+        self.ownership = ownership
+        self.last_version = last_version
+        """Version of the row that each commit replaces."""
+        self.number = 0
+        self.confirmed_at = ownership.acquired_at
+        """When the newest commit that took effect was sent, on the monotonic clock."""
+
+    async def commit(self, writes: list[Write]) -> None:
+        """Write rows as the pool's owner; return only when they are known to be recorded.
+
+        A commit without an answer may still take effect later. It is sent again unchanged:
+        it replaces a row that it also has as a condition, so it can apply only once, and
+        when it is refused, that row tells whether it had been applied.
+        """
+        transaction, record = self._transaction(writes)
+        pause_s = RETRY_S
+        while True:
+            sent_at = time.monotonic()
+            answer = await self.table.transact(transaction)
+            match answer:
+                case Result(tag="ok", ok=version):
+                    self._confirm(version, sent_at)
+                    return
+                case Result(error=Conflict()):
+                    applied = await self._applied_version(record)
+                    if applied is None:
+                        raise OwnershipLostError(f"pool {self.ownership.pool}") from None
+                    self._confirm(applied, sent_at)
+                    return
+                case Result(error=fault):
+                    log.warning(
+                        "commit not answered",
+                        pool=self.ownership.pool,
+                        number=self.number,
+                        lost=isinstance(fault, AnswerLost),
+                        reason=str(fault),
+                    )
+            await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
+
+    def _transaction(self, writes: list[Write]) -> tuple[Transaction, bytes]:
+        pool = self.ownership.pool
+        self.number += 1
+        record = CommitRecord(
+            incarnation=self.ownership.incarnation, number=self.number
+        ).to_binary()
+        conditions = [
+            Condition(owner_key(pool), self.ownership.token),
+            Condition(commit_key(pool), self.last_version),
+        ]
+        return Transaction(conditions, [Write(commit_key(pool), record), *writes]), record
+
+    def _confirm(self, version: int, sent_at: float) -> None:
+        self.last_version = version
+        self.confirmed_at = sent_at
+
+    async def _applied_version(self, record: bytes) -> int | None:
+        """Return the version of this commit if it had been applied and the pool is still ours."""
+        while True:
+            last = await self.table.read(commit_key(self.ownership.pool))
+            owner = await self.table.read(owner_key(self.ownership.pool))
+            match last, owner:
+                case Result(tag="ok", ok=commit), Result(tag="ok", ok=row):
+                    if row.version != self.ownership.token or commit.value != record:
+                        return None
+                    return commit.version
+                case _:
+                    await anyio.sleep(MAX_RETRY_S * random.uniform(0.5, 1.0))
--- /dev/null
+++ b/pumicespur/jobs/_lease.py
@@ -0,0 +1,38 @@
+"""How long a worker may go on with what it runs, reckoned on the owner's clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass
+class WorkerLease:
+    """The newest reading of a worker's clock and the latest deadline it was ever given."""
+
+    drift: float
+    """Share by which the worker's clock may run slow."""
+    unknown_until: float
+    """Monotonic time by which leases given by earlier owners are over."""
+    clock_ms: float | None = None
+    heard_at: float = 0.0
+    promised_ms: float = 0.0
+
+    def note(self, clock_ms: float, now: float) -> None:
+        """Take a reading of the worker's clock; it showed at least this at `now`."""
+        self.clock_ms = clock_ms
+        self.heard_at = now
+
+    def grant(self, now: float, lease_s: float) -> int | None:
+        """Return a deadline on the worker's clock, or None before its clock is known."""
+        if self.clock_ms is None:
+            return None
+        deadline = self.clock_ms + (now - self.heard_at + lease_s) * 1000
+        self.promised_ms = max(self.promised_ms, deadline)
+        return int(deadline)
+
+    def over_at(self) -> float:
+        """Return the monotonic time by which all that the worker ran has ended."""
+        if self.clock_ms is None:
+            return self.unknown_until
+        left_s = max(0.0, self.promised_ms - self.clock_ms) / 1000
+        return max(self.unknown_until, self.heard_at + left_s / (1 - self.drift))
--- /dev/null
+++ b/pumicespur/jobs/_load.py
@@ -0,0 +1,118 @@
+"""What each worker of a pool carries and whether it may be given more."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from pumicespur.model import WorkerState
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._job import StepGroup, Task
+    from pumicespur.model import Worker
+    from pumicespur.schema.jobs_pb import StepRecord
+
+EJECT_AFTER = 3
+"""Failures in a row before a worker is left out; single failures are the tasks' own."""
+
+EJECT_S = 2.0
+"""First time for which a failing worker is left out; it doubles with each further time."""
+
+MAX_EJECT_S = 16.0
+"""Longest time for which a failing worker is left out, so that it is tried again."""
+
+
+@dataclass(eq=False)
+class WorkerLoad:
+    """One worker as its pool's owner counts it."""
+
+    worker: Worker
+    tasks: set[Task] = field(default_factory=set)
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    listed: bool = True
+    """Whether the store lists the worker."""
+    reachable: bool = False
+    """Whether it answered the last call."""
+    evacuating: bool = False
+    """The fleet's holder wants it emptied."""
+    avoid_until: float = 0.0
+    """Monotonic time until which it gets no new tasks, in seconds."""
+    failures: int = 0
+    ejections: int = 0
+
+    def add(self, task: Task) -> None:
+        """Count a task."""
+        if task in self.tasks:
+            return
+        self.tasks.add(task)
+        self._count(task.spec, 1)
+
+    def remove(self, task: Task) -> None:
+        """Count a task no longer."""
+        if task not in self.tasks:
+            return
+        self.tasks.remove(task)
+        self._count(task.spec, -1)
+
+    def _count(self, spec: StepRecord, sign: int) -> None:
+        if not spec.fills:
+            self.cpu_millis += sign * spec.cpu_millis
+        self.memory_mb += sign * spec.memory_mb
+        self.accelerators += sign * spec.accelerators
+
+    def open(self, now: float) -> bool:
+        """Whether the worker may be given tasks now."""
+        ready = self.listed and self.worker.state is WorkerState.READY
+        return ready and self.reachable and not self.evacuating and now >= self.avoid_until
+
+    def fits(self, spec: StepRecord) -> bool:
+        """Whether one more task of a step has room."""
+        room = self.worker.capacity
+        cpu = 0 if spec.fills else spec.cpu_millis
+        return (
+            self.cpu_millis + cpu <= room.cpu_millis
+            and self.memory_mb + spec.memory_mb <= room.memory_mb
+            and self.accelerators + spec.accelerators <= room.accelerators
+        )
+
+    def could_ever_fit(self, spec: StepRecord) -> bool:
+        """Whether the worker, empty, has room for a task of a step."""
+        room = self.worker.capacity
+        return (
+            spec.cpu_millis <= room.cpu_millis
+            and spec.memory_mb <= room.memory_mb
+            and spec.accelerators <= room.accelerators
+        )
+
+    def allows(self, group: StepGroup) -> bool:
+        """Whether the step's label and spread permit one more of its tasks here."""
+        spec = group.spec
+        if spec.required_label and spec.required_label not in self.worker.labels:
+            return False
+        if not spec.max_per_worker:
+            return True
+        held = sum(1 for task in self.tasks if task.group is group)
+        return held < spec.max_per_worker
+
+    def share(self) -> float:
+        """Return how full the worker is, by its scarcest resource."""
+        room = self.worker.capacity
+        return max(
+            self.cpu_millis / max(1, room.cpu_millis), self.memory_mb / max(1, room.memory_mb)
+        )
+
+    def note_result(self, well: bool, now: float) -> bool:
+        """Count how a task ended; return whether the worker is left out from now on."""
+        if well:
+            self.failures = 0
+            self.ejections = 0
+            return False
+        self.failures += 1
+        if self.failures < EJECT_AFTER:
+            return False
+        self.failures = 0
+        self.avoid_until = now + min(MAX_EJECT_S, EJECT_S * 2**self.ejections)
+        self.ejections += 1
+        return True
--- /dev/null
+++ b/pumicespur/jobs/_owner.py
@@ -0,0 +1,382 @@
+"""The owner of a pool: takes it over, records what it decides, orders what is recorded."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs._job import ENDED_PHASES, Job, Task, TaskState
+from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
+from pumicespur.jobs._keys import (
+    commit_key,
+    owner_key,
+    progress_key,
+    submission_key,
+    submissions_table,
+)
+from pumicespur.jobs._pool import PoolState
+from pumicespur.jobs._reports import report_pool
+from pumicespur.jobs._watch import WorkerWatch
+from pumicespur.model import JobId, WorkerId
+from pumicespur.schema.jobs_pb import JobRecord, OwnerRecord, ProgressRecord
+from pumicespur.store import Condition, HistoryGone, Row, Transaction, Write
+from pumicespur.utils import now_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from typing import Any
+
+    from anyio.abc import TaskGroup
+
+    from pumicespur.config import NodeSettings
+    from pumicespur.model import TaskEnd, Worker
+    from pumicespur.node import NodeView
+    from pumicespur.platform import PlatformTable, WorkerOrders
+    from pumicespur.schema.jobs_pb import PoolReport
+
+log = Logger(__name__)
+
+GROUP_S = 0.004
+"""Time for which changes are gathered into one commit; about one answer of the store."""
+
+JOBS_PER_COMMIT = 45
+"""Two rows for each job that ends, and the owner's own, stay under 100 entries."""
+
+IDLE_COMMIT_S = 1.0
+"""An owner with nothing to record proves this often that it still owns the pool."""
+
+ROUND_S = 0.25
+"""Longest pause between placements, for work that falls due by time alone."""
+
+RETRY_S = 0.2
+"""Pause after a fault of the store outside commits."""
+
+RETENTION_MS = 180_000
+"""How long the state of an ended job is kept; callers may ask for it for 120 s."""
+
+
+@dataclass
+class Batch:
+    """What one commit records, and what it allows once it is recorded."""
+
+    writes: list[Write] = field(default_factory=list)
+    ended: list[Job] = field(default_factory=list)
+    starts: list[tuple[Task, int, WorkerId]] = field(default_factory=list)
+    acknowledged: list[tuple[WorkerWatch, int]] = field(default_factory=list)
+
+
+class PoolOwner:
+    """Runs one pool for as long as this process owns it."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        view: NodeView,
+        table: PlatformTable,
+        orders: WorkerOrders,
+        ownership: Ownership,
+        unknown_until: float,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.table = table
+        self.orders = orders
+        self.ownership = ownership
+        self.token = ownership.token
+        self.unknown_until = unknown_until
+        """Monotonic time by which leases given by earlier owners are over."""
+        self.pool = PoolState(ownership.pool)
+        self.journal = Journal(table, ownership, 0)
+        self.watches: dict[WorkerId, WorkerWatch] = {}
+        self.ended: dict[JobId, int] = {}
+        """Jobs that have ended, by the time of day in milliseconds."""
+        self.submissions_version = 0
+        self.stopping = False
+        self.stopped = anyio.Event()
+        self.ready = False
+        self.changed = anyio.Event()
+        self.tasks: TaskGroup | None = None
+
+    def wake(self) -> None:
+        """Ask for a round."""
+        self.changed.set()
+
+    def spawn(self, function: Callable[..., Awaitable[Any]], *arguments: Any) -> None:
+        """Run something beside the rounds, for as long as the pool is owned."""
+        if self.tasks is not None:
+            self.tasks.start_soon(function, *arguments)
+
+    def may_extend(self, now: float) -> bool:
+        """Whether leases may still be extended; a successor counts on it that they are not."""
+        silence_s = self.settings.workers.owner_silence_s
+        return not self.stopping and now - self.journal.confirmed_at < silence_s
+
+    async def run(self) -> None:
+        """Own the pool until it is lost, or given up after `stop`."""
+        try:
+            await self._load()
+            async with anyio.create_task_group() as self.tasks:
+                self.sync_workers()
+                self.ready = True
+                self.tasks.start_soon(self._follow_submissions)
+                self.tasks.start_soon(self._free_unlisted)
+                await self._rounds()
+                self.tasks.cancel_scope.cancel()
+        except* OwnershipLostError as lost:
+            log.warning(
+                "pool lost", pool=self.pool.pool, token=self.token, reason=str(lost.exceptions[0])
+            )
+        finally:
+            self.stopped.set()
+
+    async def stop(self) -> None:
+        """Give the pool up: order nothing more, record what is known, name no owner."""
+        self.stopping = True
+        self.wake()
+        await self.stopped.wait()
+
+    async def _load(self) -> None:
+        """Read what earlier owners recorded; since the takeover nothing of theirs can change it."""
+        pool = self.ownership.pool
+        last = await self._retry(lambda: self.table.read(commit_key(pool)))
+        self.journal.last_version = last.version
+        kept = await self._retry(lambda: self.table.scan("progress", pool))
+        progress: dict[str, ProgressRecord] = {}
+        for row in kept.rows:
+            record = ProgressRecord.from_binary(row.value)
+            job = JobId(row.key.rsplit("/", 1)[1])
+            progress[job] = record
+            if record.phase in ENDED_PHASES:
+                self.ended[job] = record.changed_ms
+        submitted = await self._retry(lambda: self.table.scan(submissions_table(pool), pool))
+        self.submissions_version = submitted.version
+        for row in submitted.rows:
+            self._take_submission(row, progress)
+        log.info(
+            "pool taken",
+            pool=pool,
+            token=self.token,
+            jobs=len(self.pool.jobs),
+            ended=len(self.ended),
+            submissions_version=self.submissions_version,
+        )
+
+    async def _retry(self, call: Callable[[], Awaitable[Result[Any, Any]]]) -> Any:
+        while True:
+            answer = await call()
+            match answer:
+                case Result(tag="ok", ok=value):
+                    return value
+                case Result(error=fault):
+                    log.warning("store not read", pool=self.pool.pool, reason=str(fault))
+                    await anyio.sleep(RETRY_S)
+
+    def _take_submission(self, row: Row, progress: dict[str, ProgressRecord]) -> None:
+        if not row.version:
+            return
+        record = JobRecord.from_binary(row.value)
+        if JobId(record.id) in self.ended:
+            return
+        job = self.pool.add_job(record, self.view.configuration, progress.get(record.id))
+        if job is not None:
+            log.info(
+                "job known",
+                job=job.id,
+                route=job.route,
+                pool=self.pool.pool,
+                steps=len(record.steps),
+                tasks=len(job.tasks),
+                row_version=row.version,
+            )
+        known = self.pool.jobs.get(JobId(record.id))
+        if record.cancelled and known is not None and not known.ended:
+            log.info("job cancelled", job=known.id, pool=self.pool.pool, row_version=row.version)
+            self.pool.cancel(known)
+        self.wake()
+
+    async def _follow_submissions(self) -> None:
+        """Take in jobs and cancellations as callers' entries write them."""
+        pool = self.ownership.pool
+        table = submissions_table(pool)
+        wait_s = self.settings.store.watch_s
+        while True:
+            answer = await self.table.changes(table, self.submissions_version, wait_s)
+            match answer:
+                case Result(tag="ok", ok=page):
+                    self.submissions_version = page.version
+                    rows = page.rows
+                case Result(error=HistoryGone()):
+                    log.warning("submissions read anew", pool=pool, reason="history gone")
+                    page = await self._retry(lambda: self.table.scan(table, pool))
+                    self.submissions_version = page.version
+                    rows = page.rows
+                case Result(error=fault):
+                    log.warning("submissions not followed", pool=pool, reason=str(fault))
+                    await anyio.sleep(RETRY_S)
+                    continue
+            for row in rows:
+                self._take_submission(row, {})
+
+    def sync_workers(self) -> None:
+        """Watch the workers that the store lists for this pool."""
+        if self.tasks is None:
+            return
+        listed = {w.id: w for w in self.view.workers.values() if w.pool == self.ownership.pool}
+        for worker in listed.values():
+            watch = self.watches.get(worker.id)
+            if watch is None:
+                self._watch(worker)
+            else:
+                self.pool.add_worker(worker)
+        for watch in list(self.watches.values()):
+            if watch.id not in listed:
+                watch.load.listed = False
+                if self._has_successor(watch, listed.values()):
+                    watch.end("its instance runs another worker")
+        self.wake()
+
+    def _watch(self, worker: Worker) -> None:
+        watch = WorkerWatch(self, worker, self.unknown_until)
+        for job in self.pool.jobs.values():
+            for task in job.tasks:
+                if task.worker == worker.id and not job.ended:
+                    watch.load.add(task)
+                    watch.unsettled[task] = task.run
+        self.watches[worker.id] = watch
+        self.spawn(watch.run)
+
+    def _has_successor(self, watch: WorkerWatch, listed: Any) -> bool:
+        instance = watch.load.worker.instance
+        return bool(instance) and any(w.instance == instance for w in self.view.workers.values())
+
+    def forget(self, watch: WorkerWatch) -> None:
+        """Drop a worker whose life is over."""
+        self.watches.pop(watch.id, None)
+
+    async def _free_unlisted(self) -> None:
+        """Let tasks on workers that the store does not list start elsewhere, once that is safe."""
+        await anyio.sleep(max(0.0, self.unknown_until - time.monotonic()))
+        for job in list(self.pool.jobs.values()):
+            for task in job.tasks:
+                if task.worker and task.worker not in self.watches and not job.ended:
+                    log.info("start undone", job=job.id, task=task.name, reason="worker not listed")
+                    self.pool.free(task)
+        self.wake()
+
+    def note_end(self, watch: WorkerWatch, end: TaskEnd, now: float) -> None:
+        """Take in the end of a run; it is acknowledged once it is recorded."""
+        task = self.pool.task(end.task)
+        log.info(
+            "task ended",
+            job=str(end.task).partition(".")[0],
+            task=end.task,
+            run=end.run,
+            newest_run=task.run if task else None,
+            worker=watch.id,
+            how=end.how.value,
+        )
+        self.pool.note_end(watch.id, end, now)
+        if task is not None and task.job.ended:
+            log.info("job ended", job=task.job.id, phase=task.job.phase.name)
+        self.wake()
+
+    async def _rounds(self) -> None:
+        """Place, record, then order what is recorded; again and again."""
+        while True:
+            with anyio.move_on_after(ROUND_S):
+                await self.changed.wait()
+            await anyio.sleep(GROUP_S)
+            self.changed = anyio.Event()
+            if not self.stopping:
+                self.pool.place(time.monotonic(), now_ms())
+            batch = self._collect()
+            idle_s = time.monotonic() - self.journal.confirmed_at
+            if batch.writes or idle_s > IDLE_COMMIT_S:
+                await self.journal.commit(batch.writes)
+            self._carry_out(batch)
+            if self.stopping and not self.pool.dirty:
+                await self._release()
+                return
+
+    def _collect(self) -> Batch:
+        """Gather what changed; ends are acknowledged only when every change is in."""
+        batch = Batch()
+        now = now_ms()
+        dirty = sorted(self.pool.dirty, key=lambda job: job.id)[:JOBS_PER_COMMIT]
+        for job in dirty:
+            self.pool.dirty.discard(job)
+            key = progress_key(self.pool.pool, job.id)
+            batch.writes.append(Write(key, job.progress(now).to_binary()))
+            if job.ended:
+                batch.writes.append(Write(submission_key(self.pool.pool, job.id), None))
+                batch.ended.append(job)
+        taken = set(dirty)
+        left = [task for task in self.pool.fresh if task.job not in taken]
+        batch.starts = [
+            (task, task.run, task.worker)
+            for task in self.pool.fresh
+            if task.job in taken and task.worker and task.state is TaskState.PLACED
+        ]
+        self.pool.fresh = left
+        if not self.pool.dirty:
+            batch.acknowledged = [
+                (watch, watch.seen)
+                for watch in self.watches.values()
+                if watch.seen > watch.recorded
+            ]
+        if not batch.writes:
+            self._drop_old(batch, now)
+        return batch
+
+    def _drop_old(self, batch: Batch, now: int) -> None:
+        old = [job for job, at in self.ended.items() if now - at > RETENTION_MS]
+        for job in old[:JOBS_PER_COMMIT]:
+            del self.ended[job]
+            batch.writes.append(Write(progress_key(self.pool.pool, job), None))
+
+    def _carry_out(self, batch: Batch) -> None:
+        now = now_ms()
+        for job in batch.ended:
+            self.ended[job.id] = now
+            self.pool.jobs.pop(job.id, None)
+            self._stop_all(job)
+        for watch, number in batch.acknowledged:
+            watch.note_recorded(number)
+        for task, run, worker in batch.starts:
+            watch = self.watches.get(worker)
+            if watch is None:
+                if task.run == run and task.worker == worker:
+                    self.pool.free(task)
+                continue
+            self.spawn(watch.start, task, run)
+        if self.pool.dirty:
+            self.wake()
+
+    def _stop_all(self, job: Job) -> None:
+        for task in job.tasks:
+            watch = self.watches.get(task.worker) if task.worker else None
+            if watch is not None:
+                self.spawn(watch.stop, task.name, task.run, f"job {job.phase.name.lower()}")
+
+    async def _release(self) -> None:
+        pool = self.ownership.pool
+        record = OwnerRecord(
+            process=self.settings.process.id,
+            incarnation=self.ownership.incarnation,
+            released=True,
+        )
+        transaction = Transaction(
+            [Condition(owner_key(pool), self.token)],
+            [Write(owner_key(pool), record.to_binary())],
+        )
+        answer = await self.table.transact(transaction)
+        log.info("pool released", pool=pool, token=self.token, confirmed=answer.is_ok())
+
+    def report(self) -> PoolReport:
+        """Tell the other processes about the pool."""
+        return report_pool(self.pool, self.token)
--- /dev/null
+++ b/pumicespur/jobs/_placement.py
@@ -0,0 +1,101 @@
+"""Which worker runs which task: urgent and early work first, near its data, spread out."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from pumicespur.jobs._job import TaskState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from pumicespur.jobs._job import Job, StepGroup, Task
+    from pumicespur.jobs._load import WorkerLoad
+
+PATIENT_WAIT_MS = 20_000.0
+"""Lead that one level of priority gives; work that is later than this goes first all the same."""
+
+
+def order_groups(jobs: Iterable[Job], now_ms: float) -> list[StepGroup]:
+    """Return the groups whose turn has come, the most pressing first."""
+    groups = [group for job in jobs if not job.ended for group in job.ready_groups(now_ms)]
+    groups = [group for group in groups if group.waiting()]
+    return sorted(groups, key=_urgency)
+
+
+def _urgency(group: StepGroup) -> tuple[float, str, int, int]:
+    job = group.job
+    deadline = job.deadline_ms + job.priority * PATIENT_WAIT_MS
+    return (deadline, job.id, group.repeat, group.number)
+
+
+def place_group(group: StepGroup, loads: Sequence[WorkerLoad], now: float) -> list[Task]:
+    """Choose workers for a group's waiting tasks; gangs are placed whole or not at all."""
+    placed: list[Task] = []
+    for task in group.waiting():
+        load = choose_worker(group, loads, now)
+        if load is None:
+            break
+        put(task, load)
+        placed.append(task)
+    if group.spec.gang and len(placed) < len(group.tasks):
+        for task in placed:
+            take_back(task, loads)
+        return []
+    return placed
+
+
+def put(task: Task, load: WorkerLoad) -> None:
+    """Assign a task to a worker under a new run number."""
+    task.state = TaskState.PLACED
+    task.run += 1
+    task.worker = load.worker.id
+    load.add(task)
+    if task.spec.same_rack and task.group.rack is None:
+        task.group.rack = load.worker.rack
+
+
+def take_back(task: Task, loads: Sequence[WorkerLoad]) -> None:
+    """Undo an assignment that was neither recorded nor ordered."""
+    for load in loads:
+        load.remove(task)
+    task.run -= 1
+    task.release()
+    if not any(t.worker for t in task.group.tasks):
+        task.group.rack = None
+
+
+def choose_worker(group: StepGroup, loads: Sequence[WorkerLoad], now: float) -> WorkerLoad | None:
+    """Pick the best worker for one more task of a group, or None if none has room."""
+    spec = group.spec
+    able = [load for load in loads if load.open(now) and load.fits(spec) and load.allows(group)]
+    if not able:
+        return None
+    if spec.same_rack:
+        return _in_one_rack(group, able)
+    if spec.long_running:
+        racks = Counter(load.worker.rack for load in loads for t in load.tasks if t.group is group)
+        return min(able, key=lambda load: (racks[load.worker.rack], load.share(), load.worker.id))
+    return min(able, key=lambda load: (_far(group, load), load.share(), load.worker.id))
+
+
+def _far(group: StepGroup, load: WorkerLoad) -> bool:
+    return bool(group.spec.data_rack) and load.worker.rack != group.spec.data_rack
+
+
+def _in_one_rack(group: StepGroup, able: list[WorkerLoad]) -> WorkerLoad | None:
+    """Keep a group in the rack of its first task; the emptiest rack is taken first."""
+    if group.rack is not None:
+        able = [load for load in able if load.worker.rack == group.rack]
+        return min(able, key=lambda load: (load.share(), load.worker.id), default=None)
+    room: Counter[str] = Counter()
+    for load in able:
+        room[load.worker.rack] += load.worker.capacity.cpu_millis - load.cpu_millis
+    rack = max(sorted(room), key=lambda name: (name == group.spec.data_rack, room[name]))
+    group.rack = (
+        able[0].worker.rack
+        if not rack
+        else next(load.worker.rack for load in able if load.worker.rack == rack)
+    )
+    return _in_one_rack(group, able)
--- /dev/null
+++ b/pumicespur/jobs/_pool.py
@@ -0,0 +1,142 @@
+"""The state of one pool in its owner's memory: jobs, workers, and what changed."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from pumicespur.jobs._job import TaskState, make_job
+from pumicespur.jobs._load import WorkerLoad
+from pumicespur.jobs._placement import order_groups, place_group
+from pumicespur.model import JobId, RouteName, RunEnd
+from pumicespur.schema.jobs_pb import JobPhase
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._job import Job, Task
+    from pumicespur.model import Configuration, PoolId, TaskEnd, TaskName, Worker, WorkerId
+    from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
+
+log = Logger(__name__)
+
+
+@dataclass(eq=False)
+class PoolState:
+    """Jobs and workers of a pool; `dirty` holds the jobs whose progress is not recorded yet."""
+
+    pool: PoolId
+    jobs: dict[JobId, Job] = field(default_factory=dict)
+    loads: dict[WorkerId, WorkerLoad] = field(default_factory=dict)
+    dirty: set[Job] = field(default_factory=set)
+    fresh: list[Task] = field(default_factory=list)
+    """Tasks placed since the last commit."""
+
+    def add_job(
+        self, record: JobRecord, configuration: Configuration, progress: ProgressRecord | None
+    ) -> Job | None:
+        """Take in a job that callers submitted; return None if it is known already."""
+        known = self.jobs.get(JobId(record.id))
+        if known is not None:
+            return None
+        job = make_job(record, configuration.routes.get(RouteName(record.route)))
+        if progress is not None:
+            job.restore(progress)
+        self.jobs[job.id] = job
+        return job
+
+    def cancel(self, job: Job) -> None:
+        """End a job because its caller asked for it."""
+        if not job.ended:
+            job.phase = JobPhase.CANCELLED
+            self.dirty.add(job)
+
+    def task(self, name: TaskName) -> Task | None:
+        """Find a task of a job that has not ended."""
+        job = self.jobs.get(JobId(name.partition(".")[0]))
+        return None if job is None else job.by_name.get(name)
+
+    def add_worker(self, worker: Worker) -> WorkerLoad:
+        """Count a worker, or take its newest description."""
+        load = self.loads.get(worker.id)
+        if load is None:
+            load = WorkerLoad(worker)
+            self.loads[worker.id] = load
+        load.worker = worker
+        load.listed = True
+        return load
+
+    def drop_worker(self, worker: WorkerId) -> list[Task]:
+        """Forget a worker whose tasks are known to be over; return the tasks that wait again."""
+        load = self.loads.pop(worker, None)
+        lost = [
+            task
+            for job in self.jobs.values()
+            if not job.ended
+            for task in job.tasks
+            if task.worker == worker
+        ]
+        for task in lost:
+            task.release()
+            self.dirty.add(task.job)
+        if load is not None:
+            load.tasks.clear()
+        return lost
+
+    def free(self, task: Task, checkpoint: str = "") -> None:
+        """Let a task wait again after its run is known to be over."""
+        load = self.loads.get(task.worker) if task.worker else None
+        if load is not None:
+            load.remove(task)
+        task.release(checkpoint)
+        if not task.job.ended:
+            self.dirty.add(task.job)
+
+    def note_end(self, worker: WorkerId, end: TaskEnd, now: float) -> None:
+        """Take in a run's end as its worker listed it."""
+        task = self.task(end.task)
+        if task is None or task.job.ended or task.state is TaskState.DONE:
+            return
+        newest = task.run == end.run and task.worker == worker
+        if end.how is RunEnd.DONE:
+            self._finish(task)
+        elif newest:
+            self._fail(task, end)
+        load = self.loads.get(worker)
+        if load is not None and end.how in (RunEnd.DONE, RunEnd.FAILED):
+            if load.note_result(end.how is RunEnd.DONE, now):
+                log.warning("worker left out", pool=self.pool, worker=worker, reason="failures")
+
+    def _finish(self, task: Task) -> None:
+        members = task.group.tasks if task.spec.gang else [task]
+        for member in members:
+            load = self.loads.get(member.worker) if member.worker else None
+            if load is not None:
+                load.remove(member)
+            member.job.finish_task(member)
+        self.dirty.add(task.job)
+
+    def _fail(self, task: Task, end: TaskEnd) -> None:
+        if end.how is RunEnd.FAILED and not task.spec.long_running:
+            task.failures += 1
+        self.free(task, end.checkpoint)
+        if task.failures >= task.job.max_attempts:
+            task.job.phase = JobPhase.FAILED
+
+    def place(self, now: float, now_ms: float) -> list[Task]:
+        """Choose workers for waiting tasks whose turn has come."""
+        loads = list(self.loads.values())
+        placed: list[Task] = []
+        for group in order_groups(self.jobs.values(), now_ms):
+            placed += place_group(group, loads, now)
+        for task in placed:
+            self.dirty.add(task.job)
+            if task.job.phase is JobPhase.QUEUED:
+                task.job.phase = JobPhase.RUNNING
+        self.fresh += placed
+        return placed
+
+    def waiting_by_route(self) -> Counter[RouteName]:
+        """Count the jobs of which no task has begun."""
+        return Counter(j.route for j in self.jobs.values() if not j.begun and not j.ended)
--- /dev/null
+++ b/pumicespur/jobs/_service.py
@@ -0,0 +1,168 @@
+"""What callers ask of jobs: submit, state, cancel, and how many wait."""
+
+from __future__ import annotations
+
+import random
+import time
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Error, Ok, Result
+from logbook import Logger
+
+from pumicespur.jobs._job import ENDED_PHASES
+from pumicespur.jobs._keys import progress_key, submission_key
+from pumicespur.schema.jobs_pb import JobPhase, JobRecord, ProgressRecord
+from pumicespur.store import AnswerLost, Condition, Conflict, Row, Transaction, Write
+
+if TYPE_CHECKING:
+    from pumicespur.model import JobId, Route
+    from pumicespur.platform import PlatformTable
+    from pumicespur.store import Fault
+
+log = Logger(__name__)
+
+RETRY_S = 0.03
+"""First pause before a call to the store is repeated; some of its usual answers."""
+
+MAX_RETRY_S = 0.4
+"""Longest such pause."""
+
+
+class Submission(Enum):
+    """What became of a submitted job."""
+
+    ACCEPTED = "accepted"
+    NOT_TAKEN = "not taken"
+    """It is recorded nowhere and never will be."""
+    UNKNOWN = "unknown"
+
+
+class Cancellation(Enum):
+    """What became of a request to cancel."""
+
+    DONE = "done"
+    NO_SUCH_JOB = "no such job"
+    UNKNOWN = "unknown"
+
+
+class JobService:
+    """Answers callers from the store, so that it needs no owner to be at work."""
+
+    def __init__(self, table: PlatformTable) -> None:
+        self.table = table
+
+    async def submit(self, route: Route, record: JobRecord, give_up_at: float) -> Submission:
+        """Record a job; the same id recorded before counts as accepted.
+
+        `give_up_at` is the monotonic time by which the caller needs an answer.
+        """
+        pool = route.pool
+        job: JobId = record.id  # type: ignore[assignment]
+        conditions = [
+            Condition(submission_key(pool, job), 0),
+            Condition(progress_key(pool, job), 0),
+        ]
+        write = Write(submission_key(pool, job), record.to_binary())
+        lost = False
+        pause_s = RETRY_S
+        while True:
+            answer = await self.table.transact(Transaction(conditions, [write]))
+            match answer:
+                case Result(tag="ok", ok=version):
+                    log.info("job accepted", job=job, route=route.name, pool=pool, version=version)
+                    return Submission.ACCEPTED
+                case Result(error=Conflict()):
+                    log.info("job accepted", job=job, route=route.name, pool=pool, repeat=True)
+                    return Submission.ACCEPTED
+                case Result(error=fault):
+                    lost = lost or isinstance(fault, AnswerLost)
+                    if time.monotonic() + pause_s >= give_up_at:
+                        return self._give_up(route, job, lost, fault)
+            await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
+
+    def _give_up(self, route: Route, job: JobId, lost: bool, fault: Fault) -> Submission:
+        outcome = Submission.UNKNOWN if lost else Submission.NOT_TAKEN
+        log.warning(
+            "job refused",
+            job=job,
+            route=route.name,
+            pool=route.pool,
+            outcome=outcome.value,
+            reason=str(fault),
+        )
+        return outcome
+
+    async def state(
+        self, route: Route, job: JobId, give_up_at: float
+    ) -> Result[JobPhase | None, Fault]:
+        """Read how far a job is; None tells that there is no such job."""
+        for _ in range(2):
+            # A job that ends between the two reads has its progress row at the second try.
+            progress = await self._read(progress_key(route.pool, job), give_up_at)
+            match progress:
+                case Result(tag="ok", ok=row) if row.version:
+                    return Ok(ProgressRecord.from_binary(row.value).phase)
+                case Result(error=fault):
+                    return Error(fault)
+            submission = await self._read(submission_key(route.pool, job), give_up_at)
+            match submission:
+                case Result(tag="ok", ok=row) if row.version:
+                    return Ok(JobPhase.QUEUED)
+                case Result(error=fault):
+                    return Error(fault)
+        return Ok(None)
+
+    async def cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
+        """Record that a job is not wanted any more; its owner stops it."""
+        key = submission_key(route.pool, job)
+        while True:
+            found = await self._read(key, give_up_at)
+            match found:
+                case Result(tag="ok", ok=row) if row.version:
+                    answer = await self._write_cancellation(row)
+                    if answer.is_ok():
+                        log.info("job cancelled", job=job, route=route.name, version=answer.ok)
+                        return Cancellation.DONE
+                case Result(tag="ok"):
+                    return await self._cancel_missing(route, job, give_up_at)
+            if time.monotonic() + MAX_RETRY_S >= give_up_at:
+                return Cancellation.UNKNOWN
+            await anyio.sleep(RETRY_S * random.uniform(0.5, 1.0))
+
+    async def _write_cancellation(self, row: Row) -> Result[int, Fault]:
+        record = JobRecord.from_binary(row.value)
+        if record.cancelled:
+            return Ok(row.version)
+        record.cancelled = True
+        return await self.table.transact(
+            Transaction([Condition(row.key, row.version)], [Write(row.key, record.to_binary())])
+        )
+
+    async def _cancel_missing(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
+        """Answer for a job without its own row: it has ended or never was."""
+        found = await self._read(progress_key(route.pool, job), give_up_at)
+        match found:
+            case Result(tag="ok", ok=row) if row.version:
+                phase = ProgressRecord.from_binary(row.value).phase
+                if phase is JobPhase.CANCELLED:
+                    return Cancellation.DONE
+                return Cancellation.NO_SUCH_JOB if phase in ENDED_PHASES else Cancellation.UNKNOWN
+            case Result(tag="ok"):
+                return Cancellation.NO_SUCH_JOB
+            case _:
+                return Cancellation.UNKNOWN
+
+    async def _read(self, key: str, give_up_at: float) -> Result[Row, Fault]:
+        pause_s = RETRY_S
+        while True:
+            answer = await self.table.read(key)
+            match answer:
+                case Result(tag="ok"):
+                    return answer
+                case Result(error=fault) if time.monotonic() + pause_s >= give_up_at:
+                    return Error(fault)
+            await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
--- /dev/null
+++ b/pumicespur/jobs/_watch.py
@@ -0,0 +1,268 @@
+"""One task for each worker of an owned pool: extend its lease, take in what it tells."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs._job import TaskState
+from pumicespur.jobs._journal import OwnershipLostError
+from pumicespur.jobs._lease import WorkerLease
+from pumicespur.model import Account, OtherLife, Refused, StartOrder
+from pumicespur.store import AnswerLost, Unavailable
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._job import Task
+    from pumicespur.jobs._owner import PoolOwner
+    from pumicespur.model import Running, TaskName, Worker
+
+log = Logger(__name__)
+
+RETRY_S = 0.15
+"""Pause after a call that failed; a few round trips."""
+
+LAPSE_SLACK_S = 0.3
+"""Time beyond the end of a lease that a worker is given to end its tasks and a late timer."""
+
+FULL_PAUSE_S = 0.3
+"""Time for which a worker that refused for want of room gets nothing; about one stop."""
+
+SICK_PAUSE_S = 1.0
+"""Time for which a worker that refused as unhealthy gets nothing."""
+
+STOP_AGAIN_S = 0.4
+"""Time after which a stop that shows no effect is sent again."""
+
+FENCED = "fence"
+FULL = "room"
+SICK = ("429", "503")
+
+
+class WorkerWatch:
+    """The owner's dealings with one life of a worker."""
+
+    def __init__(self, owner: PoolOwner, worker: Worker, unknown_until: float) -> None:
+        self.owner = owner
+        self.id = worker.id
+        self.load = owner.pool.add_worker(worker)
+        self.lease = WorkerLease(owner.settings.workers.clock_drift, unknown_until)
+        self.seen = 0
+        """Number of the newest end that was taken in."""
+        self.recorded = 0
+        """Number of the newest end that is recorded; the worker drops what it acknowledges."""
+        self.unsettled: dict[Task, int] = {}
+        """Starts without an answer, with their runs; the worker's account settles them."""
+        self.foreign_stops: dict[tuple[TaskName, int], float] = {}
+        self.changed = anyio.Event()
+        self.failures = 0
+        self.gone = False
+
+    async def run(self) -> None:
+        """Follow the worker until its life is over."""
+        while not self.gone:
+            await self._wait_for_record()
+            now = time.monotonic()
+            if not self.owner.may_extend(now):
+                self.load.reachable = False
+                await anyio.sleep(RETRY_S)
+            elif not await self._look(now):
+                await anyio.sleep(RETRY_S)
+            self._check_lapse()
+        self.owner.forget(self)
+
+    async def _wait_for_record(self) -> None:
+        if self.seen > self.recorded:
+            self.changed = anyio.Event()
+            with anyio.move_on_after(self.owner.settings.workers.watch_s):
+                await self.changed.wait()
+
+    def note_recorded(self, number: int) -> None:
+        """Allow the worker to drop ends up to a number."""
+        self.recorded = max(self.recorded, number)
+        self.changed.set()
+
+    async def _look(self, now: float) -> bool:
+        """Extend the lease and read the account; return whether to look again at once."""
+        settings = self.owner.settings.workers
+        wait_s = settings.watch_s if self.lease.clock_ms is not None else 0.0
+        if self.seen > self.recorded or self.unsettled:
+            wait_s = 0.0
+        deadline = self.lease.grant(now, settings.lease_s)
+        answer = await self.owner.orders.hold(
+            self.load.worker, self.owner.token, self.recorded, deadline, wait_s
+        )
+        match answer:
+            case Result(tag="ok", ok=account):
+                self.failures = 0
+                self.lease.note(account.clock_ms, time.monotonic())
+                await self._take_in(account, now)
+                return not self.unsettled
+            case Result(error=OtherLife()):
+                self.end("another life answers")
+                return True
+            case Result(error=Refused(reason=reason)) if reason == FENCED:
+                raise OwnershipLostError(f"worker {self.id} has seen a newer token")
+            case Result(error=fault):
+                self._note_failure(str(fault))
+                return False
+
+    def _note_failure(self, reason: str) -> None:
+        self.failures += 1
+        if self.load.reachable or self.failures == 1:
+            log.warning("worker lost", pool=self.owner.pool.pool, worker=self.id, reason=reason)
+        self.load.reachable = False
+
+    async def _take_in(self, account: Account, sent_at: float) -> None:
+        if not self.load.reachable:
+            log.info("worker answers", pool=self.owner.pool.pool, worker=self.id)
+            self.load.reachable = True
+            self.owner.wake()
+        now = time.monotonic()
+        for end in account.ended:
+            if end.number > self.seen:
+                self.seen = end.number
+                self.owner.note_end(self, end, now)
+        running = {(run.task, run.run): run for run in account.running}
+        self._note_running(running, now)
+        await self._settle(running, sent_at)
+        await self._stop_foreign(running, now)
+
+    def _note_running(self, running: dict[tuple[TaskName, int], Running], now: float) -> None:
+        for task in list(self.load.tasks):
+            found = running.get((task.name, task.run))
+            if task.job.ended or task.worker != self.id:
+                if found is None:
+                    self.load.remove(task)
+                    self.owner.wake()
+                continue
+            if found is None:
+                continue
+            if task.state is TaskState.STARTING:
+                self._confirm(task)
+            if task.percent != found.percent:
+                task.progressed_at = now
+            task.percent = found.percent
+            task.checkpoint = found.checkpoint
+            task.figure = found.figure
+
+    def _confirm(self, task: Task) -> None:
+        task.state = TaskState.RUNNING
+        task.started_at = task.progressed_at = time.monotonic()
+        task.job.begun = True
+        self.unsettled.pop(task, None)
+
+    async def _settle(self, running: dict[tuple[TaskName, int], Running], sent_at: float) -> None:
+        """Find out what became of starts that got no answer.
+
+        A stop keeps a run that has not arrived from starting later, so after an answered
+        stop the task may start elsewhere.
+        """
+        for task, run in list(self.unsettled.items()):
+            if task.run != run or task.worker != self.id or (task.name, run) in running:
+                self.unsettled.pop(task, None)
+                continue
+            stopped = await self.owner.orders.stop(
+                self.load.worker, self.owner.token, task.name, run
+            )
+            if stopped.is_ok() and self.unsettled.pop(task, None) == run:
+                self._free_if_same(task, run, "start did not arrive")
+
+    def _free_if_same(self, task: Task, run: int, reason: str) -> None:
+        if task.run != run or task.worker != self.id or task.state is TaskState.DONE:
+            return
+        log.info(
+            "start undone",
+            job=task.job.id,
+            task=task.name,
+            run=run,
+            worker=self.id,
+            reason=reason,
+        )
+        self.owner.pool.free(task)
+        self.owner.wake()
+
+    async def _stop_foreign(self, running: dict[tuple[TaskName, int], Running], now: float) -> None:
+        """Stop what runs here and should not: cancelled, failed or replaced runs."""
+        for name, run in running:
+            task = self.owner.pool.task(name)
+            wanted = task is not None and not task.job.ended
+            if wanted and task is not None and task.run == run and task.worker == self.id:
+                continue
+            if now - self.foreign_stops.get((name, run), float("-inf")) < STOP_AGAIN_S:
+                continue
+            self.foreign_stops[name, run] = now
+            self.owner.spawn(self.stop, name, run, "not wanted here")
+        if len(self.foreign_stops) > len(running):
+            self.foreign_stops = {k: v for k, v in self.foreign_stops.items() if k in running}
+
+    async def stop(self, name: TaskName, run: int, reason: str) -> None:
+        """Order a run to stop; the worker's account shows when it has."""
+        log.info("stop ordered", task=name, run=run, worker=self.id, reason=reason)
+        answer = await self.owner.orders.stop(self.load.worker, self.owner.token, name, run)
+        match answer:
+            case Result(error=fault):
+                log.warning("stop not answered", task=name, worker=self.id, reason=str(fault))
+
+    async def start(self, task: Task, run: int) -> None:
+        """Order a placed task to start, now that its place is recorded."""
+        now = time.monotonic()
+        deadline = self.lease.grant(now, self.owner.settings.workers.lease_s)
+        if task.job.ended or deadline is None or self.gone or not self.owner.may_extend(now):
+            self._free_if_same(task, run, "not ordered")
+            return
+        task.state = TaskState.STARTING
+        order = StartOrder(
+            task.name, run, task.job.record.payload, task.checkpoint, deadline, task.ticket
+        )
+        answer = await self.owner.orders.start(self.load.worker, self.owner.token, order)
+        if task.run != run or task.worker != self.id:
+            return
+        match answer:
+            case Result(tag="ok"):
+                self._confirm(task)
+            case Result(error=OtherLife()):
+                self.end("another life answers")
+            case Result(error=Refused(reason=reason)) if reason == FENCED:
+                raise OwnershipLostError(f"worker {self.id} has seen a newer token")
+            case Result(error=Refused(reason=reason)):
+                self._note_refusal(reason, now)
+                self._free_if_same(task, run, f"refused: {reason}")
+            case Result(error=Unavailable(reason=reason)):
+                self._note_failure(reason)
+                self._free_if_same(task, run, reason)
+            case Result(error=AnswerLost()):
+                self.unsettled[task] = run
+
+    def _note_refusal(self, reason: str, now: float) -> None:
+        if reason == FULL:
+            self.load.avoid_until = now + FULL_PAUSE_S
+        elif reason in SICK:
+            self.load.avoid_until = now + SICK_PAUSE_S
+
+    def _check_lapse(self) -> None:
+        """Let tasks wait again once the worker's lease is surely over."""
+        if self.gone or self.load.reachable or self.failures == 0:
+            return
+        if time.monotonic() < self.lease.over_at() + LAPSE_SLACK_S:
+            return
+        if not self.load.listed:
+            self.end("not listed and its lease is over")
+            return
+        for task in list(self.load.tasks):
+            self.unsettled.pop(task, None)
+            self.load.remove(task)
+            if task.worker == self.id and not task.job.ended:
+                self._free_if_same(task, task.run, "the worker's lease is over")
+
+    def end(self, reason: str) -> None:
+        """Note that this life of the worker is over, with all that it ran."""
+        if self.gone:
+            return
+        self.gone = True
+        log.info("worker gone", pool=self.owner.pool.pool, worker=self.id, reason=reason)
+        self.owner.pool.drop_worker(self.id)
+        self.owner.wake()
--- a/pumicespur/structure/_ids.py
+++ b/pumicespur/model/_ids.py
@@ -5,9 +5,18 @@
 from typing import NewType
 
 InstanceId = NewType("InstanceId", str)
+"""An instance; it stays the same over restarts of what runs on it."""
+
+WorkerId = NewType("WorkerId", str)
+"""One life of a worker; a worker that starts again has another."""
+
 PoolId = NewType("PoolId", str)
 JobId = NewType("JobId", str)
+RouteName = NewType("RouteName", str)
 TaskId = NewType("TaskId", str)
+TaskName = NewType("TaskName", str)
+"""A task of a submitted job, as workers know it."""
+
 TeamId = NewType("TeamId", str)
 WaveId = NewType("WaveId", str)
 ProcessId = NewType("ProcessId", str)
@@ -21,5 +30,10 @@
 
 
 def task_id(job: str, index: int) -> TaskId:
-    """Name one task of a job."""
+    """Name one task of a declared job."""
     return TaskId(f"{job}/{index}")
+
+
+def task_name(job: JobId, repeat: int, step: int, index: int) -> TaskName:
+    """Name one task of a submitted job as workers know it."""
+    return TaskName(f"{job}.{repeat}.{step}.{index}")
--- /dev/null
+++ b/pumicespur/node/__init__.py
@@ -0,0 +1,8 @@
+"""The role `node`: one process that serves callers and may own pools."""
+
+from __future__ import annotations
+
+from pumicespur.node._process import NodeProcess
+from pumicespur.node._view import NodeView
+
+__all__ = ["NodeProcess", "NodeView"]
--- /dev/null
+++ b/pumicespur/node/_keeper.py
@@ -0,0 +1,251 @@
+"""Heartbeats, and which pools this process owns.
+
+A takeover is safe at any time: the owner's row carries the fencing token, every commit has it
+as a condition, and workers refuse orders under an older one. Heartbeats decide only when a
+takeover is worth while.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs import OWNERS_TABLE, Ownership, PoolOwner, owner_key
+from pumicespur.model import PoolId, ProcessId
+from pumicespur.node._view import SeenOwner, SeenProcess
+from pumicespur.schema.jobs_pb import HeartbeatRecord, OwnerRecord
+from pumicespur.store import Condition, HistoryGone, Transaction, Write
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from pumicespur.config import NodeSettings
+    from pumicespur.node._view import NodeView
+    from pumicespur.platform import PlatformTable, WorkerOrders
+    from pumicespur.store import Row
+
+log = Logger(__name__)
+
+HEARTBEATS_TABLE = "heartbeats"
+SETTLE_S = 1.2
+"""Time after a start before pools are taken, so that processes that start together share them."""
+
+RETRY_S = 0.2
+"""Pause after a fault of the store."""
+
+LAPSE_SLACK_S = 0.5
+"""Added to the longest lease of an earlier owner, for late timers and a stop under way."""
+
+
+class OwnershipKeeper:
+    """Tells the other processes that this one is alive, and takes pools that lack an owner."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        view: NodeView,
+        table: PlatformTable,
+        orders: WorkerOrders,
+        incarnation: str,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.table = table
+        self.orders = orders
+        self.incarnation = incarnation
+        self.me = ProcessId(settings.process.id)
+        self.started_at = time.monotonic()
+        self.number = 0
+        self.owned: dict[PoolId, PoolOwner] = {}
+        self.stopping = False
+        self.answered_at = float("-inf")
+        """When the store last took a heartbeat (monotonic seconds)."""
+        self.changed = anyio.Event()
+        self.tasks: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Keep beating and deciding until cancelled."""
+        async with anyio.create_task_group() as self.tasks:
+            self.tasks.start_soon(self._follow_owners)
+            while True:
+                await self._beat()
+                await self._decide()
+                self.changed = anyio.Event()
+                with anyio.move_on_after(self.settings.store.heartbeat_s):
+                    await self.changed.wait()
+
+    async def stop(self) -> None:
+        """Give up all pools and take no more."""
+        self.stopping = True
+        self.changed.set()
+        async with anyio.create_task_group() as tasks:
+            for owner in list(self.owned.values()):
+                tasks.start_soon(owner.stop)
+
+    def sync_workers(self) -> None:
+        """Tell the owners that the list of workers has changed."""
+        for owner in self.owned.values():
+            owner.sync_workers()
+
+    async def _beat(self) -> None:
+        self.number += 1
+        record = HeartbeatRecord(
+            process=self.me,
+            incarnation=self.incarnation,
+            data_hall=self.settings.process.data_hall,
+            number=self.number,
+            unfit=self.stopping,
+            pools=[owner.report() for owner in self.owned.values() if owner.ready],
+        )
+        write = Write(f"{HEARTBEATS_TABLE}//{self.me}", record.to_binary())
+        written = await self.table.transact(Transaction([], [write]))
+        seen = await self.table.scan(HEARTBEATS_TABLE, "")
+        now = time.monotonic()
+        if now - self.answered_at > self.settings.store.missing_s:
+            self.view.steady_since = now
+        match written, seen:
+            case Result(tag="ok"), Result(tag="ok", ok=page):
+                self.answered_at = now
+                for row in page.rows:
+                    self._see(row, now)
+            case _:
+                log.warning("heartbeat failed", written=written.is_ok(), read=seen.is_ok())
+
+    def _see(self, row: Row, now: float) -> None:
+        heartbeat = HeartbeatRecord.from_binary(row.value)
+        process = ProcessId(heartbeat.process)
+        known = self.view.processes.get(process)
+        if known is None:
+            self.view.processes[process] = SeenProcess(heartbeat, now)
+            return
+        before = (known.heartbeat.incarnation, known.heartbeat.number)
+        if before != (heartbeat.incarnation, heartbeat.number):
+            self.view.processes[process] = SeenProcess(heartbeat, now)
+
+    async def _follow_owners(self) -> None:
+        """Hear of takeovers and releases as they happen."""
+        version: int | None = None
+        while True:
+            if version is None:
+                self.view.owners.clear()
+                start = await self.table.scan(HEARTBEATS_TABLE, "")
+                version = start.ok.version if start.is_ok() else None
+                if version is None:
+                    await anyio.sleep(RETRY_S)
+                continue
+            answer = await self.table.changes(OWNERS_TABLE, version, self.settings.store.watch_s)
+            match answer:
+                case Result(tag="ok", ok=page):
+                    version = page.version
+                    for row in page.rows:
+                        self._see_owner(row)
+                case Result(error=HistoryGone()):
+                    version = None
+                case Result():
+                    await anyio.sleep(RETRY_S)
+
+    def _see_owner(self, row: Row) -> None:
+        pool = PoolId(row.key.split("/", 2)[1])
+        record = OwnerRecord.from_binary(row.value)
+        known = self.view.owners.get(pool)
+        if known is None or row.version > known.token:
+            self.view.owners[pool] = SeenOwner(record, row.version, time.monotonic())
+            self.changed.set()
+
+    async def _decide(self) -> None:
+        now = time.monotonic()
+        if self.stopping or now - self.started_at < SETTLE_S or not self.view.workers_known:
+            return
+        for pool in self.view.pools():
+            if pool in self.owned:
+                continue
+            if pool not in self.view.owners:
+                answer = await self.table.read(owner_key(pool))
+                if not answer.is_ok():
+                    return
+                self._see_owner(answer.ok)
+            owner = self.view.owners[pool]
+            if not self._is_held(owner, now) and self._successor(pool, now) == self.me:
+                await self._take(pool, owner)
+
+    def _alive(self, seen: SeenProcess, now: float) -> bool:
+        """Whether a process has beaten lately; while the store is silent, nobody is judged."""
+        since = max(seen.seen_at, self.view.steady_since)
+        return now - since < self.settings.store.missing_s and not seen.heartbeat.unfit
+
+    def _is_held(self, owner: SeenOwner, now: float) -> bool:
+        record = owner.record
+        if not owner.token or record.released or record.process == self.me:
+            return False
+        holder = self.view.processes.get(ProcessId(record.process))
+        if holder is None or holder.heartbeat.incarnation != record.incarnation:
+            # Its first heartbeat may still be on the way.
+            since = max(owner.seen_at, self.view.steady_since)
+            return holder is None and now - since < self.settings.store.missing_s
+        return self._alive(holder, now)
+
+    def _successor(self, pool: PoolId, now: float) -> ProcessId:
+        """Choose the live process that owns fewest pools; all processes choose alike."""
+        counts = {p: 0 for p, seen in self.view.processes.items() if self._alive(seen, now)}
+        counts.setdefault(self.me, 0)
+        for other, owner in self.view.owners.items():
+            holder = ProcessId(owner.record.process)
+            if other != pool and holder in counts and not owner.record.released:
+                counts[holder] += 1
+        return min(counts, key=lambda process: (counts[process], _rank(pool, process)))
+
+    async def _take(self, pool: PoolId, owner: SeenOwner) -> None:
+        record = OwnerRecord(process=self.me, incarnation=self.incarnation)
+        transaction = Transaction(
+            [Condition(owner_key(pool), owner.token)],
+            [Write(owner_key(pool), record.to_binary())],
+        )
+        answer = await self.table.transact(transaction)
+        now = time.monotonic()
+        match answer:
+            case Result(tag="ok", ok=token):
+                self.view.owners[pool] = SeenOwner(record, token, now)
+                self._start(pool, owner, token, now)
+            case Result(error=fault):
+                # A takeover that applies after all names this process; it is then taken again.
+                log.info("pool not taken", pool=pool, reason=str(fault))
+                self.view.owners.pop(pool, None)
+
+    def _start(self, pool: PoolId, before: SeenOwner, token: int, now: float) -> None:
+        ownership = Ownership(pool, token, self.incarnation, now)
+        owner = PoolOwner(
+            self.settings,
+            self.view,
+            self.table,
+            self.orders,
+            ownership,
+            now + self._unknown_s(before),
+        )
+        self.owned[pool] = owner
+        assert self.tasks is not None
+        self.tasks.start_soon(self._own, pool, owner)
+
+    def _unknown_s(self, before: SeenOwner) -> float:
+        """Return how long leases that the owner before gave may still run, in seconds."""
+        if not before.token:
+            return 0.0
+        workers = self.settings.workers
+        lease_s = workers.lease_s / (1 - workers.clock_drift) + LAPSE_SLACK_S
+        if before.record.released or before.record.process == self.me:
+            return lease_s
+        return lease_s + workers.owner_silence_s
+
+    async def _own(self, pool: PoolId, owner: PoolOwner) -> None:
+        await owner.run()
+        if self.owned.get(pool) is owner:
+            del self.owned[pool]
+        self.changed.set()
+
+
+def _rank(pool: PoolId, process: ProcessId) -> bytes:
+    return hashlib.blake2b(f"{pool}\0{process}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/pumicespur/node/_process.py
@@ -0,0 +1,207 @@
+"""The process of the role `node`: its parts, its start and its planned stop."""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs import JobService
+from pumicespur.model import WorkerId
+from pumicespur.node._follow import TableFollower
+from pumicespur.node._keeper import OwnershipKeeper
+from pumicespur.node._view import NodeView
+from pumicespur.platform import (
+    CONFIGURATION_KEY,
+    OPERATORS_TABLE,
+    WAVE_PREFIX,
+    WORKERS_TABLE,
+    CallerServer,
+    HttpCaller,
+    PlatformTable,
+    WorkerOrders,
+    decode_configuration,
+    decode_wave,
+    decode_worker,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from anyio.abc import TaskStatus
+
+    from pumicespur.config import NodeSettings
+    from pumicespur.model import Configuration, RouteName
+    from pumicespur.store import Row
+
+log = Logger(__name__)
+
+STORE_CONNECTIONS = 16
+ORDER_CONNECTIONS = 4
+"""Connections to one worker for orders; eight processes with as many stay under its 64."""
+
+WATCH_CONNECTIONS = 2
+"""Connections to one worker for calls that wait: one at work, one in place of a broken one."""
+
+NOT_READY_AFTER_S = 2.0
+"""Time without the store after which callers are better served by another process."""
+
+WAITING_MAX_AGE_S = 6.0
+"""Oldest word of a pool's owner from which waiting jobs are counted."""
+
+UNLISTED_S = 2.5
+"""Time in which the platform asks twice whether the process is ready, with a late answer."""
+
+END_RESERVE_S = 0.7
+"""Part of the grace period kept for the process's own end."""
+
+POLL_S = 0.05
+
+
+class NodeProcess:
+    """All parts of one process."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.view = NodeView()
+        self.incarnation = uuid.uuid4().hex
+        self.stopping = False
+        self.stop_asked = anyio.Event()
+
+    async def run(self) -> None:
+        """Serve until a signal asks for a stop, then stop without losing anything."""
+        settings = self.settings
+        self.store_caller = HttpCaller(STORE_CONNECTIONS)
+        self.order_caller = HttpCaller(ORDER_CONNECTIONS)
+        self.watch_caller = HttpCaller(WATCH_CONNECTIONS)
+        self.table = PlatformTable(settings.store, self.store_caller)
+        self.jobs = JobService(self.table)
+        self.orders = WorkerOrders(settings.workers, self.order_caller, self.watch_caller)
+        self.keeper = OwnershipKeeper(
+            settings, self.view, self.table, self.orders, self.incarnation
+        )
+        self.server = CallerServer(self)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self._listen_to_signals)
+            log.info(
+                "process started",
+                process_id=os.getpid(),
+                incarnation=self.incarnation,
+                data_hall=settings.process.data_hall,
+            )
+            await self.server.listen(settings.listen.callers, settings.listen.readiness)
+            for name, handler in (
+                (OPERATORS_TABLE, self._on_operators_rows),
+                (WORKERS_TABLE, self._on_worker_rows),
+            ):
+                follower = TableFollower(self.table, settings.store, name, handler)
+                tasks.start_soon(follower.run)
+            tasks.start_soon(self.keeper.run)
+            await self.stop_asked.wait()
+            await self._drain()
+            tasks.cancel_scope.cancel()
+        log.info("process stopped", in_flight=self.server.in_flight)
+
+    async def _listen_to_signals(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+        with anyio.open_signal_receiver(*kinds) as signals:
+            task_status.started()
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    log.info("reload asked", reason="SIGHUP")
+                elif number == signal.SIGUSR1:
+                    log.info("state dump", **self.describe())
+                else:
+                    log.info("stop asked", reason=signal.Signals(number).name)
+                    self.stopping = True
+                    self.stop_asked.set()
+
+    async def _drain(self) -> None:
+        """Hand pools over, then answer callers until they have gone elsewhere."""
+        started = time.monotonic()
+        last = started + self.settings.process.stop_grace_s - END_RESERVE_S
+        with anyio.move_on_after(last - started):
+            await self.keeper.stop()
+            await anyio.sleep(max(0.0, started + UNLISTED_S - time.monotonic()))
+            while self.server.in_flight:
+                await anyio.sleep(POLL_S)
+
+    def describe(self) -> dict[str, object]:
+        """Return the process's state."""
+        view = self.view
+        return {
+            "incarnation": self.incarnation,
+            "configuration_version": view.configuration.version,
+            "workers": len(view.workers),
+            "processes": sorted(view.processes),
+            "owners": {pool: owner.record.process for pool, owner in view.owners.items()},
+            "owned": {
+                pool: {"jobs": len(owner.pool.jobs), "workers": len(owner.watches)}
+                for pool, owner in self.keeper.owned.items()
+            },
+        }
+
+    def _on_operators_rows(self, rows: Sequence[Row], whole: bool) -> None:
+        for row in rows:
+            if row.key == CONFIGURATION_KEY and row.version:
+                self._take_configuration(row.value)
+            elif row.key.startswith(WAVE_PREFIX) and row.version:
+                self._take_wave(row.value)
+
+    def _take_configuration(self, value: bytes) -> None:
+        match decode_configuration(value):
+            case Result(tag="ok", ok=configuration):
+                self.view.take_configuration(configuration)
+                self.keeper.changed.set()
+            case Result(error=reason):
+                log.error("configuration not understood", reason=reason)
+
+    def _take_wave(self, value: bytes) -> None:
+        match decode_wave(value):
+            case Result(tag="ok", ok=wave):
+                self.view.waves[wave.number] = wave
+                log.info("wave known", wave=wave.number, instances=len(wave.instances))
+            case Result(error=reason):
+                log.error("wave not understood", reason=reason)
+
+    def _on_worker_rows(self, rows: Sequence[Row], whole: bool) -> None:
+        if whole:
+            self.view.workers.clear()
+        for row in rows:
+            identity = WorkerId(row.key.split("/", 2)[2])
+            if not row.version:
+                self.view.workers.pop(identity, None)
+                continue
+            match decode_worker(identity, row.value):
+                case Result(tag="ok", ok=worker):
+                    self.view.workers[identity] = worker
+                case Result(error=reason):
+                    log.error("worker not understood", worker=identity, reason=reason)
+        self.view.workers_known = True
+        self.keeper.sync_workers()
+
+    def current_configuration(self) -> Configuration | None:
+        """Return the configuration in force, or None before the first one."""
+        configuration = self.view.configuration
+        return configuration if configuration.version >= 0 else None
+
+    def is_ready(self) -> bool:
+        """Tell whether callers are served well here."""
+        heard = time.monotonic() - self.keeper.answered_at < NOT_READY_AFTER_S
+        return heard and not self.stopping and self.current_configuration() is not None
+
+    def is_stopping(self) -> bool:
+        """Tell whether connections are to be closed after their answer."""
+        return self.stopping
+
+    def waiting_jobs(self, route: RouteName) -> int | None:
+        """Return how many jobs wait on a route, or None if that is not known."""
+        return self.view.waiting_jobs(route, WAITING_MAX_AGE_S)
--- /dev/null
+++ b/pumicespur/node/_view.py
@@ -0,0 +1,93 @@
+"""What a process believes of the world: configuration, waves, workers, processes, owners."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from pumicespur.model import Configuration, PoolId, ProcessId, RouteName, WorkerId
+
+if TYPE_CHECKING:
+    from pumicespur.model import Wave, Worker
+    from pumicespur.schema.jobs_pb import HeartbeatRecord, OwnerRecord, PoolReport
+
+log = Logger(__name__)
+
+
+@dataclass
+class SeenProcess:
+    """Another process's newest heartbeat, and when it was first seen (monotonic seconds)."""
+
+    heartbeat: HeartbeatRecord
+    seen_at: float
+
+
+@dataclass(frozen=True)
+class SeenOwner:
+    """Who owns a pool, under which token, and when that was first seen (monotonic seconds)."""
+
+    record: OwnerRecord
+    token: int
+    seen_at: float
+
+
+@dataclass
+class NodeView:
+    """One process's beliefs; each part is kept by one task."""
+
+    configuration: Configuration = field(default_factory=lambda: Configuration(-1, {}, {}))
+    waves: dict[int, Wave] = field(default_factory=dict)
+    workers: dict[WorkerId, Worker] = field(default_factory=dict)
+    workers_known: bool = False
+    processes: dict[ProcessId, SeenProcess] = field(default_factory=dict)
+    owners: dict[PoolId, SeenOwner] = field(default_factory=dict)
+    steady_since: float = field(default_factory=time.monotonic)
+    """Since when the store has told of heartbeats without a gap (monotonic seconds)."""
+
+    def take_configuration(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless it is older than the present one."""
+        if configuration.version <= self.configuration.version:
+            return False
+        log.info(
+            "configuration in force",
+            version=configuration.version,
+            before=self.configuration.version,
+            routes=len(configuration.routes),
+        )
+        self.configuration = configuration
+        return True
+
+    def pools(self) -> list[PoolId]:
+        """Return the pools that need an owner."""
+        return [pool.id for pool in self.configuration.pools.values() if not pool.spare]
+
+    def report(self, pool: PoolId) -> PoolReport | None:
+        """Return what the owner of a pool told last, under the newest token."""
+        reports = [
+            report
+            for seen in self.processes.values()
+            for report in seen.heartbeat.pools
+            if report.pool == pool
+        ]
+        return max(reports, key=lambda report: report.fencing_token, default=None)
+
+    def waiting_jobs(self, route: RouteName, max_age_s: float) -> int | None:
+        """Return how many jobs wait on a route; None if the owner's word is too old."""
+        found = self.configuration.routes.get(route)
+        if found is None:
+            return None
+        now = time.monotonic()
+        fresh = [
+            report
+            for seen in self.processes.values()
+            if now - seen.seen_at <= max_age_s
+            for report in seen.heartbeat.pools
+            if report.pool == found.pool
+        ]
+        newest = max(fresh, key=lambda report: report.fencing_token, default=None)
+        if newest is None:
+            return None
+        return sum(count.jobs for count in newest.waiting if count.route == route)
--- a/pumicespur/peers/_members.py
+++ b/pumicespur/peers/_members.py
@@ -13,12 +13,12 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.platform import Transaction, Write
 from pumicespur.schema.peer_pb import Member
+from pumicespur.store import Transaction, Write
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
-    from pumicespur.platform import PlatformClient
+    from pumicespur.connect import PlatformClient
 
 log = Logger(__name__)
 
--- a/pumicespur/planning/_effects.py
+++ b/pumicespur/planning/_effects.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from pumicespur.platform import PlatformClient
+    from pumicespur.connect import PlatformClient
     from pumicespur.schema.platform_pb import TaskUsage
 
 log = Logger(__name__)
--- a/pumicespur/planning/_planner.py
+++ b/pumicespur/planning/_planner.py
@@ -12,14 +12,14 @@
 from pumicespur.planning._decision import Decision, PlanInput, decide
 from pumicespur.planning._effects import Effects
 from pumicespur.planning._usage import UsageBook, own_tasks
-from pumicespur.platform import Conflict, Listing
 from pumicespur.schema.fleet_pb import InstanceState, Record
+from pumicespur.store import Conflict, Listing
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from pumicespur.platform import PlatformClient
+    from pumicespur.connect import PlatformClient
     from pumicespur.schema.operators_pb import Finding
     from pumicespur.schema.platform_pb import ListedInstance, TaskUsage
     from pumicespur.schema.settings_pb import ManagerSettings
--- a/pumicespur/platform/__init__.py
+++ b/pumicespur/platform/__init__.py
@@ -1,24 +1,40 @@
-"""The platform: its table service, object store, instance list and orders.
+"""The adapter to the users' platform: everything that knows its names and bodies.
 
-Nothing outside this package knows how the platform is spoken to.
+Nothing outside this package knows how the platform, its workers and its callers write things.
 """
 
 from __future__ import annotations
 
-from pumicespur.platform._client import PlatformClient
-from pumicespur.platform._faults import AnswerLost, Conflict, Fault, Unavailable
-from pumicespur.platform._rows import Condition, Listing, Row, Transaction, UsageListing, Write
+from pumicespur.platform._callers import CallerServer
+from pumicespur.platform._declarations import (
+    CONFIGURATION_KEY,
+    OPERATORS_TABLE,
+    WAVE_PREFIX,
+    WORKERS_TABLE,
+    decode_configuration,
+    decode_wave,
+    decode_worker,
+    encode_wave_state,
+    wave_state_key,
+)
+from pumicespur.platform._fleet import FleetOrders
+from pumicespur.platform._http import HttpCaller
+from pumicespur.platform._orders import WorkerOrders
+from pumicespur.platform._table import PlatformTable
 
 __all__ = [
-    "AnswerLost",
-    "Condition",
-    "Conflict",
-    "Fault",
-    "Listing",
-    "PlatformClient",
-    "Row",
-    "Transaction",
-    "Unavailable",
-    "UsageListing",
-    "Write",
+    "CONFIGURATION_KEY",
+    "OPERATORS_TABLE",
+    "WAVE_PREFIX",
+    "WORKERS_TABLE",
+    "CallerServer",
+    "FleetOrders",
+    "HttpCaller",
+    "PlatformTable",
+    "WorkerOrders",
+    "decode_configuration",
+    "decode_wave",
+    "decode_worker",
+    "encode_wave_state",
+    "wave_state_key",
 ]
--- /dev/null
+++ b/pumicespur/platform/_callers.py
@@ -0,0 +1,280 @@
+"""The HTTP server for callers and for the platform's readiness checks."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+from aiohttp import web
+from expression import Error, Ok, Result
+from logbook import Logger
+
+from pumicespur.jobs import Cancellation, Submission
+from pumicespur.model import JobId
+from pumicespur.schema.jobs_pb import JobPhase, JobRecord, StepRecord
+from pumicespur.utils import now_ms
+
+if TYPE_CHECKING:
+    from pumicespur.jobs import JobService
+    from pumicespur.model import Configuration, Route, RouteName
+
+log = Logger(__name__)
+
+READINESS_PATH = "/pumicespur/readiness"
+DEADLINE_HEADER = "X-Pumicespur-Deadline-Ms"
+"""Time that a caller waits for an answer, in milliseconds."""
+
+ID_LENGTH = 16
+HEX_DIGITS = frozenset("0123456789abcdef")
+ANSWER_RESERVE_S = 0.15
+"""Kept back from a caller's time so that the final answer still reaches it."""
+
+GIVE_UP_SHARE = 0.5
+"""Share of a caller's time after which a refusal is given, so that another try has time."""
+
+COME_BACK_S = "1"
+"""When a refused caller may try again: about the time until a lost owner is replaced."""
+
+PHASES = {
+    JobPhase.QUEUED: "queued",
+    JobPhase.RUNNING: "running",
+    JobPhase.COMPLETED: "completed",
+    JobPhase.FAILED: "failed",
+    JobPhase.CANCELLED: "cancelled",
+}
+
+
+class _Step(msgspec.Struct):
+    count: int = 0
+    cpu: int = 0
+    memory_mb: int = msgspec.field(name="memMb", default=0)
+    gpu: int = 0
+    estimated_ms: float = msgspec.field(name="estimatedMs", default=0)
+    depends_on: list[int] = msgspec.field(name="dependsOn", default=[])
+    checkpoints: bool = msgspec.field(name="checkpointing", default=False)
+    gang: bool = False
+    same_rack: bool = msgspec.field(name="sameRack", default=False)
+    requires: str = ""
+    affinity: str = ""
+    anti_affinity: int = msgspec.field(name="antiAffinity", default=0)
+    speculative: bool = False
+    long_running: bool = msgspec.field(name="longRunning", default=False)
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct):
+    payload: str = msgspec.field(name="taskSpec", default="")
+    steps: list[_Step] = []
+    repeats: int = msgspec.field(name="repeatCount", default=0)
+    first_ms: float = msgspec.field(name="initialDelayMs", default=0)
+    interval_ms: float = msgspec.field(name="intervalMs", default=0)
+
+
+_JOB = msgspec.json.Decoder(_Job)
+
+
+class CallerContext(Protocol):
+    """What the server needs of the process."""
+
+    jobs: JobService
+
+    def current_configuration(self) -> Configuration | None:
+        """Return the configuration in force, or None before the first one."""
+
+    def is_ready(self) -> bool:
+        """Tell whether the process serves callers."""
+
+    def is_stopping(self) -> bool:
+        """Tell whether connections are to be closed after their answer."""
+
+    def waiting_jobs(self, route: RouteName) -> int | None:
+        """Return how many jobs wait on a route, or None if that is not known."""
+
+
+class CallerServer:
+    """Translates callers' requests into calls of the job service."""
+
+    def __init__(self, context: CallerContext) -> None:
+        self.context = context
+        self.in_flight = 0
+        self.runners: list[web.ServerRunner] = []
+
+    async def listen(self, callers: str, readiness: str) -> None:
+        """Serve at two addresses, IP number and port each."""
+        for address, handler in ((callers, self._serve_caller), (readiness, self._serve_check)):
+            host, _, port = address.rpartition(":")
+            server = web.Server(handler, access_log=None, keepalive_timeout=75)
+            runner = web.ServerRunner(server)
+            await runner.setup()
+            await web.TCPSite(runner, host, int(port), backlog=512).start()
+            self.runners.append(runner)
+
+    async def aclose(self) -> None:
+        """Close all listeners and connections."""
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def _serve_check(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != READINESS_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.context.is_ready() else 503)
+
+    async def _serve_caller(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.in_flight += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self.in_flight -= 1
+        if self.context.is_stopping():
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        configuration = self.context.current_configuration()
+        if configuration is None:
+            return _refuse(503, "no configuration yet")
+        path = request.raw_path.partition("?")[0]
+        route = configuration.match(request.headers.get("Host", "").lower(), path)
+        if route is None:
+            return _refuse(404, "no such route")
+        name = path[len(route.path_prefix) :]
+        if not name and request.method == "GET":
+            return self._count(route)
+        if len(name) != ID_LENGTH or not set(name) <= HEX_DIGITS:
+            return _refuse(404, "no such job")
+        give_up_at = time.monotonic() + _patience_s(request, route)
+        match request.method:
+            case "POST":
+                limit = configuration.limits.max_body_bytes
+                return await self._submit(request, route, JobId(name), give_up_at, limit)
+            case "GET":
+                return await self._state(route, JobId(name), give_up_at)
+            case "DELETE":
+                return await self._cancel(route, JobId(name), give_up_at)
+            case _:
+                return _refuse(405, "no such method")
+
+    def _count(self, route: Route) -> web.Response:
+        waiting = self.context.waiting_jobs(route.name)
+        if waiting is None:
+            return _refuse(503, "the pool has no owner at present")
+        return _json(200, {"pending": waiting})
+
+    async def _submit(
+        self, request: web.BaseRequest, route: Route, job: JobId, give_up_at: float, limit: int
+    ) -> web.Response:
+        if (request.content_length or 0) > limit:
+            return _refuse(413, f"more than {limit} bytes")
+        body = await request.read()
+        if len(body) > limit:
+            return _refuse(413, f"more than {limit} bytes")
+        match decode_job(job, route, body):
+            case Result(tag="error", error=reason):
+                log.warning("job refused", job=job, route=route.name, reason=reason)
+                return _refuse(400, reason)
+            case Result(ok=record):
+                outcome = await self.context.jobs.submit(route, record, give_up_at)
+        match outcome:
+            case Submission.ACCEPTED:
+                return _json(200, {"state": "queued"})
+            case Submission.NOT_TAKEN:
+                return _refuse(503, "the job was not taken")
+            case Submission.UNKNOWN:
+                return _refuse(504, "whether the job was taken is not known; ask again")
+
+    async def _state(self, route: Route, job: JobId, give_up_at: float) -> web.Response:
+        answer = await self.context.jobs.state(route, job, give_up_at)
+        match answer:
+            case Result(tag="ok", ok=None):
+                return _refuse(410, "no such job")
+            case Result(tag="ok", ok=phase):
+                return _json(200, {"state": PHASES[phase]})
+            case Result(error=fault):
+                log.warning("state not read", job=job, route=route.name, reason=str(fault))
+                return _refuse(503, "the state can't be read at present")
+
+    async def _cancel(self, route: Route, job: JobId, give_up_at: float) -> web.Response:
+        outcome = await self.context.jobs.cancel(route, job, give_up_at)
+        match outcome:
+            case Cancellation.DONE:
+                return _json(200, {"state": "cancelled"})
+            case Cancellation.NO_SUCH_JOB:
+                return _refuse(410, "no such job to cancel")
+            case Cancellation.UNKNOWN:
+                return _refuse(504, "whether the job is cancelled is not known; ask again")
+
+
+def decode_job(job: JobId, route: Route, body: bytes) -> Result[JobRecord, str]:
+    """Read a submitted job, or tell what is wrong with it."""
+    try:
+        found = _JOB.decode(body)
+    except msgspec.MsgspecError as failure:
+        return Error(f"not a job: {failure}")
+    if not found.steps:
+        return Error("steps: a job needs at least one")
+    for number, step in enumerate(found.steps):
+        if step.count < 1:
+            return Error(f"steps[{number}].count: is {step.count}, needs at least 1")
+        if any(not 0 <= earlier < number for earlier in step.depends_on):
+            return Error(f"steps[{number}].dependsOn: names a step that is not an earlier one")
+    return Ok(
+        JobRecord(
+            id=job,
+            route=route.name,
+            payload=found.payload,
+            steps=[_step(step) for step in found.steps],
+            repeats=found.repeats,
+            first_due_ms=int(found.first_ms),
+            interval_ms=int(found.interval_ms),
+            accepted_ms=now_ms(),
+        )
+    )
+
+
+def _step(step: _Step) -> StepRecord:
+    return StepRecord(
+        count=step.count,
+        cpu_millis=step.cpu,
+        memory_mb=step.memory_mb,
+        accelerators=step.gpu,
+        estimated_ms=int(step.estimated_ms),
+        depends_on=step.depends_on,
+        checkpoints=step.checkpoints,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        required_label=step.requires,
+        data_rack=step.affinity,
+        max_per_worker=step.anti_affinity,
+        speculative=step.speculative,
+        long_running=step.long_running,
+        image=step.image,
+        latency_objective_ms=int(step.target_ms),
+        fills=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+def _patience_s(request: web.BaseRequest, route: Route) -> float:
+    """Return how long to try for a caller: a share of its own time, less the way back."""
+    try:
+        asked_s = float(request.headers.get(DEADLINE_HEADER, "")) / 1000
+    except ValueError:
+        # A caller that names no time gets the route's.
+        asked_s = route.timeout_s
+    return max(0.0, min(asked_s, route.timeout_s) * GIVE_UP_SHARE - ANSWER_RESERVE_S)
+
+
+def _json(status: int, body: dict[str, str | int]) -> web.Response:
+    content = msgspec.json.encode(body)
+    return web.Response(status=status, body=content, content_type="application/json")
+
+
+def _refuse(status: int, reason: str) -> web.Response:
+    response = _json(status, {"error": reason})
+    if status in (503, 504):
+        response.headers["Retry-After"] = COME_BACK_S
+    return response
--- /dev/null
+++ b/pumicespur/platform/_declarations.py
@@ -0,0 +1,191 @@
+"""What operators and workers keep in the store: configuration, waves, workers' descriptions."""
+
+from __future__ import annotations
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pumicespur.model import (
+    Advice,
+    CallerLimits,
+    Capacity,
+    Configuration,
+    DataHall,
+    InstanceId,
+    PoolId,
+    PoolSettings,
+    Rack,
+    Route,
+    RouteName,
+    Wave,
+    Worker,
+    WorkerId,
+    WorkerState,
+)
+
+CONFIGURATION_KEY = "op//config"
+WAVE_PREFIX = "op//wave/"
+OPERATORS_TABLE = "op"
+WORKERS_TABLE = "servers"
+
+RACK_LABEL_DIGITS = frozenset("0123456789-")
+
+
+class _Advice(msgspec.Struct):
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str = msgspec.field(name="pathPrefix")
+    backend: str
+    """The pool that runs the route's jobs."""
+    timeout_ms: float = msgspec.field(name="timeoutMs", default=3000)
+    objective_ms: float = msgspec.field(name="targetLatencyMs", default=0)
+    priority: int = 0
+    max_attempts: int = msgspec.field(name="maxAttempts", default=1)
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    guarded: bool = msgspec.field(name="admissionCheck", default=False)
+    spare: bool = False
+
+
+class _Limits(msgspec.Struct):
+    body_bytes: int = msgspec.field(name="maxBodyBytes", default=262_144)
+    idle_ms: float = msgspec.field(name="idleTimeoutMs", default=15_000)
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Wave(msgspec.Struct):
+    wave: int
+    machines: list[str]
+    duration_s: float = msgspec.field(name="durationS", default=0)
+    at_once: int = msgspec.field(name="upperLimit", default=1)
+
+
+class WireCapacity(msgspec.Struct):
+    """Capacity as workers and the instance list write it."""
+
+    cpu: int = 0
+    """Thousandths of a core."""
+    memory_mb: int = msgspec.field(name="memMb", default=0)
+    gpu: int = 0
+
+    def decode(self) -> Capacity:
+        """Return the product's form."""
+        return Capacity(self.cpu, self.memory_mb, self.gpu)
+
+
+class _Worker(msgspec.Struct):
+    backend: str
+    """The pool."""
+    address: str
+    zone: str
+    """The data hall."""
+    state: str = "ready"
+    capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
+    labels: list[str] = []
+    machine: str = ""
+    """The instance that the worker runs on."""
+    remaining_ms: float | None = msgspec.field(name="remainingMs", default=None)
+
+
+_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_WAVE = msgspec.json.Decoder(_Wave)
+_WORKER = msgspec.json.Decoder(_Worker)
+
+
+def decode_configuration(value: bytes) -> Result[Configuration, str]:
+    """Read the operators' configuration, or tell what is wrong with it."""
+    try:
+        found = _CONFIGURATION.decode(value)
+    except msgspec.MsgspecError as failure:
+        return Error(f"configuration: {failure}")
+    routes = {RouteName(route.name): _route(route) for route in found.routes}
+    pools = {
+        PoolId(s.name): PoolSettings(PoolId(s.name), s.guarded, s.spare) for s in found.services
+    }
+    limits = CallerLimits(found.limits.body_bytes, found.limits.idle_ms / 1000)
+    return Ok(Configuration(found.version, routes, pools, limits))
+
+
+def decode_wave(value: bytes) -> Result[Wave, str]:
+    """Read a wave, or tell what is wrong with it."""
+    try:
+        found = _WAVE.decode(value)
+    except msgspec.MsgspecError as failure:
+        return Error(f"wave: {failure}")
+    instances = tuple(InstanceId(name) for name in found.machines)
+    return Ok(Wave(found.wave, instances, found.duration_s, found.at_once))
+
+
+def encode_wave_state(completed: bool) -> bytes:
+    """Write how far a wave is, as the operators read it."""
+    return msgspec.json.encode({"state": "completed" if completed else "running"})
+
+
+def wave_state_key(number: int) -> str:
+    """Return the row in which operators look for the state of a wave."""
+    return f"status//wave/{number}"
+
+
+def decode_worker(identity: str, value: bytes) -> Result[Worker, str]:
+    """Read a worker's description, or tell what is wrong with it."""
+    try:
+        found = _WORKER.decode(value)
+    except msgspec.MsgspecError as failure:
+        return Error(f"worker {identity}: {failure}")
+    return Ok(
+        Worker(
+            id=WorkerId(identity),
+            pool=PoolId(found.backend),
+            address=found.address,
+            data_hall=DataHall(found.zone),
+            state=WorkerState.DRAINING if found.state == "draining" else WorkerState.READY,
+            capacity=found.capacity.decode(),
+            labels=frozenset(found.labels),
+            rack=rack_of(found.labels),
+            instance=InstanceId(found.machine),
+            leaves_in_s=None if found.remaining_ms is None else found.remaining_ms / 1000,
+        )
+    )
+
+
+def rack_of(labels: list[str]) -> Rack:
+    """Pick the label that names the rack: a letter, then digits and hyphens."""
+    for label in labels:
+        if len(label) > 1 and set(label[1:]) <= RACK_LABEL_DIGITS:
+            return Rack(label)
+    return Rack("")
+
+
+def _route(route: _Route) -> Route:
+    advice = None
+    if route.advice is not None:
+        told = route.advice
+        advice = Advice(told.decide_ms / 1000, told.each_ms / 1000, told.valid_ms / 1000)
+    return Route(
+        name=RouteName(route.name),
+        host=route.host,
+        path_prefix=route.prefix,
+        pool=PoolId(route.backend),
+        timeout_s=route.timeout_ms / 1000,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        latency_objective_s=route.objective_ms / 1000,
+        advice=advice,
+    )
--- /dev/null
+++ b/pumicespur/platform/_table.py
@@ -0,0 +1,197 @@
+"""The platform's table service.
+
+A product key is `TABLE/PART/KEY`; the part may be empty and the key may hold slashes. One
+transaction keeps to one part, since deployments differ in whether more are allowed.
+"""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING
+from urllib.parse import urlencode
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller
+from pumicespur.store import AnswerLost, Conflict, HistoryGone, Page, Row, Unavailable
+
+if TYPE_CHECKING:
+    from pumicespur.schema.node_pb import StoreSettings
+    from pumicespur.store import Condition, Fault, Transaction
+
+PAGE_ROWS = 500
+"""Rows that the service hands out at once (users' protocol page)."""
+
+TRANSACT_PATH = "/pumicespur/rows-tx"
+READ_PATH = "/pumicespur/rows-get"
+CHANGES_PATH = "/pumicespur/rows-feed"
+
+
+class _Row(msgspec.Struct):
+    table: str
+    part: str = ""
+    key: str = msgspec.field(name="privateKey", default="")
+    value: str = ""
+    ver: int = 0
+    gone: bool = False
+    """The row was removed; `ver` is the version of its removal."""
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_Row] = []
+    more: bool = False
+    ver: int = 0
+    """The newest version of any row of the service, not of these rows."""
+
+
+class _Written(msgspec.Struct):
+    ver: int
+
+
+class _Condition(msgspec.Struct):
+    table: str
+    part: str
+    key: str = msgspec.field(name="privateKey")
+    ver: int
+
+
+class _Write(msgspec.Struct):
+    table: str
+    part: str
+    key: str = msgspec.field(name="privateKey")
+    value: str
+
+
+class _Removal(msgspec.Struct):
+    table: str
+    part: str
+    key: str = msgspec.field(name="privateKey")
+
+
+class _Transaction(msgspec.Struct):
+    conditions: list[_Condition] = msgspec.field(name="expectedRevision")
+    put: list[_Write]
+    remove: list[_Removal]
+
+
+_ENCODER = msgspec.json.Encoder()
+_ROWS = msgspec.json.Decoder(_Rows)
+_WRITTEN = msgspec.json.Decoder(_Written)
+
+
+class PlatformTable:
+    """Calls to the table service; each returns a result and raises nothing expected."""
+
+    def __init__(self, settings: StoreSettings, caller: HttpCaller) -> None:
+        self.settings = settings
+        self.caller = caller
+        self.base = f"http://{settings.address}"
+        self.calls = 0
+
+    async def transact(self, transaction: Transaction) -> Result[int, Fault]:
+        """Write rows together if all conditions hold; return the version of the change."""
+        body = _ENCODER.encode(_encode(transaction))
+        answer = await self._call("POST", TRANSACT_PATH, self.settings.timeout_s, body)
+        match answer:
+            case Result(tag="ok", ok=Answer(status=200, body=content)):
+                return Ok(_WRITTEN.decode(content).ver)
+            case Result(tag="ok", ok=Answer(status=412, body=content)):
+                return Error(Conflict(tuple(_key(row) for row in _ROWS.decode(content).rows)))
+            case Result(tag="ok", ok=Answer(status=status, body=content)):
+                return Error(_refusal(status, content))
+            case Result(error=fault):
+                return Error(fault)
+
+    async def read(self, key: str) -> Result[Row, Fault]:
+        """Read one row; version 0 tells that it does not exist."""
+        table, part, name = key.split("/", 2)
+        query = {"table": table, "part": part, "from": name, "limit": "1"}
+        answer = await self._rows(READ_PATH, query, self.settings.timeout_s)
+        return answer.map(
+            lambda found: next(
+                (_row(row) for row in found.rows if row.key == name), Row(key, b"", 0)
+            )
+        )
+
+    async def scan(self, table: str, part: str) -> Result[Page, Fault]:
+        """Read all rows of a part of a table.
+
+        The version is that of the first page, so that no change in between is missed.
+        """
+        rows: list[Row] = []
+        version = 0
+        start = ""
+        while True:
+            query = {"table": table, "part": part, "from": start, "limit": str(PAGE_ROWS)}
+            answer = await self._rows(READ_PATH, query, self.settings.timeout_s)
+            match answer:
+                case Result(tag="ok", ok=found):
+                    rows += [_row(row) for row in found.rows]
+                    version = version or found.ver
+                    if not found.more or not found.rows:
+                        return Ok(Page(rows, version))
+                    start = found.rows[-1].key + "\0"
+                case Result(error=fault):
+                    return Error(fault)
+
+    async def changes(self, table: str, since: int, wait_s: float) -> Result[Page, Fault]:
+        """Wait for changes of a table after version `since`; removed rows have no value."""
+        query = {"table": table, "dependsOn": str(since), "waitMs": str(int(wait_s * 1000))}
+        answer = await self._rows(CHANGES_PATH, query, wait_s + self.settings.timeout_s)
+        return answer.map(lambda found: Page([_row(row) for row in found.rows], found.ver))
+
+    async def _rows(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> Result[_Rows, Fault]:
+        answer = await self._call("GET", f"{path}?{urlencode(query)}", timeout_s, None)
+        match answer:
+            case Result(tag="ok", ok=Answer(status=200, body=content)):
+                return Ok(_ROWS.decode(content))
+            case Result(tag="ok", ok=Answer(status=410)):
+                return Error(HistoryGone("the history is gone"))
+            case Result(tag="ok", ok=Answer(status=status, body=content)):
+                return Error(_refusal(status, content))
+            case Result(error=fault):
+                return Error(fault)
+
+    async def _call(
+        self, method: str, path: str, timeout_s: float, body: bytes | None
+    ) -> Result[Answer, Unavailable | AnswerLost]:
+        self.calls += 1
+        headers = JSON_HEADERS if body is not None else None
+        return await self.caller.call(
+            method, self.base + path, timeout_s, body=body, headers=headers
+        )
+
+
+def _refusal(status: int, content: bytes) -> Unavailable:
+    """Name a refusal; the service says that it did nothing."""
+    return Unavailable(f"refused with {status}: {content[:200].decode(errors='replace')}")
+
+
+def _encode(transaction: Transaction) -> _Transaction:
+    put: list[_Write] = []
+    remove: list[_Removal] = []
+    for write in transaction.writes:
+        table, part, name = write.key.split("/", 2)
+        if write.value is None:
+            remove.append(_Removal(table, part, name))
+        else:
+            put.append(_Write(table, part, name, base64.b64encode(write.value).decode()))
+    return _Transaction([_condition(c) for c in transaction.conditions], put, remove)
+
+
+def _condition(condition: Condition) -> _Condition:
+    table, part, name = condition.key.split("/", 2)
+    return _Condition(table, part, name, condition.version)
+
+
+def _key(row: _Row) -> str:
+    return f"{row.table}/{row.part}/{row.key}"
+
+
+def _row(row: _Row) -> Row:
+    if row.gone:
+        return Row(_key(row), b"", 0)
+    return Row(_key(row), base64.b64decode(row.value), row.ver)
--- a/pumicespur/processes/_common.py
+++ b/pumicespur/processes/_common.py
@@ -12,11 +12,12 @@
 from aioprometheus.renderer import render
 
 from pumicespur import __version__
+from pumicespur.connect import PlatformClient
 from pumicespur.peers import MemberList, PeerNetwork
-from pumicespur.platform import PlatformClient
 from pumicespur.schema.peer_pb import Member, Role
+from pumicespur.servers import bound_address, hypercorn_config, listen, serve_app
 from pumicespur.state import Log, Replica
-from pumicespur.utils import bound_address, hypercorn_config, listen, serve_app, stop_on_signals
+from pumicespur.utils import stop_on_signals
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/pumicespur/processes/_entry.py
+++ b/pumicespur/processes/_entry.py
@@ -10,7 +10,8 @@
 from pumicespur.processes._common import Process
 from pumicespur.routing import ClaimBook, Dispatcher, EntryApp, RoutingTable
 from pumicespur.schema.peer_pb import Role
-from pumicespur.utils import announce, bound_address, hypercorn_config, listen, serve_app
+from pumicespur.servers import bound_address, hypercorn_config, listen, serve_app
+from pumicespur.utils import announce
 
 if TYPE_CHECKING:
     from pumicespur.config import Settings
--- a/pumicespur/processes/_manager.py
+++ b/pumicespur/processes/_manager.py
@@ -11,9 +11,10 @@
 from pumicespur.planning import Planner
 from pumicespur.processes._common import Process
 from pumicespur.schema.peer_pb import Role
+from pumicespur.servers import bound_address, hypercorn_config, listen, serve_app
 from pumicespur.state import Lease, Retention
 from pumicespur.structure import ProcessId
-from pumicespur.utils import announce, bound_address, hypercorn_config, listen, serve_app
+from pumicespur.utils import announce
 
 if TYPE_CHECKING:
     from pumicespur.config import Settings
--- a/pumicespur/routing/_claims.py
+++ b/pumicespur/routing/_claims.py
@@ -15,24 +15,25 @@
 import anyio
 from expression import Result
 
-from pumicespur.platform import (
+from pumicespur.schema.claims_pb import Claim, ClaimState
+from pumicespur.state import CLAIM_PREFIX
+from pumicespur.store import (
     AnswerLost,
     Condition,
     Conflict,
     Fault,
-    PlatformClient,
     Row,
     Transaction,
     Unavailable,
     Write,
 )
-from pumicespur.schema.claims_pb import Claim, ClaimState
-from pumicespur.state import CLAIM_PREFIX
 from pumicespur.utils import TokenBucket, now_ms
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from pumicespur.connect import PlatformClient
+
 MAX_PENDING = 2000
 MAX_GROUP = 100
 RESEND_TRIES = 3
--- a/pumicespur/routing/_table.py
+++ b/pumicespur/routing/_table.py
@@ -15,9 +15,10 @@
 from pumicespur.structure import SPARE_POOL, InstanceId, PoolId
 
 if TYPE_CHECKING:
-    from pumicespur.platform import Listing, PlatformClient
+    from pumicespur.connect import PlatformClient
     from pumicespur.schema.settings_pb import EntrySettings
     from pumicespur.state import Replica
+    from pumicespur.store import Listing
 
 LIST_POLL_S = 2.0
 
--- a/pumicespur/state/_lease.py
+++ b/pumicespur/state/_lease.py
@@ -17,12 +17,12 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.platform import Condition, Row, Transaction, Write
 from pumicespur.state._keys import BEAT_KEY, LEASE_KEY
+from pumicespur.store import Condition, Row, Transaction, Write
 from pumicespur.structure import Epoch, ProcessId
 
 if TYPE_CHECKING:
-    from pumicespur.platform import PlatformClient
+    from pumicespur.connect import PlatformClient
 
 log = Logger(__name__)
 
--- a/pumicespur/state/_log.py
+++ b/pumicespur/state/_log.py
@@ -13,24 +13,25 @@
 
 from expression import Error, Ok, Result
 
-from pumicespur.platform import (
+from pumicespur.schema.fleet_pb import Record, Snapshot
+from pumicespur.state._keys import HEAD_KEY, SNAPSHOT_OBJECT, record_key
+from pumicespur.store import (
     AnswerLost,
     Condition,
     Conflict,
     Fault,
-    PlatformClient,
     Row,
     Transaction,
     Unavailable,
     Write,
 )
-from pumicespur.schema.fleet_pb import Record, Snapshot
-from pumicespur.state._keys import HEAD_KEY, SNAPSHOT_OBJECT, record_key
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from pumicespur.connect import PlatformClient
+
 RESEND_TRIES = 3
 
 
--- a/pumicespur/state/_replica.py
+++ b/pumicespur/state/_replica.py
@@ -10,10 +10,10 @@
 from expression import Error, Ok, Result
 from logbook import Logger
 
-from pumicespur.platform import Condition, Conflict, Fault, Unavailable
 from pumicespur.schema.fleet_pb import Record, Snapshot
 from pumicespur.schema.peer_pb import FetchReply
 from pumicespur.state._log import Head, Log
+from pumicespur.store import Condition, Conflict, Fault, Unavailable
 from pumicespur.structure import Fleet
 
 if TYPE_CHECKING:
--- a/pumicespur/state/_retention.py
+++ b/pumicespur/state/_retention.py
@@ -8,13 +8,13 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.platform import Condition, Row, Transaction, Write
 from pumicespur.schema.claims_pb import Claim
 from pumicespur.state._keys import CLAIM_PREFIX, record_key
+from pumicespur.store import Condition, Row, Transaction, Write
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
-    from pumicespur.platform import PlatformClient
+    from pumicespur.connect import PlatformClient
     from pumicespur.schema.settings_pb import ManagerSettings
     from pumicespur.state._lease import Lease
 
--- /dev/null
+++ b/pumicespur/store/__init__.py
@@ -0,0 +1,25 @@
+"""What a platform's store offers to the product: rows, conditions, listings and faults.
+
+Two clients fill these types: `pumicespur.connect` for the project's own protocol, and
+`pumicespur.platform` for the users' platform.
+"""
+
+from __future__ import annotations
+
+from pumicespur.store._faults import AnswerLost, Conflict, Fault, HistoryGone, Unavailable
+from pumicespur.store._rows import Condition, Listing, Page, Row, Transaction, UsageListing, Write
+
+__all__ = [
+    "AnswerLost",
+    "Condition",
+    "Conflict",
+    "Fault",
+    "HistoryGone",
+    "Listing",
+    "Page",
+    "Row",
+    "Transaction",
+    "Unavailable",
+    "UsageListing",
+    "Write",
+]
--- a/pumicespur/platform/_faults.py
+++ b/pumicespur/store/_faults.py
@@ -20,6 +20,10 @@
     reason: str
 
 
+class HistoryGone(Unavailable):
+    """Changes since the asked version are no longer kept; read all rows again."""
+
+
 @dataclass(frozen=True)
 class AnswerLost:
     """The call may have reached the platform; whether it took effect is not known."""
--- a/pumicespur/platform/_rows.py
+++ b/pumicespur/store/_rows.py
@@ -18,6 +18,14 @@
     version: int
 
 
+@dataclass(frozen=True)
+class Page:
+    """Rows as of one moment, and the version from which changes can be followed."""
+
+    rows: list[Row]
+    version: int
+
+
 @dataclass(frozen=True)
 class Condition:
     """Holds when the row has exactly this version; 0 asks that it does not exist."""
--- a/pumicespur/structure/__init__.py
+++ b/pumicespur/structure/__init__.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from pumicespur.structure._checks import check_declaration, minimum_available
-from pumicespur.structure._fleet import Fleet, RevisionGapError
-from pumicespur.structure._ids import (
+from pumicespur.model import (
     SPARE_POOL,
     DataHall,
     Epoch,
@@ -19,6 +17,8 @@
     WaveId,
     task_id,
 )
+from pumicespur.structure._checks import check_declaration, minimum_available
+from pumicespur.structure._fleet import Fleet, RevisionGapError
 from pumicespur.structure._sections import (
     SectionName,
     changed_sections,
--- a/pumicespur/structure/_checks.py
+++ b/pumicespur/structure/_checks.py
@@ -6,9 +6,9 @@
 import re
 from typing import TYPE_CHECKING
 
+from pumicespur.model import SPARE_POOL
 from pumicespur.schema.fleet_pb import Resources
 from pumicespur.schema.operators_pb import Finding, Severity
-from pumicespur.structure._ids import SPARE_POOL
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/pumicespur/structure/_fleet.py
+++ b/pumicespur/structure/_fleet.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from pumicespur.model import InstanceId, JobId, PoolId, TaskId, TeamId, WaveId, task_id
 from pumicespur.schema.fleet_pb import (
     Assignment,
     Declaration,
@@ -19,7 +20,6 @@
     Wave,
     WaveProgress,
 )
-from pumicespur.structure._ids import InstanceId, JobId, PoolId, TaskId, TeamId, WaveId, task_id
 from pumicespur.structure._sections import (
     SectionName,
     changed_sections,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -16,7 +16,7 @@
 import anyio
 import h11
 
-from pumicespur.utils import hypercorn_config, listen, serve_app
+from pumicespur.servers import hypercorn_config, listen, serve_app
 from standins.schema.standins_connect import BackendControl, BackendControlASGIApplication
 from standins.schema.standins_pb import (
     BackendFault,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,7 +22,8 @@
 from pumicespur.schema import platform_pb as pb
 from pumicespur.schema.fleet_pb import Record, Resources
 from pumicespur.schema.platform_connect import Platform, PlatformASGIApplication
-from pumicespur.utils import bound_address, hypercorn_config, listen, now_ms, serve_app
+from pumicespur.servers import bound_address, hypercorn_config, listen, serve_app
+from pumicespur.utils import now_ms
 from standins.schema.standins_connect import (
     BackendControlClient,
     PlatformControl,
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -7,14 +7,15 @@
 import anyio
 from expression import Result
 
+from pumicespur.connect import PlatformClient
 from pumicespur.planning import Decision, Planner
-from pumicespur.platform import AnswerLost, Conflict, PlatformClient, Unavailable
 from pumicespur.routing import ClaimBook
 from pumicespur.routing._claims import Taken, Unsettled, Won
 from pumicespur.schema.claims_pb import ClaimState
 from pumicespur.schema.fleet_pb import Declaration, Pool, Record
 from pumicespur.schema.settings_pb import ManagerSettings, PlatformSettings
 from pumicespur.state import Lease, Log, Replica, Retention, Uncertain
+from pumicespur.store import AnswerLost, Conflict, Unavailable
 from pumicespur.structure import Fleet, ProcessId
 from standins.launcher import Launcher, PlatformOrders, wait_until
 from standins.schema.standins_pb import PlatformFault
