--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -28,7 +28,7 @@
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine
     from typing import Any
 
     from anyio.abc import TaskGroup
@@ -106,7 +106,7 @@
         """Ask for a round."""
         self.changed.set()
 
-    def spawn(self, function: Callable[..., Awaitable[Any]], *arguments: Any) -> None:
+    def spawn(self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: Any) -> None:
         """Run something beside the rounds, for as long as the pool is owned."""
         if self.tasks is not None:
             self.tasks.start_soon(function, *arguments)
@@ -128,9 +128,8 @@
                 await self._rounds()
                 self.tasks.cancel_scope.cancel()
         except* OwnershipLostError as lost:
-            log.warning(
-                "pool lost", pool=self.pool.pool, token=self.token, reason=str(lost.exceptions[0])
-            )
+            reason = str(lost.exceptions[0])
+            log.warning("pool lost", pool=self.pool.pool, token=self.token, reason=reason)
         finally:
             self.stopped.set()
 
@@ -348,12 +347,10 @@
         for watch, number in batch.acknowledged:
             watch.note_recorded(number)
         for task, run, worker in batch.starts:
-            watch = self.watches.get(worker)
-            if watch is None:
-                if task.run == run and task.worker == worker:
-                    self.pool.free(task)
-                continue
-            self.spawn(watch.start, task, run)
+            if worker in self.watches:
+                self.spawn(self.watches[worker].start, task, run)
+            elif task.run == run and task.worker == worker:
+                self.pool.free(task)
         if self.pool.dirty:
             self.wake()
 
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -104,9 +104,10 @@
         elif newest:
             self._fail(task, end)
         load = self.loads.get(worker)
-        if load is not None and end.how in (RunEnd.DONE, RunEnd.FAILED):
-            if load.note_result(end.how is RunEnd.DONE, now):
-                log.warning("worker left out", pool=self.pool, worker=worker, reason="failures")
+        if load is None or end.how not in (RunEnd.DONE, RunEnd.FAILED):
+            return
+        if load.note_result(end.how is RunEnd.DONE, now):
+            log.warning("worker left out", pool=self.pool, worker=worker, reason="failures")
 
     def _finish(self, task: Task) -> None:
         members = task.group.tasks if task.spec.gang else [task]
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -192,7 +192,7 @@
             case Result(tag="ok", ok=None):
                 return _refuse(410, "no such job")
             case Result(tag="ok", ok=phase):
-                return _json(200, {"state": PHASES[phase]})
+                return _json(200, {"state": PHASES[phase or JobPhase.QUEUED]})
             case Result(error=fault):
                 log.warning("state not read", job=job, route=route.name, reason=str(fault))
                 return _refuse(503, "the state can't be read at present")
