--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pumicespur.jobs._journal import Ownership
+from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import OWNERS_TABLE, owner_key
 from pumicespur.jobs._owner import PoolOwner
 from pumicespur.jobs._service import Cancellation, JobService, Submission
@@ -11,7 +11,9 @@
     "OWNERS_TABLE",
     "Cancellation",
     "JobService",
+    "Journal",
     "Ownership",
+    "OwnershipLostError",
     "PoolOwner",
     "Submission",
     "owner_key",
--- /dev/null
+++ b/pumicespur/jobs/_availability.py
@@ -0,0 +1,67 @@
+"""Which long-running tasks may be moved now without taking too many away at once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pumicespur.jobs._job import TaskState
+from pumicespur.model import WorkerState
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._job import StepGroup, Task
+    from pumicespur.jobs._load import WorkerLoad
+    from pumicespur.jobs._pool import PoolState
+
+MOVE_AGAIN_S = 1.0
+"""Time after which a stop for a move that shows no effect is given again."""
+
+
+def tasks_to_move(pool: PoolState, now: float) -> list[Task]:
+    """Choose long-running tasks to stop, on workers that are being emptied or leave.
+
+    A task is stopped only while fewer other tasks of its step are away than may be, for
+    whatever cause.
+    """
+    leaving = [load for load in pool.loads.values() if _is_leaving(load)]
+    chosen: list[Task] = []
+    for load in leaving:
+        for task in sorted(load.tasks, key=lambda task: task.name):
+            if _may_stop(task, now, chosen) and has_place(pool, task, now):
+                chosen.append(task)
+    return chosen
+
+
+def _is_leaving(load: WorkerLoad) -> bool:
+    draining = load.worker.state is WorkerState.DRAINING
+    return load.reachable and (load.evacuating or draining)
+
+
+def _may_stop(task: Task, now: float, chosen: list[Task]) -> bool:
+    if not task.spec.long_running or task.job.ended or task.state is not TaskState.RUNNING:
+        return False
+    if now - task.stop_sent_at < MOVE_AGAIN_S:
+        return False
+    if not task.spec.may_miss:
+        return True
+    return away_beside(task.group, task, chosen) < task.spec.may_miss
+
+
+def away_beside(group: StepGroup, task: Task, chosen: list[Task]) -> int:
+    """Count the other tasks of a step that are not at work, or will not be."""
+    return sum(
+        1
+        for other in group.tasks
+        if other is not task
+        and (
+            other in chosen or other.away_since is not None or other.state is not TaskState.RUNNING
+        )
+    )
+
+
+def has_place(pool: PoolState, task: Task, now: float) -> bool:
+    """Tell whether another worker has room for a task, so that a stop leads somewhere."""
+    return any(
+        load.open(now) and load.fits(task.spec) and load.allows(task.group)
+        for load in pool.loads.values()
+        if load.worker.id != task.worker
+    )
--- a/pumicespur/jobs/_journal.py
+++ b/pumicespur/jobs/_journal.py
@@ -12,11 +12,11 @@
 from logbook import Logger
 
 from pumicespur.jobs._keys import commit_key, owner_key
-from pumicespur.schema.jobs_pb import CommitRecord
+from pumicespur.schema.jobs_pb import CommitRecord, OwnerRecord
 from pumicespur.store import AnswerLost, Condition, Conflict, Transaction, Write
 
 if TYPE_CHECKING:
-    from pumicespur.jobs._keys import PoolId
+    from pumicespur.model import PoolId
     from pumicespur.platform import PlatformTable
 
 log = Logger(__name__)
@@ -54,6 +54,33 @@
         self.confirmed_at = ownership.acquired_at
         """When the newest commit that took effect was sent, on the monotonic clock."""
 
+    async def load(self) -> None:
+        """Read the last commit of the owner before; nothing of its can follow any more."""
+        while True:
+            last = await self.table.read(commit_key(self.ownership.pool))
+            match last:
+                case Result(tag="ok", ok=row):
+                    self.last_version = row.version
+                    return
+                case Result(error=fault):
+                    log.warning("store not read", pool=self.ownership.pool, reason=str(fault))
+                    await anyio.sleep(MAX_RETRY_S * random.uniform(0.5, 1.0))
+
+    async def release(self, process: str) -> None:
+        """Give the pool up; whoever takes it need not wait for this process to go silent."""
+        key = owner_key(self.ownership.pool)
+        record = OwnerRecord(process=process, incarnation=self.ownership.incarnation, released=True)
+        transaction = Transaction(
+            [Condition(key, self.ownership.token)], [Write(key, record.to_binary())]
+        )
+        answer = await self.table.transact(transaction)
+        log.info(
+            "pool released",
+            pool=self.ownership.pool,
+            token=self.ownership.token,
+            confirmed=answer.is_ok(),
+        )
+
     async def commit(self, writes: list[Write]) -> None:
         """Write rows as the pool's owner; return only when they are known to be recorded.
 
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -10,11 +10,10 @@
 from expression import Result
 from logbook import Logger
 
+from pumicespur.jobs._availability import tasks_to_move
 from pumicespur.jobs._job import ENDED_PHASES, Job, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import (
-    commit_key,
-    owner_key,
     progress_key,
     submission_key,
     submissions_table,
@@ -23,8 +22,8 @@
 from pumicespur.jobs._reports import report_pool
 from pumicespur.jobs._watch import WorkerWatch
 from pumicespur.model import JobId, WorkerId
-from pumicespur.schema.jobs_pb import JobRecord, OwnerRecord, ProgressRecord
-from pumicespur.store import Condition, HistoryGone, Row, Transaction, Write
+from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
+from pumicespur.store import HistoryGone, Row, Write
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
@@ -56,6 +55,9 @@
 RETRY_S = 0.2
 """Pause after a fault of the store outside commits."""
 
+EVACUATION_MAX_AGE_S = 3.0
+"""Oldest word of the fleet's holder that is followed; a few heartbeats."""
+
 RETENTION_MS = 180_000
 """How long the state of an ended job is kept; callers may ask for it for 120 s."""
 
@@ -142,8 +144,7 @@
     async def _load(self) -> None:
         """Read what earlier owners recorded; since the takeover nothing of theirs can change it."""
         pool = self.ownership.pool
-        last = await self._retry(lambda: self.table.read(commit_key(pool)))
-        self.journal.last_version = last.version
+        await self.journal.load()
         kept = await self._retry(lambda: self.table.scan("progress", pool))
         progress: dict[str, ProgressRecord] = {}
         for row in kept.rows:
@@ -292,6 +293,7 @@
             await anyio.sleep(GROUP_S)
             self.changed = anyio.Event()
             if not self.stopping:
+                self._evacuate()
                 self.pool.place(time.monotonic(), now_ms())
             batch = self._collect()
             idle_s = time.monotonic() - self.journal.confirmed_at
@@ -299,9 +301,22 @@
                 await self.journal.commit(batch.writes)
             self._carry_out(batch)
             if self.stopping and not self.pool.dirty:
-                await self._release()
+                await self.journal.release(self.settings.process.id)
                 return
 
+    def _evacuate(self) -> None:
+        """Keep new tasks off workers that are to be emptied, and move lasting ones away."""
+        wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
+        now = time.monotonic()
+        for load in self.pool.loads.values():
+            load.evacuating = load.worker.id in wanted
+        for task in tasks_to_move(self.pool, now):
+            watch = self.watches.get(task.worker) if task.worker else None
+            if watch is not None:
+                task.stop_sent_at = now
+                task.away_since = now
+                self.spawn(watch.stop, task.name, task.run, "its worker is to be emptied")
+
     def _collect(self) -> Batch:
         """Gather what changed; ends are acknowledged only when every change is in."""
         batch = Batch()
@@ -360,20 +375,6 @@
             if watch is not None:
                 self.spawn(watch.stop, task.name, task.run, f"job {job.phase.name.lower()}")
 
-    async def _release(self) -> None:
-        pool = self.ownership.pool
-        record = OwnerRecord(
-            process=self.settings.process.id,
-            incarnation=self.ownership.incarnation,
-            released=True,
-        )
-        transaction = Transaction(
-            [Condition(owner_key(pool), self.token)],
-            [Write(owner_key(pool), record.to_binary())],
-        )
-        answer = await self.table.transact(transaction)
-        log.info("pool released", pool=pool, token=self.token, confirmed=answer.is_ok())
-
     def report(self) -> PoolReport:
         """Tell the other processes about the pool."""
         return report_pool(self.pool, self.token)
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -90,6 +91,8 @@
         if load is not None:
             load.remove(task)
         task.release(checkpoint)
+        if task.spec.long_running and task.away_since is None:
+            task.away_since = time.monotonic()
         if not task.job.ended:
             self.dirty.add(task.job)
 
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -37,6 +37,9 @@
 STOP_AGAIN_S = 0.4
 """Time after which a stop that shows no effect is sent again."""
 
+AT_WORK = 100
+"""Percent of a long-running task that is at work."""
+
 FENCED = "fence"
 FULL = "room"
 SICK = ("429", "503")
@@ -146,6 +149,8 @@
             if task.percent != found.percent:
                 task.progressed_at = now
             task.percent = found.percent
+            if found.percent == AT_WORK:
+                task.away_since = None
             task.checkpoint = found.checkpoint
             task.figure = found.figure
 
--- /dev/null
+++ b/pumicespur/maintenance/__init__.py
@@ -0,0 +1,7 @@
+"""Maintenance waves and the size of pools: which instance goes down or moves, and when."""
+
+from __future__ import annotations
+
+from pumicespur.maintenance._holder import FLEET, PROOF_S, SLACK_S, FleetHolder
+
+__all__ = ["FLEET", "PROOF_S", "SLACK_S", "FleetHolder"]
--- /dev/null
+++ b/pumicespur/maintenance/_holder.py
@@ -0,0 +1,211 @@
+"""The one process that gives orders for instances: it empties them, then takes them down.
+
+The platform may not check fencing tokens of these orders, so time keeps holders apart: a
+holder orders only shortly after it has proved that it still holds the duty, and a new one
+waits until its predecessor's last order is older than the lease between holders.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs import Journal, OwnershipLostError
+from pumicespur.maintenance._waves import WaveProgress, choose_emptying
+from pumicespur.model import Instance, InstanceId, InstanceState, PoolId, WorkerId
+from pumicespur.platform import encode_wave_state, wave_state_key
+from pumicespur.schema.jobs_pb import WaveRecord
+from pumicespur.store import Transaction, Write
+
+if TYPE_CHECKING:
+    from pumicespur.config import NodeSettings
+    from pumicespur.jobs import Ownership
+    from pumicespur.node import NodeView
+    from pumicespur.platform import FleetOrders, PlatformTable
+
+log = Logger(__name__)
+
+FLEET = PoolId("~fleet")
+"""Stands for the duty where pools stand otherwise; no pool has this name."""
+
+ROUND_S = 0.4
+"""Pause between rounds; each reads the list of instances once."""
+
+PROOF_S = 1.0
+"""Age up to which a proof of holding the duty allows an order."""
+
+SLACK_S = 0.5
+"""Added to the wait of a new holder, for orders that travel slowly."""
+
+EMPTY_S = 5.0
+"""Time after which an instance goes down although short tasks are left; some of their lengths."""
+
+REPORT_MAX_AGE_S = 3.0
+"""Oldest report of an owner from which a worker is known to be empty."""
+
+
+class FleetHolder:
+    """Holds the duty for as long as this process owns it."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        view: NodeView,
+        table: PlatformTable,
+        orders: FleetOrders,
+        ownership: Ownership,
+        wait_s: float,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.table = table
+        self.orders = orders
+        self.ownership = ownership
+        self.orders_from = ownership.acquired_at + wait_s
+        """Monotonic time before which no order is given."""
+        self.journal = Journal(table, ownership, 0)
+        self.waves: dict[int, WaveProgress] = {}
+        self.instances: dict[InstanceId, Instance] = {}
+        self.ready = False
+        self.stopping = False
+        self.stopped = anyio.Event()
+
+    async def run(self) -> None:
+        """Hold the duty until it is lost or given up."""
+        try:
+            await self.journal.load()
+            self.ready = True
+            log.info("fleet duty taken", token=self.ownership.token)
+            while not self.stopping:
+                await self.journal.commit([])
+                await self._round()
+                await anyio.sleep(ROUND_S)
+            await self.journal.release(self.settings.process.id)
+        except OwnershipLostError as lost:
+            log.warning("fleet duty lost", token=self.ownership.token, reason=str(lost))
+        finally:
+            self.stopped.set()
+
+    async def stop(self) -> None:
+        """Give no more orders and name no holder."""
+        self.stopping = True
+        await self.stopped.wait()
+
+    def evacuations(self) -> list[WorkerId]:
+        """Return the workers that their owners shall empty."""
+        names = [name for progress in self.waves.values() for name in progress.emptying]
+        found = [self.instances[name].worker for name in names if name in self.instances]
+        return [worker for worker in found if worker is not None]
+
+    async def _round(self) -> None:
+        answer = await self.orders.list_instances()
+        match answer:
+            case Result(tag="ok", ok=instances):
+                self.instances = {instance.id: instance for instance in instances}
+            case Result(error=fault):
+                log.warning("instances not listed", reason=str(fault))
+                return
+        for wave in list(self.view.waves.values()):
+            progress = self.waves.get(wave.number)
+            if progress is None:
+                progress = await self._open_wave(wave.number)
+            if progress is not None and not progress.completed:
+                await self._work_on(progress)
+
+    async def _open_wave(self, number: int) -> WaveProgress | None:
+        """Read what an earlier holder recorded of a wave."""
+        found = await self.table.read(_wave_key(number))
+        match found:
+            case Result(tag="ok", ok=row):
+                record = WaveRecord.from_binary(row.value)
+            case Result(error=fault):
+                log.warning("wave not read", wave=number, reason=str(fault))
+                return None
+        progress = WaveProgress(self.view.waves[number], time.monotonic())
+        progress.begun = {InstanceId(name) for name in record.ordered}
+        progress.completed = record.completed
+        self.waves[number] = progress
+        if not progress.completed:
+            await self._tell(progress)
+        return progress
+
+    async def _work_on(self, progress: WaveProgress) -> None:
+        now = time.monotonic()
+        self._note_returned(progress, now)
+        idle = {i.id for i in self.instances.values() if self._is_idle(i)}
+        for name in choose_emptying(progress, self.instances, idle):
+            progress.emptying[name] = now
+            log.info("instance to be emptied", wave=progress.wave.number, instance=name)
+        if now < self.orders_from:
+            return
+        for name, since in list(progress.emptying.items()):
+            if name not in self.instances:
+                del progress.emptying[name]
+            elif name in idle or now - since > EMPTY_S:
+                await self._take_down(progress, name)
+        if not progress.left(self.instances) and not progress.emptying:
+            progress.completed = True
+            await self._record(progress)
+            await self._tell(progress)
+
+    def _note_returned(self, progress: WaveProgress, now: float) -> None:
+        for name, ordered_at in list(progress.ordered.items()):
+            instance = self.instances.get(name)
+            over = now - ordered_at > self.settings.fleet.upkeep_s
+            if instance is None or (over and instance.state is InstanceState.UP):
+                del progress.ordered[name]
+
+    def _is_idle(self, instance: Instance) -> bool:
+        """Whether an instance surely carries no task."""
+        if instance.worker is None:
+            return True
+        settings = self.view.configuration.pools.get(instance.pool)
+        if settings is not None and settings.spare:
+            return True
+        report = self.view.fresh_report(instance.pool, REPORT_MAX_AGE_S)
+        if report is None:
+            return False
+        return any(w.worker == instance.worker and not w.tasks for w in report.workers)
+
+    async def _take_down(self, progress: WaveProgress, name: InstanceId) -> None:
+        if time.monotonic() - self.journal.confirmed_at > PROOF_S:
+            return
+        if progress.down() >= progress.wave.max_parallel and name not in progress.ordered:
+            return
+        number = progress.wave.number
+        progress.ordered.setdefault(name, time.monotonic())
+        answer = await self.orders.maintain(self.ownership.token, name, number)
+        match answer:
+            case Result(tag="ok"):
+                progress.ordered[name] = time.monotonic()
+                progress.emptying.pop(name, None)
+                progress.begun.add(name)
+                log.info("instance down", wave=number, instance=name, token=self.ownership.token)
+                await self._record(progress)
+            case Result(error=fault):
+                log.warning(
+                    "instance not taken down", wave=number, instance=name, reason=str(fault)
+                )
+
+    async def _record(self, progress: WaveProgress) -> None:
+        record = WaveRecord(ordered=sorted(progress.begun), completed=progress.completed)
+        await self.journal.commit([Write(_wave_key(progress.wave.number), record.to_binary())])
+
+    async def _tell(self, progress: WaveProgress) -> None:
+        """Write the wave's state where operators look for it."""
+        write = Write(wave_state_key(progress.wave.number), encode_wave_state(progress.completed))
+        answer = await self.table.transact(Transaction([], [write]))
+        log.info(
+            "wave told",
+            wave=progress.wave.number,
+            completed=progress.completed,
+            confirmed=answer.is_ok(),
+        )
+
+
+def _wave_key(number: int) -> str:
+    return f"waves/{FLEET}/{number}"
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -32,11 +32,14 @@
         settings: StoreSettings,
         name: str,
         on_rows: Callable[[Sequence[Row], bool], None],
+        pause_s: float = 0.0,
     ) -> None:
         self.table = table
         self.settings = settings
         self.name = name
         self.on_rows = on_rows
+        self.pause_s = pause_s
+        """Pause after each answer, for tables that change often, in seconds."""
         self.connected = True
 
     async def run(self) -> None:
@@ -52,6 +55,7 @@
                     self._note_connected(True, "")
                     self.on_rows(page.rows, version is None)
                     version = page.version
+                    await anyio.sleep(self.pause_s)
                 case Result(error=HistoryGone()):
                     log.warning("table read anew", table=self.name, reason="history gone")
                     version = None
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -16,6 +16,7 @@
 from logbook import Logger
 
 from pumicespur.jobs import OWNERS_TABLE, Ownership, PoolOwner, owner_key
+from pumicespur.maintenance import FLEET, PROOF_S, SLACK_S, FleetHolder
 from pumicespur.model import PoolId, ProcessId
 from pumicespur.node._view import SeenOwner, SeenProcess
 from pumicespur.schema.jobs_pb import HeartbeatRecord, OwnerRecord
@@ -26,7 +27,7 @@
 
     from pumicespur.config import NodeSettings
     from pumicespur.node._view import NodeView
-    from pumicespur.platform import PlatformTable, WorkerOrders
+    from pumicespur.platform import FleetOrders, PlatformTable, WorkerOrders
     from pumicespur.store import Row
 
 log = Logger(__name__)
@@ -51,20 +52,24 @@
         view: NodeView,
         table: PlatformTable,
         orders: WorkerOrders,
+        fleet_orders: FleetOrders,
         incarnation: str,
     ) -> None:
         self.settings = settings
         self.view = view
         self.table = table
         self.orders = orders
+        self.fleet_orders = fleet_orders
         self.incarnation = incarnation
         self.me = ProcessId(settings.process.id)
         self.started_at = time.monotonic()
         self.number = 0
-        self.owned: dict[PoolId, PoolOwner] = {}
+        self.owned: dict[PoolId, PoolOwner | FleetHolder] = {}
         self.stopping = False
         self.answered_at = float("-inf")
         """When the store last took a heartbeat (monotonic seconds)."""
+        self.failing = False
+        """Whether the last heartbeat failed."""
         self.changed = anyio.Event()
         self.tasks: TaskGroup | None = None
 
@@ -89,9 +94,19 @@
 
     def sync_workers(self) -> None:
         """Tell the owners that the list of workers has changed."""
-        for owner in self.owned.values():
+        for owner in self.pool_owners():
             owner.sync_workers()
 
+    def pool_owners(self) -> list[PoolOwner]:
+        """Return the owners of pools, without the fleet's holder."""
+        return [owner for owner in self.owned.values() if isinstance(owner, PoolOwner)]
+
+    @property
+    def fleet(self) -> FleetHolder | None:
+        """Return the holder of the fleet's duty if it is this process."""
+        holder = self.owned.get(FLEET)
+        return holder if isinstance(holder, FleetHolder) else None
+
     async def _beat(self) -> None:
         self.number += 1
         record = HeartbeatRecord(
@@ -100,22 +115,33 @@
             data_hall=self.settings.process.data_hall,
             number=self.number,
             unfit=self.stopping,
-            pools=[owner.report() for owner in self.owned.values() if owner.ready],
+            configuration_version=max(0, self.view.configuration.version),
+            pools=[owner.report() for owner in self.pool_owners() if owner.ready],
+            evacuations=[] if self.fleet is None else list(self.fleet.evacuations()),
+            fleet_token=0 if self.fleet is None else self.fleet.ownership.token,
         )
         write = Write(f"{HEARTBEATS_TABLE}//{self.me}", record.to_binary())
         written = await self.table.transact(Transaction([], [write]))
         seen = await self.table.scan(HEARTBEATS_TABLE, "")
         now = time.monotonic()
-        if now - self.answered_at > self.settings.store.missing_s:
-            self.view.steady_since = now
         match written, seen:
             case Result(tag="ok"), Result(tag="ok", ok=page):
-                self.answered_at = now
+                self._note_answer(now)
                 for row in page.rows:
                     self._see(row, now)
             case _:
+                self.failing = True
                 log.warning("heartbeat failed", written=written.is_ok(), read=seen.is_ok())
 
+    def _note_answer(self, now: float) -> None:
+        if now - self.answered_at > self.settings.store.missing_s:
+            self.view.steady_since = now
+        self.answered_at = now
+        if self.failing:
+            self.failing = False
+            log.info("store answers again")
+            self.table.renew_watches()
+
     def _see(self, row: Row, now: float) -> None:
         heartbeat = HeartbeatRecord.from_binary(row.value)
         process = ProcessId(heartbeat.process)
@@ -123,6 +149,10 @@
         if known is None:
             self.view.processes[process] = SeenProcess(heartbeat, now)
             return
+        if heartbeat.configuration_version > max(0, self.view.configuration.version):
+            # Another process has heard of a change that this one has not.
+            log.info("configuration behind", newest=heartbeat.configuration_version)
+            self.table.renew_watches()
         before = (known.heartbeat.incarnation, known.heartbeat.number)
         if before != (heartbeat.incarnation, heartbeat.number):
             self.view.processes[process] = SeenProcess(heartbeat, now)
@@ -161,7 +191,7 @@
         now = time.monotonic()
         if self.stopping or now - self.started_at < SETTLE_S or not self.view.workers_known:
             return
-        for pool in self.view.pools():
+        for pool in self._duties():
             if pool in self.owned:
                 continue
             if pool not in self.view.owners:
@@ -173,6 +203,10 @@
             if not self._is_held(owner, now) and self._successor(pool, now) == self.me:
                 await self._take(pool, owner)
 
+    def _duties(self) -> list[PoolId]:
+        pools = self.view.pools()
+        return [*pools, FLEET] if pools and self.settings.fleet.address else pools
+
     def _alive(self, seen: SeenProcess, now: float) -> bool:
         """Whether a process has beaten lately; while the store is silent, nobody is judged."""
         since = max(seen.seen_at, self.view.steady_since)
@@ -218,14 +252,17 @@
 
     def _start(self, pool: PoolId, before: SeenOwner, token: int, now: float) -> None:
         ownership = Ownership(pool, token, self.incarnation, now)
-        owner = PoolOwner(
-            self.settings,
-            self.view,
-            self.table,
-            self.orders,
-            ownership,
-            now + self._unknown_s(before),
-        )
+        owner: PoolOwner | FleetHolder
+        if pool == FLEET:
+            wait_s = self._fleet_wait_s(before)
+            owner = FleetHolder(
+                self.settings, self.view, self.table, self.fleet_orders, ownership, wait_s
+            )
+        else:
+            unknown_until = now + self._unknown_s(before)
+            owner = PoolOwner(
+                self.settings, self.view, self.table, self.orders, ownership, unknown_until
+            )
         self.owned[pool] = owner
         assert self.tasks is not None
         self.tasks.start_soon(self._own, pool, owner)
@@ -240,7 +277,13 @@
             return lease_s
         return lease_s + workers.owner_silence_s
 
-    async def _own(self, pool: PoolId, owner: PoolOwner) -> None:
+    def _fleet_wait_s(self, before: SeenOwner) -> float:
+        """Return how long a new holder waits, so that orders keep the lease apart (s)."""
+        if not before.token:
+            return 0.0
+        return self.settings.fleet.lease_ms / 1000 + PROOF_S + SLACK_S
+
+    async def _own(self, pool: PoolId, owner: PoolOwner | FleetHolder) -> None:
         await owner.run()
         if self.owned.get(pool) is owner:
             del self.owned[pool]
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -12,7 +12,7 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.jobs import JobService
+from pumicespur.jobs import JobService, PoolOwner
 from pumicespur.model import WorkerId
 from pumicespur.node._follow import TableFollower
 from pumicespur.node._keeper import OwnershipKeeper
@@ -23,6 +23,7 @@
     WAVE_PREFIX,
     WORKERS_TABLE,
     CallerServer,
+    FleetOrders,
     HttpCaller,
     PlatformTable,
     WorkerOrders,
@@ -63,6 +64,9 @@
 
 POLL_S = 0.05
 
+WORKERS_PAUSE_S = 0.3
+"""Workers write often; a worker that drains is known well within the two seconds allowed."""
+
 
 class NodeProcess:
     """All parts of one process."""
@@ -83,8 +87,9 @@
         self.table = PlatformTable(settings.store, self.store_caller)
         self.jobs = JobService(self.table)
         self.orders = WorkerOrders(settings.workers, self.order_caller, self.watch_caller)
+        self.fleet_orders = FleetOrders(settings.fleet, settings.process.id, self.store_caller)
         self.keeper = OwnershipKeeper(
-            settings, self.view, self.table, self.orders, self.incarnation
+            settings, self.view, self.table, self.orders, self.fleet_orders, self.incarnation
         )
         self.server = CallerServer(self)
         async with anyio.create_task_group() as tasks:
@@ -96,11 +101,11 @@
                 data_hall=settings.process.data_hall,
             )
             await self.server.listen(settings.listen.callers, settings.listen.readiness)
-            for name, handler in (
-                (OPERATORS_TABLE, self._on_operators_rows),
-                (WORKERS_TABLE, self._on_worker_rows),
+            for name, handler, pause_s in (
+                (OPERATORS_TABLE, self._on_operators_rows, 0.0),
+                (WORKERS_TABLE, self._on_worker_rows, WORKERS_PAUSE_S),
             ):
-                follower = TableFollower(self.table, settings.store, name, handler)
+                follower = TableFollower(self.table, settings.store, name, handler, pause_s)
                 tasks.start_soon(follower.run)
             tasks.start_soon(self.keeper.run)
             await self.stop_asked.wait()
@@ -146,6 +151,7 @@
             "owned": {
                 pool: {"jobs": len(owner.pool.jobs), "workers": len(owner.watches)}
                 for pool, owner in self.keeper.owned.items()
+                if isinstance(owner, PoolOwner)
             },
         }
 
--- a/pumicespur/node/_view.py
+++ b/pumicespur/node/_view.py
@@ -64,11 +64,13 @@
         """Return the pools that need an owner."""
         return [pool.id for pool in self.configuration.pools.values() if not pool.spare]
 
-    def report(self, pool: PoolId) -> PoolReport | None:
-        """Return what the owner of a pool told last, under the newest token."""
+    def fresh_report(self, pool: PoolId, max_age_s: float) -> PoolReport | None:
+        """Return what the owner of a pool told lately, under the newest token."""
+        now = time.monotonic()
         reports = [
             report
             for seen in self.processes.values()
+            if now - seen.seen_at <= max_age_s
             for report in seen.heartbeat.pools
             if report.pool == pool
         ]
@@ -77,17 +79,14 @@
     def waiting_jobs(self, route: RouteName, max_age_s: float) -> int | None:
         """Return how many jobs wait on a route; None if the owner's word is too old."""
         found = self.configuration.routes.get(route)
-        if found is None:
+        report = None if found is None else self.fresh_report(found.pool, max_age_s)
+        if report is None:
             return None
+        return sum(count.jobs for count in report.waiting if count.route == route)
+
+    def evacuations(self, max_age_s: float) -> set[WorkerId]:
+        """Return the workers that the newest holder of the fleet's duty wants emptied."""
         now = time.monotonic()
-        fresh = [
-            report
-            for seen in self.processes.values()
-            if now - seen.seen_at <= max_age_s
-            for report in seen.heartbeat.pools
-            if report.pool == found.pool
-        ]
-        newest = max(fresh, key=lambda report: report.fencing_token, default=None)
-        if newest is None:
-            return None
-        return sum(count.jobs for count in newest.waiting if count.route == route)
+        fresh = [s.heartbeat for s in self.processes.values() if now - s.seen_at <= max_age_s]
+        newest = max(fresh, key=lambda heartbeat: heartbeat.fleet_token, default=None)
+        return set() if newest is None else {WorkerId(name) for name in newest.evacuations}
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
+import anyio
 import msgspec
 from expression import Error, Ok, Result
 
@@ -88,6 +89,12 @@
         self.caller = caller
         self.base = f"http://{settings.address}"
         self.calls = 0
+        self.watches: set[anyio.CancelScope] = set()
+
+    def renew_watches(self) -> None:
+        """Give up all requests that wait for changes; their connections may be dead."""
+        for scope in list(self.watches):
+            scope.cancel()
 
     async def transact(self, transaction: Transaction) -> Result[int, Fault]:
         """Write rows together if all conditions hold; return the version of the change."""
@@ -138,7 +145,13 @@
     async def changes(self, table: str, since: int, wait_s: float) -> Result[Page, Fault]:
         """Wait for changes of a table after version `since`; removed rows have no value."""
         query = {"table": table, "dependsOn": str(since), "waitMs": str(int(wait_s * 1000))}
-        answer = await self._rows(CHANGES_PATH, query, wait_s + self.settings.timeout_s)
+        answer: Result[_Rows, Fault] = Error(Unavailable("watch given up"))
+        with anyio.CancelScope() as scope:
+            self.watches.add(scope)
+            try:
+                answer = await self._rows(CHANGES_PATH, query, wait_s + self.settings.timeout_s)
+            finally:
+                self.watches.discard(scope)
         return answer.map(lambda found: Page([_row(row) for row in found.rows], found.ver))
 
     async def _rows(
