--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -46,6 +46,8 @@
     started_at: float = 0.0
     stop_sent_at: float = float("-inf")
     """Monotonic time of the last order to stop the present run."""
+    stopping_run: int = 0
+    """The run that was ordered to stop last; it may look at work for a little longer."""
     pace: int = 100
     ticket: str = ""
     """Permission of the advising service for the present worker."""
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -314,6 +314,7 @@
             watch = self.watches.get(task.worker) if task.worker else None
             if watch is not None:
                 task.stop_sent_at = now
+                task.stopping_run = task.run
                 task.away_since = now
                 self.spawn(watch.stop, task.name, task.run, "its worker is to be emptied")
 
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -149,7 +149,7 @@
             if task.percent != found.percent:
                 task.progressed_at = now
             task.percent = found.percent
-            if found.percent == AT_WORK:
+            if found.percent == AT_WORK and task.stopping_run != task.run:
                 task.away_since = None
             task.checkpoint = found.checkpoint
             task.figure = found.figure
@@ -158,6 +158,8 @@
         task.state = TaskState.RUNNING
         task.started_at = task.progressed_at = time.monotonic()
         task.job.begun = True
+        if task.spec.long_running and task.away_since is None:
+            task.away_since = task.started_at
         self.unsettled.pop(task, None)
 
     async def _settle(self, running: dict[tuple[TaskName, int], Running], sent_at: float) -> None:
