--- a/pumicespur/jobs/_keys.py
+++ b/pumicespur/jobs/_keys.py
@@ -1,11 +1,13 @@
 """The rows that the job service keeps.
 
-All rows of a pool lie in one part, so that a commit can carry the owner's row as a condition.
-Submissions have a table for each pool, so that an owner is told of its own pool's only.
+What an owner writes lies in one part, so that a commit can carry the owner's row as a
+condition. Submissions have a table for each pool, so that an owner is told of its own pool's
+only, and several parts, since a store that is slow takes the writes of one part in turn.
 """
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -13,15 +15,25 @@
 
 OWNERS_TABLE = "owners"
 
+SUBMISSION_PARTS = 8
+"""Parts of a pool's submissions: at a sixtieth of its usual speed the store takes some 25 a
+second in so many, and a new owner reads each of them."""
+
 
 def submissions_table(pool: PoolId) -> str:
     """Return the table of a pool's jobs as callers submitted them."""
     return f"jobs-{pool}"
 
 
+def submission_parts(pool: PoolId) -> list[str]:
+    """Return the parts over which a pool's submissions are spread."""
+    return [f"{pool}.{number}" for number in range(SUBMISSION_PARTS)]
+
+
 def submission_key(pool: PoolId, job: JobId) -> str:
-    """Return the row of a job as its caller submitted it; removed when the job has ended."""
-    return f"{submissions_table(pool)}/{pool}/{job}"
+    """Return the row of a job as its caller submitted it; emptied when the job has ended."""
+    part = zlib.crc32(job.encode()) % SUBMISSION_PARTS
+    return f"{submissions_table(pool)}/{pool}.{part}/{job}"
 
 
 def progress_key(pool: PoolId, job: JobId) -> str:
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -16,6 +16,7 @@
 from pumicespur.jobs._keys import (
     progress_key,
     submission_key,
+    submission_parts,
     submissions_table,
 )
 from pumicespur.jobs._pool import PoolState
@@ -23,7 +24,7 @@
 from pumicespur.jobs._watch import WorkerWatch
 from pumicespur.model import JobId, WorkerId
 from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
-from pumicespur.store import HistoryGone, Row, Write
+from pumicespur.store import HistoryGone, Page, Row, Transaction, Write
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
@@ -153,9 +154,7 @@
             progress[job] = record
             if record.phase in ENDED_PHASES:
                 self.ended[job] = record.changed_ms
-        submitted = await self._retry(lambda: self.table.scan(submissions_table(pool), pool))
-        self.submissions_version = submitted.version
-        for row in submitted.rows:
+        for row in await self._read_submissions():
             self._take_submission(row, progress)
         log.info(
             "pool taken",
@@ -166,6 +165,20 @@
             submissions_version=self.submissions_version,
         )
 
+    async def _read_submissions(self) -> list[Row]:
+        """Read all submissions; changes are followed from the oldest page on."""
+        pool = self.ownership.pool
+        pages: list[Page] = []
+
+        async def read(part: str) -> None:
+            pages.append(await self._retry(lambda: self.table.scan(submissions_table(pool), part)))
+
+        async with anyio.create_task_group() as readers:
+            for part in submission_parts(pool):
+                readers.start_soon(read, part)
+        self.submissions_version = min(page.version for page in pages)
+        return [row for page in pages for row in page.rows]
+
     async def _retry(self, call: Callable[[], Awaitable[Result[Any, Any]]]) -> Any:
         while True:
             answer = await call()
@@ -180,7 +193,7 @@
         if not row.version:
             return
         record = JobRecord.from_binary(row.value)
-        if JobId(record.id) in self.ended:
+        if record.ended or JobId(record.id) in self.ended:
             return
         job = self.pool.add_job(record, self.view.configuration, progress.get(record.id))
         if job is not None:
@@ -212,9 +225,7 @@
                     rows = page.rows
                 case Result(error=HistoryGone()):
                     log.warning("submissions read anew", pool=pool, reason="history gone")
-                    page = await self._retry(lambda: self.table.scan(table, pool))
-                    self.submissions_version = page.version
-                    rows = page.rows
+                    rows = await self._read_submissions()
                 case Result(error=fault):
                     log.warning("submissions not followed", pool=pool, reason=str(fault))
                     await anyio.sleep(RETRY_S)
@@ -328,7 +339,6 @@
             key = progress_key(self.pool.pool, job.id)
             batch.writes.append(Write(key, job.progress(now).to_binary()))
             if job.ended:
-                batch.writes.append(Write(submission_key(self.pool.pool, job.id), None))
                 batch.ended.append(job)
         taken = set(dirty)
         left = [task for task in self.pool.fresh if task.job not in taken]
@@ -352,6 +362,7 @@
         old = [job for job, at in self.ended.items() if now - at > RETENTION_MS]
         for job in old[:JOBS_PER_COMMIT]:
             del self.ended[job]
+            self.spawn(self._remove_submission, job)
             batch.writes.append(Write(progress_key(self.pool.pool, job), None))
 
     def _carry_out(self, batch: Batch) -> None:
@@ -360,6 +371,7 @@
             self.ended[job.id] = now
             self.pool.jobs.pop(job.id, None)
             self._stop_all(job)
+            self.spawn(self._empty_submission, job.id)
         for watch, number in batch.acknowledged:
             watch.note_recorded(number)
         for task, run, worker in batch.starts:
@@ -370,6 +382,22 @@
         if self.pool.dirty:
             self.wake()
 
+    async def _remove_submission(self, job: JobId) -> None:
+        """Forget a job that ended long ago."""
+        write = Write(submission_key(self.pool.pool, job), None)
+        answer = await self.table.transact(Transaction([], [write]))
+        if answer.is_error():
+            log.info("submission not removed", job=job, reason=str(answer.error))
+
+    async def _empty_submission(self, job: JobId) -> None:
+        """Drop what is no longer needed of a job whose end is recorded; its id stays taken."""
+        record = JobRecord(id=job, ended=True)
+        write = Write(submission_key(self.pool.pool, job), record.to_binary())
+        answer = await self.table.transact(Transaction([], [write]))
+        if answer.is_error():
+            # A later owner finds the end in the job's progress all the same.
+            log.info("submission not emptied", job=job, reason=str(answer.error))
+
     def _stop_all(self, job: Job) -> None:
         for task in job.tasks:
             watch = self.watches.get(task.worker) if task.worker else None
--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -60,10 +60,7 @@
         """
         pool = route.pool
         job: JobId = record.id  # type: ignore[assignment]
-        conditions = [
-            Condition(submission_key(pool, job), 0),
-            Condition(progress_key(pool, job), 0),
-        ]
+        conditions = [Condition(submission_key(pool, job), 0)]
         write = Write(submission_key(pool, job), record.to_binary())
         lost = False
         pause_s = RETRY_S
@@ -121,7 +118,7 @@
         while True:
             found = await self._read(key, give_up_at)
             match found:
-                case Result(tag="ok", ok=row) if row.version:
+                case Result(tag="ok", ok=row) if row.version and not _has_ended(row):
                     answer = await self._write_cancellation(row)
                     if answer.is_ok():
                         log.info("job cancelled", job=job, route=route.name, version=answer.ok)
@@ -166,3 +163,7 @@
                     return Error(fault)
             await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
             pause_s = min(MAX_RETRY_S, pause_s * 2)
+
+
+def _has_ended(row: Row) -> bool:
+    return JobRecord.from_binary(row.value).ended
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -36,6 +36,16 @@
 SETTLE_S = 1.2
 """Time after a start before pools are taken, so that processes that start together share them."""
 
+HEARING_SHARE = 0.8
+"""Share of the heartbeats' interval between two looks at them."""
+
+SLOW_ANSWERS = 3.0
+"""Times that a slow answer of the store counts when a heartbeat is missed: it was written,
+waited for and read through the same store."""
+
+MAX_SLOW_S = 2.0
+"""Most that slow answers put a takeover off, in seconds; a dead owner's tasks wait for it."""
+
 RETRY_S = 0.2
 """Pause after a fault of the store."""
 
@@ -77,6 +87,7 @@
         """Keep beating and deciding until cancelled."""
         async with anyio.create_task_group() as self.tasks:
             self.tasks.start_soon(self._follow_owners)
+            self.tasks.start_soon(self._follow_heartbeats)
             while True:
                 await self._beat()
                 await self._decide()
@@ -120,29 +131,51 @@
             evacuations=[] if self.fleet is None else list(self.fleet.evacuations()),
             fleet_token=0 if self.fleet is None else self.fleet.ownership.token,
         )
-        write = Write(f"{HEARTBEATS_TABLE}//{self.me}", record.to_binary())
+        # A part for each process: a slow store takes the writes of one part in turn.
+        write = Write(f"{HEARTBEATS_TABLE}/{self.me}/newest", record.to_binary())
         written = await self.table.transact(Transaction([], [write]))
-        seen = await self.table.scan(HEARTBEATS_TABLE, "")
-        now = time.monotonic()
-        match written, seen:
-            case Result(tag="ok"), Result(tag="ok", ok=page):
-                self._note_answer(now)
-                for row in page.rows:
-                    self._see(row, now)
-            case _:
-                self.failing = True
-                log.warning("heartbeat failed", written=written.is_ok(), read=seen.is_ok())
+        if written.is_ok():
+            self._note_answer(time.monotonic())
+        else:
+            self.failing = True
+            log.warning("heartbeat failed", reason=str(written.error))
 
     def _note_answer(self, now: float) -> None:
-        if now - self.answered_at > self.settings.store.missing_s:
-            self.view.steady_since = now
         self.answered_at = now
         if self.failing:
             self.failing = False
             log.info("store answers again")
             self.table.renew_watches()
 
+    async def _follow_heartbeats(self) -> None:
+        """Hear of the other processes; a pause gathers many heartbeats into one answer."""
+        version: int | None = None
+        heard_at = time.monotonic()
+        while True:
+            if version is None:
+                answer = await self.table.scan(HEARTBEATS_TABLE, "")
+            else:
+                wait_s = self.settings.store.watch_s
+                answer = await self.table.changes(HEARTBEATS_TABLE, version, wait_s)
+            now = time.monotonic()
+            match answer:
+                case Result(tag="ok", ok=page):
+                    if now - heard_at > self.settings.store.missing_s:
+                        self.view.steady_since = now
+                    heard_at = now
+                    version = page.version
+                    for row in page.rows:
+                        self._see(row, now)
+                    await anyio.sleep(self.settings.store.heartbeat_s * HEARING_SHARE)
+                case Result(error=HistoryGone()):
+                    version = None
+                case Result(error=fault):
+                    log.info("heartbeats not heard", reason=str(fault))
+                    await anyio.sleep(RETRY_S)
+
     def _see(self, row: Row, now: float) -> None:
+        if not row.version:
+            return
         heartbeat = HeartbeatRecord.from_binary(row.value)
         process = ProcessId(heartbeat.process)
         known = self.view.processes.get(process)
@@ -210,7 +243,12 @@
     def _alive(self, seen: SeenProcess, now: float) -> bool:
         """Whether a process has beaten lately; while the store is silent, nobody is judged."""
         since = max(seen.seen_at, self.view.steady_since)
-        return now - since < self.settings.store.missing_s and not seen.heartbeat.unfit
+        return now - since < self._missing_s(now) and not seen.heartbeat.unfit
+
+    def _missing_s(self, now: float) -> float:
+        """Return the time without a heartbeat after which a process counts as gone."""
+        slow_s = min(MAX_SLOW_S, SLOW_ANSWERS * self.table.times.worst_s(now))
+        return self.settings.store.missing_s + slow_s
 
     def _is_held(self, owner: SeenOwner, now: float) -> bool:
         record = owner.record
@@ -220,7 +258,7 @@
         if holder is None or holder.heartbeat.incarnation != record.incarnation:
             # Its first heartbeat may still be on the way.
             since = max(owner.seen_at, self.view.steady_since)
-            return holder is None and now - since < self.settings.store.missing_s
+            return holder is None and now - since < self._missing_s(now)
         return self._alive(holder, now)
 
     def _successor(self, pool: PoolId, now: float) -> ProcessId:
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import time
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
@@ -15,7 +16,7 @@
 from expression import Error, Ok, Result
 
 from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller
-from pumicespur.store import AnswerLost, Conflict, HistoryGone, Page, Row, Unavailable
+from pumicespur.store import AnswerLost, AnswerTimes, Conflict, HistoryGone, Page, Row, Unavailable
 
 if TYPE_CHECKING:
     from pumicespur.schema.node_pb import StoreSettings
@@ -89,6 +90,7 @@
         self.caller = caller
         self.base = f"http://{settings.address}"
         self.calls = 0
+        self.times = AnswerTimes(settings.timeout_s, settings.max_timeout_s)
         self.watches: set[anyio.CancelScope] = set()
 
     def renew_watches(self) -> None:
@@ -99,7 +101,7 @@
     async def transact(self, transaction: Transaction) -> Result[int, Fault]:
         """Write rows together if all conditions hold; return the version of the change."""
         body = _ENCODER.encode(_encode(transaction))
-        answer = await self._call("POST", TRANSACT_PATH, self.settings.timeout_s, body)
+        answer = await self._timed_call("POST", TRANSACT_PATH, body)
         match answer:
             case Result(tag="ok", ok=Answer(status=200, body=content)):
                 return Ok(_WRITTEN.decode(content).ver)
@@ -114,7 +116,7 @@
         """Read one row; version 0 tells that it does not exist."""
         table, part, name = key.split("/", 2)
         query = {"table": table, "part": part, "from": name, "limit": "1"}
-        answer = await self._rows(READ_PATH, query, self.settings.timeout_s)
+        answer = _rows(await self._timed_call("GET", _path(READ_PATH, query), None))
         return answer.map(
             lambda found: next(
                 (_row(row) for row in found.rows if row.key == name), Row(key, b"", 0)
@@ -131,7 +133,7 @@
         start = ""
         while True:
             query = {"table": table, "part": part, "from": start, "limit": str(PAGE_ROWS)}
-            answer = await self._rows(READ_PATH, query, self.settings.timeout_s)
+            answer = _rows(await self._timed_call("GET", _path(READ_PATH, query), None))
             match answer:
                 case Result(tag="ok", ok=found):
                     rows += [_row(row) for row in found.rows]
@@ -149,24 +151,25 @@
         with anyio.CancelScope() as scope:
             self.watches.add(scope)
             try:
-                answer = await self._rows(CHANGES_PATH, query, wait_s + self.settings.timeout_s)
+                timeout_s = wait_s + self.times.timeout_s()
+                path = _path(CHANGES_PATH, query)
+                answer = _rows(await self._call("GET", path, timeout_s, None))
             finally:
                 self.watches.discard(scope)
         return answer.map(lambda found: Page([_row(row) for row in found.rows], found.ver))
 
-    async def _rows(
-        self, path: str, query: dict[str, str], timeout_s: float
-    ) -> Result[_Rows, Fault]:
-        answer = await self._call("GET", f"{path}?{urlencode(query)}", timeout_s, None)
-        match answer:
-            case Result(tag="ok", ok=Answer(status=200, body=content)):
-                return Ok(_ROWS.decode(content))
-            case Result(tag="ok", ok=Answer(status=410)):
-                return Error(HistoryGone("the history is gone"))
-            case Result(tag="ok", ok=Answer(status=status, body=content)):
-                return Error(_refusal(status, content))
-            case Result(error=fault):
-                return Error(fault)
+    async def _timed_call(
+        self, method: str, path: str, body: bytes | None
+    ) -> Result[Answer, Unavailable | AnswerLost]:
+        """Call with a time-out that follows how fast the store answers."""
+        started = time.monotonic()
+        answer = await self._call(method, path, self.times.timeout_s(), body)
+        now = time.monotonic()
+        if answer.is_ok():
+            self.times.note_answer(now, now - started)
+        else:
+            self.times.note_silence(now, now - started)
+        return answer
 
     async def _call(
         self, method: str, path: str, timeout_s: float, body: bytes | None
@@ -178,6 +181,22 @@
         )
 
 
+def _path(path: str, query: dict[str, str]) -> str:
+    return f"{path}?{urlencode(query)}"
+
+
+def _rows(answer: Result[Answer, Unavailable | AnswerLost]) -> Result[_Rows, Fault]:
+    match answer:
+        case Result(tag="ok", ok=Answer(status=200, body=content)):
+            return Ok(_ROWS.decode(content))
+        case Result(tag="ok", ok=Answer(status=410)):
+            return Error(HistoryGone("the history is gone"))
+        case Result(tag="ok", ok=Answer(status=status, body=content)):
+            return Error(_refusal(status, content))
+        case Result(error=fault):
+            return Error(fault)
+
+
 def _refusal(status: int, content: bytes) -> Unavailable:
     """Name a refusal; the service says that it did nothing."""
     return Unavailable(f"refused with {status}: {content[:200].decode(errors='replace')}")
