--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -59,6 +59,9 @@
 EVACUATION_MAX_AGE_S = 3.0
 """Oldest word of the fleet's holder that is followed; a few heartbeats."""
 
+SETTLE_S = 1.5
+"""Time after a takeover before tasks are moved: stops that the owner before gave take effect."""
+
 RETENTION_MS = 180_000
 """How long the state of an ended job is kept; callers may ask for it for 120 s."""
 
@@ -321,6 +324,8 @@
         now = time.monotonic()
         for load in self.pool.loads.values():
             load.evacuating = load.worker.id in wanted
+        if now - self.ownership.acquired_at < SETTLE_S:
+            return
         for task in tasks_to_move(self.pool, now):
             watch = self.watches.get(task.worker) if task.worker else None
             if watch is not None:
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -26,6 +26,7 @@
     from pumicespur.jobs import Ownership
     from pumicespur.node import NodeView
     from pumicespur.platform import FleetOrders, PlatformTable
+    from pumicespur.schema.jobs_pb import WorkerReport
 
 log = Logger(__name__)
 
@@ -145,7 +146,7 @@
         for name, since in list(progress.emptying.items()):
             if name not in self.instances:
                 del progress.emptying[name]
-            elif name in idle or now - since > EMPTY_S:
+            elif name in idle or (now - since > EMPTY_S and self._is_released(name)):
                 await self._take_down(progress, name)
         if not progress.left(self.instances) and not progress.emptying:
             progress.completed = True
@@ -166,10 +167,18 @@
         settings = self.view.configuration.pools.get(instance.pool)
         if settings is not None and settings.spare:
             return True
+        report = self._worker_report(instance)
+        return report is not None and not report.tasks
+
+    def _is_released(self, name: InstanceId) -> bool:
+        """Whether an instance surely carries no task that an availability budget protects."""
+        report = self._worker_report(self.instances[name])
+        return report is not None and not report.held_tasks
+
+    def _worker_report(self, instance: Instance) -> WorkerReport | None:
         report = self.view.fresh_report(instance.pool, REPORT_MAX_AGE_S)
-        if report is None:
-            return False
-        return any(w.worker == instance.worker and not w.tasks for w in report.workers)
+        workers = [] if report is None else report.workers
+        return next((w for w in workers if w.worker == instance.worker), None)
 
     async def _take_down(self, progress: WaveProgress, name: InstanceId) -> None:
         if time.monotonic() - self.journal.confirmed_at > PROOF_S:
