--- a/pumicespur/jobs/_reports.py
+++ b/pumicespur/jobs/_reports.py
@@ -33,4 +33,10 @@
 
 
 def _report_worker(load: WorkerLoad) -> WorkerReport:
-    return WorkerReport(worker=load.worker.id, tasks=len(load.tasks), reachable=load.reachable)
+    held = sum(1 for task in load.tasks if task.spec.long_running and not task.job.ended)
+    return WorkerReport(
+        worker=load.worker.id,
+        tasks=len(load.tasks),
+        held_tasks=held,
+        reachable=load.reachable,
+    )
