--- /dev/null
+++ b/pumicespur/jobs/_demand.py
@@ -0,0 +1,102 @@
+"""How many workers a pool needs, from what its jobs ask for now and how that changes."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from pumicespur.jobs._job import TaskState
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._job import StepGroup
+    from pumicespur.jobs._pool import PoolState
+    from pumicespur.model import Capacity
+
+REMEMBER_S = 3.0
+"""Time for which a peak keeps its workers: two moves of an instance."""
+
+TREND_S = 1.0
+"""Time over which growth is measured."""
+
+LEAD_S = 2.5
+"""Time by which growth is foreseen: a heartbeat, a round of the fleet's holder and a move."""
+
+FILL_SHARE = 0.8
+"""Share of its workers that a pool plans to use; tasks seldom fill a worker to the brim."""
+
+LEAST_WORKERS = 3
+"""Workers kept in an idle pool: one may be lost and one down while a third takes work."""
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What tasks ask for, in thousandths of a core and in MB."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+
+
+@dataclass
+class DemandTracker:
+    """The demand of short tasks over the last seconds."""
+
+    samples: deque[tuple[float, Demand]] = field(default_factory=deque)
+    """Monotonic times in seconds, oldest first."""
+
+    def note(self, now: float, demand: Demand) -> None:
+        """Take a sample."""
+        self.samples.append((now, demand))
+        while now - self.samples[0][0] > REMEMBER_S:
+            self.samples.popleft()
+
+    def foreseen(self) -> Demand:
+        """Return the larger of the latest peak and where growth leads."""
+        if not self.samples:
+            return Demand()
+        now, newest = self.samples[-1]
+        before = next(d for at, d in self.samples if now - at <= TREND_S)
+        peak_cpu = max(demand.cpu_millis for _, demand in self.samples)
+        peak_memory = max(demand.memory_mb for _, demand in self.samples)
+        growth = LEAD_S / TREND_S
+        cpu = newest.cpu_millis + growth * (newest.cpu_millis - before.cpu_millis)
+        memory = newest.memory_mb + growth * (newest.memory_mb - before.memory_mb)
+        return Demand(max(peak_cpu, int(cpu)), max(peak_memory, int(memory)))
+
+
+def current_demand(pool: PoolState, now_ms: float) -> tuple[Demand, Demand]:
+    """Return what short and what long-running tasks ask for whose turn has come."""
+    cpu = {False: 0, True: 0}
+    memory = {False: 0, True: 0}
+    for job in pool.jobs.values():
+        if job.ended:
+            continue
+        for group in job.ready_groups(now_ms):
+            spec = group.spec
+            left = len(group.tasks) - group.done
+            cpu[spec.long_running] += 0 if spec.fills else left * spec.cpu_millis
+            memory[spec.long_running] += left * spec.memory_mb
+    return Demand(cpu[False], memory[False]), Demand(cpu[True], memory[True])
+
+
+def wanted_workers(pool: PoolState, short: Demand, lasting: Demand, room: Capacity) -> int:
+    """Return how many workers of a size the pool ought to have."""
+    cpu = (short.cpu_millis + lasting.cpu_millis) / max(1, room.cpu_millis)
+    memory = (short.memory_mb + lasting.memory_mb) / max(1, room.memory_mb)
+    by_demand = math.ceil(max(cpu, memory) / FILL_SHARE)
+    return max(LEAST_WORKERS, by_demand, _spread(pool))
+
+
+def _spread(pool: PoolState) -> int:
+    """Return how many workers the widest spread step takes, and one more to move to."""
+    widest = 0
+    for job in pool.jobs.values():
+        for group in job.groups:
+            if not job.ended and group.spec.max_per_worker and _is_open(group):
+                widest = max(widest, math.ceil(len(group.tasks) / group.spec.max_per_worker) + 1)
+    return widest
+
+
+def _is_open(group: StepGroup) -> bool:
+    return any(task.state is not TaskState.DONE for task in group.tasks)
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -11,6 +11,7 @@
 from logbook import Logger
 
 from pumicespur.jobs._availability import tasks_to_move
+from pumicespur.jobs._demand import Demand, DemandTracker, current_demand, wanted_workers
 from pumicespur.jobs._job import ENDED_PHASES, Job, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import (
@@ -102,6 +103,9 @@
         self.ended: dict[JobId, int] = {}
         """Jobs that have ended, by the time of day in milliseconds."""
         self.submissions_version = 0
+        self.demand = DemandTracker()
+        self.short = Demand()
+        self.lasting = Demand()
         self.stopping = False
         self.stopped = anyio.Event()
         self.ready = False
@@ -309,6 +313,7 @@
             if not self.stopping:
                 self._evacuate()
                 self.pool.place(time.monotonic(), now_ms())
+                self._note_demand()
             batch = self._collect()
             idle_s = time.monotonic() - self.journal.confirmed_at
             if batch.writes or idle_s > IDLE_COMMIT_S:
@@ -318,6 +323,10 @@
                 await self.journal.release(self.settings.process.id)
                 return
 
+    def _note_demand(self) -> None:
+        self.short, self.lasting = current_demand(self.pool, now_ms())
+        self.demand.note(time.monotonic(), self.short)
+
     def _evacuate(self) -> None:
         """Keep new tasks off workers that are to be emptied, and move lasting ones away."""
         wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
@@ -411,4 +420,15 @@
 
     def report(self) -> PoolReport:
         """Tell the other processes about the pool."""
-        return report_pool(self.pool, self.token)
+        report = report_pool(self.pool, self.token)
+        report.demand_cpu_millis = self.short.cpu_millis + self.lasting.cpu_millis
+        if time.monotonic() - self.ownership.acquired_at > SETTLE_S and self.pool.loads:
+            rooms = sorted(load.worker.capacity.cpu_millis for load in self.pool.loads.values())
+            room = next(
+                load.worker.capacity
+                for load in self.pool.loads.values()
+                if load.worker.capacity.cpu_millis == rooms[len(rooms) // 2]
+            )
+            foreseen = self.demand.foreseen()
+            report.wanted_workers = wanted_workers(self.pool, foreseen, self.lasting, room)
+        return report
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -15,11 +15,12 @@
 from logbook import Logger
 
 from pumicespur.jobs import Journal, OwnershipLostError
+from pumicespur.maintenance._sizing import FleetState, Sizer
 from pumicespur.maintenance._waves import WaveProgress, choose_emptying
 from pumicespur.model import Instance, InstanceId, InstanceState, PoolId, WorkerId
 from pumicespur.platform import encode_wave_state, wave_state_key
 from pumicespur.schema.jobs_pb import WaveRecord
-from pumicespur.store import Transaction, Write
+from pumicespur.store import NeverDone, Transaction, Unavailable, Write
 
 if TYPE_CHECKING:
     from pumicespur.config import NodeSettings
@@ -42,6 +43,9 @@
 SLACK_S = 0.5
 """Added to the wait of a new holder, for orders that travel slowly."""
 
+LOST_S = 4.0
+"""Time beyond a move's own after which an order without effect counts as not done."""
+
 EMPTY_S = 5.0
 """Time after which an instance goes down although short tasks are left; some of their lengths."""
 
@@ -71,6 +75,10 @@
         self.journal = Journal(table, ownership, 0)
         self.waves: dict[int, WaveProgress] = {}
         self.instances: dict[InstanceId, Instance] = {}
+        self.sizer = Sizer()
+        self.moving: dict[InstanceId, tuple[PoolId, float]] = {}
+        """Instances on their way to a pool, by the monotonic time of the order."""
+        self.refused: set[tuple[InstanceId, PoolId]] = set()
         self.ready = False
         self.stopping = False
         self.stopped = anyio.Event()
@@ -99,6 +107,7 @@
     def evacuations(self) -> list[WorkerId]:
         """Return the workers that their owners shall empty."""
         names = [name for progress in self.waves.values() for name in progress.emptying]
+        names += self.sizer.emptying
         found = [self.instances[name].worker for name in names if name in self.instances]
         return [worker for worker in found if worker is not None]
 
@@ -116,6 +125,66 @@
                 progress = await self._open_wave(wave.number)
             if progress is not None and not progress.completed:
                 await self._work_on(progress)
+        await self._resize()
+
+    async def _resize(self) -> None:
+        """Bring the pools' sizes in line with what their owners ask for."""
+        now = time.monotonic()
+        for name, (pool, ordered_at) in list(self.moving.items()):
+            instance = self.instances.get(name)
+            arrived = instance is not None and instance.pool == pool
+            if (
+                instance is None
+                or (arrived and instance.state is InstanceState.UP)
+                or not arrived
+                and now - ordered_at > self.settings.fleet.move_s + LOST_S
+            ):
+                del self.moving[name]
+        plan = self.sizer.plan(self._fleet_state(), now)
+        if now < self.orders_from:
+            return
+        for name, pool in plan.moves:
+            await self._move(name, pool)
+
+    async def _move(self, name: InstanceId, pool: PoolId) -> None:
+        if time.monotonic() - self.journal.confirmed_at > PROOF_S:
+            return
+        self.moving[name] = (pool, time.monotonic())
+        before = self.instances[name].pool
+        answer = await self.orders.move(self.ownership.token, name, pool)
+        match answer:
+            case Result(tag="ok"):
+                log.info("instance moved", instance=name, pool=pool, before=before)
+            case Result(error=NeverDone(reason=reason)):
+                self.refused.add((name, pool))
+                del self.moving[name]
+                log.warning("instance not movable", instance=name, pool=pool, reason=reason)
+            case Result(error=Unavailable(reason=reason)):
+                del self.moving[name]
+                log.warning("instance not moved", instance=name, pool=pool, reason=reason)
+            case Result(error=fault):
+                log.warning("move not answered", instance=name, pool=pool, reason=str(fault))
+
+    def _fleet_state(self) -> FleetState:
+        reports = {
+            pool: report
+            for pool in self.view.pools()
+            if (report := self.view.fresh_report(pool, REPORT_MAX_AGE_S)) is not None
+        }
+        workers = {w.worker: w for report in reports.values() for w in report.workers}
+        found = {i.id: workers[i.worker] for i in self.instances.values() if i.worker in workers}
+        taken = {n for p in self.waves.values() for n in (*p.emptying, *p.ordered)}
+        return FleetState(
+            instances=self.instances,
+            wanted={p: r.wanted_workers for p, r in reports.items() if r.wanted_workers},
+            spare=frozenset(p.id for p in self.view.configuration.pools.values() if p.spare),
+            reachable=frozenset(name for name, w in found.items() if w.reachable),
+            tasks={name: w.tasks for name, w in found.items()},
+            held=frozenset(name for name, w in found.items() if w.held_tasks),
+            taken=frozenset(taken),
+            moving={name: pool for name, (pool, _) in self.moving.items()},
+            refused=frozenset(self.refused),
+        )
 
     async def _open_wave(self, number: int) -> WaveProgress | None:
         """Read what an earlier holder recorded of a wave."""
--- /dev/null
+++ b/pumicespur/maintenance/_sizing.py
@@ -0,0 +1,178 @@
+"""Which instances change pool: to where work waits, and to the spare pool where none does."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from pumicespur.model import InstanceState
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from pumicespur.model import Instance, InstanceId, PoolId
+
+PARK_AFTER_S = 1.0
+"""Time for which a pool must have had too many instances before one is parked; a move costs
+about as much as an instance in a pool for one second, on the users' sheets."""
+
+MAX_MOVING = 12
+"""Instances that change pool at once; about a third of a small fleet."""
+
+
+@dataclass
+class FleetState:
+    """What the holder knows when it decides on moves."""
+
+    instances: Mapping[InstanceId, Instance]
+    wanted: Mapping[PoolId, int]
+    """Workers that each pool's owner asks for; pools without fresh word are left alone."""
+    spare: frozenset[PoolId]
+    reachable: frozenset[InstanceId]
+    """Instances whose worker answers its owner."""
+    tasks: Mapping[InstanceId, int]
+    held: frozenset[InstanceId]
+    """Instances with tasks that an availability budget protects."""
+    taken: frozenset[InstanceId]
+    """Instances that a wave is emptying or has taken down."""
+    moving: Mapping[InstanceId, PoolId]
+    """Instances on their way to a pool."""
+    refused: frozenset[tuple[InstanceId, PoolId]] = frozenset()
+    """Moves that the platform does not make."""
+
+
+@dataclass
+class MovePlan:
+    """Moves to order now, and instances to empty for later ones."""
+
+    moves: list[tuple[InstanceId, PoolId]] = field(default_factory=list)
+    emptying: set[InstanceId] = field(default_factory=set)
+
+
+class Sizer:
+    """Plans moves; remembers since when a pool has had too many instances."""
+
+    def __init__(self) -> None:
+        self.surplus_since: dict[PoolId, float] = {}
+        self.emptying: set[InstanceId] = set()
+
+    def plan(self, state: FleetState, now: float) -> MovePlan:
+        """Decide what moves now; short pools are served before idle ones are emptied."""
+        plan = MovePlan()
+        givers = self._givers(state)
+        self._fill(state, plan, givers)
+        self._park(state, plan, givers, now)
+        self.emptying = plan.emptying
+        return plan
+
+    def _givers(self, state: FleetState) -> dict[PoolId, list[Instance]]:
+        """Return for each pool the instances beyond what it wants, the easiest to move first."""
+        givers: dict[PoolId, list[Instance]] = {}
+        for pool, wanted in state.wanted.items():
+            members = [i for i in _members(state, pool) if i.id in state.reachable]
+            extra = len(members) + _arriving(state, pool) - wanted
+            if extra > 0:
+                racks = Counter(i.rack for i in members)
+                members.sort(key=lambda i: self._effort(state, i, racks))
+                givers[pool] = members[:extra]
+        return givers
+
+    def _effort(
+        self, state: FleetState, instance: Instance, racks: Counter[str]
+    ) -> tuple[bool, bool, int, int, str]:
+        tasks = state.tasks.get(instance.id, 0)
+        return (
+            instance.id in state.held,
+            instance.id not in self.emptying and tasks > 0,
+            tasks,
+            -racks[instance.rack],
+            instance.id,
+        )
+
+    def _fill(
+        self, state: FleetState, plan: MovePlan, givers: dict[PoolId, list[Instance]]
+    ) -> None:
+        """Send instances to pools that have too few, out of the spare pool first."""
+        parked = [i for pool in sorted(state.spare) for i in _members(state, pool)]
+        missing = {
+            pool: wanted - _arriving(state, pool) - _serving(state, pool)
+            for pool, wanted in state.wanted.items()
+        }
+        for pool in sorted(missing, key=lambda pool: -missing[pool]):
+            for _ in range(max(0, missing[pool])):
+                if len(state.moving) + len(plan.moves) >= MAX_MOVING:
+                    return
+                found = self._pick(state, plan, pool, parked, givers)
+                if found is None:
+                    break
+                plan.moves.append((found.id, pool))
+
+    def _pick(
+        self,
+        state: FleetState,
+        plan: MovePlan,
+        pool: PoolId,
+        parked: list[Instance],
+        givers: dict[PoolId, list[Instance]],
+    ) -> Instance | None:
+        for instance in parked:
+            if (instance.id, pool) not in state.refused:
+                parked.remove(instance)
+                return instance
+        for giver, instances in givers.items():
+            for instance in instances:
+                if giver == pool or (instance.id, pool) in state.refused:
+                    continue
+                instances.remove(instance)
+                if state.tasks.get(instance.id, 1) == 0:
+                    return instance
+                plan.emptying.add(instance.id)
+                return None
+        return None
+
+    def _park(
+        self,
+        state: FleetState,
+        plan: MovePlan,
+        givers: dict[PoolId, list[Instance]],
+        now: float,
+    ) -> None:
+        """Send instances that are not needed to the spare pool."""
+        if not state.spare:
+            return
+        spare = min(state.spare)
+        for pool in list(self.surplus_since):
+            if not givers.get(pool):
+                del self.surplus_since[pool]
+        for pool, instances in givers.items():
+            if not instances or now - self.surplus_since.setdefault(pool, now) < PARK_AFTER_S:
+                continue
+            for instance in instances:
+                if (instance.id, spare) in state.refused:
+                    continue
+                if state.tasks.get(instance.id, 1) == 0:
+                    if len(state.moving) + len(plan.moves) < MAX_MOVING:
+                        plan.moves.append((instance.id, spare))
+                else:
+                    plan.emptying.add(instance.id)
+
+
+def _members(state: FleetState, pool: PoolId) -> list[Instance]:
+    """Return the instances of a pool that are up and that nothing else is done with."""
+    return [
+        i
+        for i in state.instances.values()
+        if i.pool == pool
+        and i.state is InstanceState.UP
+        and i.id not in state.taken
+        and i.id not in state.moving
+    ]
+
+
+def _serving(state: FleetState, pool: PoolId) -> int:
+    return sum(1 for i in _members(state, pool) if i.id in state.reachable)
+
+
+def _arriving(state: FleetState, pool: PoolId) -> int:
+    return sum(1 for target in state.moving.values() if target == pool)
--- a/pumicespur/platform/_fleet.py
+++ b/pumicespur/platform/_fleet.py
@@ -11,7 +11,7 @@
 from pumicespur.model import DataHall, Instance, InstanceId, InstanceState, PoolId, WorkerId
 from pumicespur.platform._declarations import WireCapacity, rack_of
 from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller
-from pumicespur.store import Unavailable
+from pumicespur.store import NeverDone, Unavailable
 
 if TYPE_CHECKING:
     from pumicespur.schema.node_pb import FleetSettings
@@ -119,6 +119,8 @@
         match answer:
             case Result(tag="ok", ok=Answer(status=200)):
                 return Ok(None)
+            case Result(tag="ok", ok=Answer(status=400) as refusal):
+                return Error(NeverDone(_reason(refusal)))
             case Result(tag="ok", ok=refusal):
                 return Error(Unavailable(_reason(refusal)))
             case Result(error=fault):
--- a/pumicespur/store/__init__.py
+++ b/pumicespur/store/__init__.py
@@ -6,7 +6,14 @@
 
 from __future__ import annotations
 
-from pumicespur.store._faults import AnswerLost, Conflict, Fault, HistoryGone, Unavailable
+from pumicespur.store._faults import (
+    AnswerLost,
+    Conflict,
+    Fault,
+    HistoryGone,
+    NeverDone,
+    Unavailable,
+)
 from pumicespur.store._latency import AnswerTimes
 from pumicespur.store._rows import Condition, Listing, Page, Row, Transaction, UsageListing, Write
 
@@ -18,6 +25,7 @@
     "Fault",
     "HistoryGone",
     "Listing",
+    "NeverDone",
     "Page",
     "Row",
     "Transaction",
--- a/pumicespur/store/_faults.py
+++ b/pumicespur/store/_faults.py
@@ -20,6 +20,10 @@
     reason: str
 
 
+class NeverDone(Unavailable):
+    """The platform does not do what was asked, now or later."""
+
+
 class HistoryGone(Unavailable):
     """Changes since the asked version are no longer kept; read all rows again."""
 
