--- a/pumicespur/jobs/_reports.py
+++ b/pumicespur/jobs/_reports.py
@@ -28,4 +28,5 @@
         tasks=len(load.tasks),
         held_tasks=held,
         reachable=load.reachable,
+        evacuating=load.evacuating,
     )
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -131,14 +131,7 @@
         """Bring the pools' sizes in line with what their owners ask for."""
         now = time.monotonic()
         for name, (pool, ordered_at) in list(self.moving.items()):
-            instance = self.instances.get(name)
-            arrived = instance is not None and instance.pool == pool
-            if (
-                instance is None
-                or (arrived and instance.state is InstanceState.UP)
-                or not arrived
-                and now - ordered_at > self.settings.fleet.move_s + LOST_S
-            ):
+            if self._has_arrived(name, pool, now - ordered_at):
                 del self.moving[name]
         plan = self.sizer.plan(self._fleet_state(), now)
         if now < self.orders_from:
@@ -146,6 +139,15 @@
         for name, pool in plan.moves:
             await self._move(name, pool)
 
+    def _has_arrived(self, name: InstanceId, pool: PoolId, since_s: float) -> bool:
+        """Whether a move is over, or its order surely had no effect."""
+        instance = self.instances.get(name)
+        if instance is None:
+            return True
+        if instance.pool == pool:
+            return instance.state is InstanceState.UP
+        return since_s > self.settings.fleet.move_s + LOST_S
+
     async def _move(self, name: InstanceId, pool: PoolId) -> None:
         if time.monotonic() - self.journal.confirmed_at > PROOF_S:
             return
@@ -180,6 +182,7 @@
             spare=frozenset(p.id for p in self.view.configuration.pools.values() if p.spare),
             reachable=frozenset(name for name, w in found.items() if w.reachable),
             tasks={name: w.tasks for name, w in found.items()},
+            empty=frozenset(i.id for i in self.instances.values() if self._is_idle(i)),
             held=frozenset(name for name, w in found.items() if w.held_tasks),
             taken=frozenset(taken),
             moving={name: pool for name, (pool, _) in self.moving.items()},
@@ -230,19 +233,19 @@
                 del progress.ordered[name]
 
     def _is_idle(self, instance: Instance) -> bool:
-        """Whether an instance surely carries no task."""
+        """Whether an instance surely carries no task, nor will be given one."""
         if instance.worker is None:
             return True
         settings = self.view.configuration.pools.get(instance.pool)
         if settings is not None and settings.spare:
             return True
         report = self._worker_report(instance)
-        return report is not None and not report.tasks
+        return report is not None and report.evacuating and not report.tasks
 
     def _is_released(self, name: InstanceId) -> bool:
         """Whether an instance surely carries no task that an availability budget protects."""
         report = self._worker_report(self.instances[name])
-        return report is not None and not report.held_tasks
+        return report is not None and report.evacuating and not report.held_tasks
 
     def _worker_report(self, instance: Instance) -> WorkerReport | None:
         report = self.view.fresh_report(instance.pool, REPORT_MAX_AGE_S)
--- a/pumicespur/maintenance/_sizing.py
+++ b/pumicespur/maintenance/_sizing.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from pumicespur.model import Instance, InstanceId, PoolId
+    from pumicespur.model import Instance, InstanceId, PoolId, Rack
 
 PARK_AFTER_S = 1.0
 """Time for which a pool must have had too many instances before one is parked; a move costs
@@ -32,6 +32,8 @@
     reachable: frozenset[InstanceId]
     """Instances whose worker answers its owner."""
     tasks: Mapping[InstanceId, int]
+    empty: frozenset[InstanceId]
+    """Instances that carry no task and are given none."""
     held: frozenset[InstanceId]
     """Instances with tasks that an availability budget protects."""
     taken: frozenset[InstanceId]
@@ -79,7 +81,7 @@
         return givers
 
     def _effort(
-        self, state: FleetState, instance: Instance, racks: Counter[str]
+        self, state: FleetState, instance: Instance, racks: Counter[Rack]
     ) -> tuple[bool, bool, int, int, str]:
         tasks = state.tasks.get(instance.id, 0)
         return (
@@ -125,7 +127,7 @@
                 if giver == pool or (instance.id, pool) in state.refused:
                     continue
                 instances.remove(instance)
-                if state.tasks.get(instance.id, 1) == 0:
+                if instance.id in state.empty:
                     return instance
                 plan.emptying.add(instance.id)
                 return None
@@ -151,7 +153,7 @@
             for instance in instances:
                 if (instance.id, spare) in state.refused:
                     continue
-                if state.tasks.get(instance.id, 1) == 0:
+                if instance.id in state.empty:
                     if len(state.moving) + len(plan.moves) < MAX_MOVING:
                         plan.moves.append((instance.id, spare))
                 else:
