--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -17,11 +17,11 @@
 REMEMBER_S = 3.0
 """Time for which a peak keeps its workers: two moves of an instance."""
 
-TREND_S = 1.0
-"""Time over which growth is measured."""
+MEAN_S = 1.0
+"""Time over which demand is averaged; single large jobs come and go faster than moves."""
 
-LEAD_S = 2.5
-"""Time by which growth is foreseen: a heartbeat, a round of the fleet's holder and a move."""
+LEAD_S = 1.5
+"""Time by which growth is foreseen: that of a move."""
 
 FILL_SHARE = 0.8
 """Share of its workers that a pool plans to use; tasks seldom fill a worker to the brim."""
@@ -44,24 +44,32 @@
 
     samples: deque[tuple[float, Demand]] = field(default_factory=deque)
     """Monotonic times in seconds, oldest first."""
+    means: deque[tuple[float, Demand]] = field(default_factory=deque)
+    """Likewise, averaged."""
 
     def note(self, now: float, demand: Demand) -> None:
         """Take a sample."""
         self.samples.append((now, demand))
-        while now - self.samples[0][0] > REMEMBER_S:
+        while now - self.samples[0][0] > MEAN_S:
             self.samples.popleft()
+        count = len(self.samples)
+        cpu = sum(sample.cpu_millis for _, sample in self.samples) // count
+        memory = sum(sample.memory_mb for _, sample in self.samples) // count
+        self.means.append((now, Demand(cpu, memory)))
+        while now - self.means[0][0] > REMEMBER_S:
+            self.means.popleft()
 
     def foreseen(self) -> Demand:
         """Return the larger of the latest peak and where growth leads."""
-        if not self.samples:
+        if not self.means:
             return Demand()
-        now, newest = self.samples[-1]
-        before = next(d for at, d in self.samples if now - at <= TREND_S)
-        peak_cpu = max(demand.cpu_millis for _, demand in self.samples)
-        peak_memory = max(demand.memory_mb for _, demand in self.samples)
-        growth = LEAD_S / TREND_S
+        now, newest = self.means[-1]
+        before = next(demand for at, demand in self.means if now - at <= MEAN_S)
+        growth = LEAD_S / MEAN_S
         cpu = newest.cpu_millis + growth * (newest.cpu_millis - before.cpu_millis)
         memory = newest.memory_mb + growth * (newest.memory_mb - before.memory_mb)
+        peak_cpu = max(demand.cpu_millis for _, demand in self.means)
+        peak_memory = max(demand.memory_mb for _, demand in self.means)
         return Demand(max(peak_cpu, int(cpu)), max(peak_memory, int(memory)))
 
 
--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -37,6 +37,8 @@
     """Whether it answered the last call."""
     evacuating: bool = False
     """The fleet's holder wants it emptied."""
+    told_tasks: int = 0
+    """Tasks that the last report told of."""
     avoid_until: float = 0.0
     """Monotonic time until which it gets no new tasks, in seconds."""
     failures: int = 0
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -88,6 +88,7 @@
         orders: WorkerOrders,
         ownership: Ownership,
         unknown_until: float,
+        tell: Callable[[], None],
     ) -> None:
         self.settings = settings
         self.view = view
@@ -106,6 +107,10 @@
         self.demand = DemandTracker()
         self.short = Demand()
         self.lasting = Demand()
+        self.tell = tell
+        """Asks for a heartbeat at once."""
+        self.news = False
+        """Whether the other processes wait for something that has changed."""
         self.stopping = False
         self.stopped = anyio.Event()
         self.ready = False
@@ -332,7 +337,14 @@
         wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
         now = time.monotonic()
         for load in self.pool.loads.values():
-            load.evacuating = load.worker.id in wanted
+            if load.evacuating != (load.worker.id in wanted):
+                load.evacuating = not load.evacuating
+                self.news = True
+            if load.evacuating and not load.tasks and load.told_tasks:
+                self.news = True
+        if self.news:
+            self.news = False
+            self.tell()
         if now - self.ownership.acquired_at < SETTLE_S:
             return
         for task in tasks_to_move(self.pool, now):
--- a/pumicespur/jobs/_reports.py
+++ b/pumicespur/jobs/_reports.py
@@ -22,6 +22,7 @@
 
 
 def _report_worker(load: WorkerLoad) -> WorkerReport:
+    load.told_tasks = len(load.tasks)
     held = sum(1 for task in load.tasks if task.spec.long_running and not task.job.ended)
     return WorkerReport(
         worker=load.worker.id,
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -23,6 +23,8 @@
 from pumicespur.store import NeverDone, Transaction, Unavailable, Write
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pumicespur.config import NodeSettings
     from pumicespur.jobs import Ownership
     from pumicespur.node import NodeView
@@ -64,6 +66,7 @@
         orders: FleetOrders,
         ownership: Ownership,
         wait_s: float,
+        tell: Callable[[], None],
     ) -> None:
         self.settings = settings
         self.view = view
@@ -79,6 +82,9 @@
         self.moving: dict[InstanceId, tuple[PoolId, float]] = {}
         """Instances on their way to a pool, by the monotonic time of the order."""
         self.refused: set[tuple[InstanceId, PoolId]] = set()
+        self.tell = tell
+        """Asks for a heartbeat at once."""
+        self.told: set[WorkerId] = set()
         self.ready = False
         self.stopping = False
         self.stopped = anyio.Event()
@@ -134,6 +140,9 @@
             if self._has_arrived(name, pool, now - ordered_at):
                 del self.moving[name]
         plan = self.sizer.plan(self._fleet_state(), now)
+        if set(self.evacuations()) != self.told:
+            self.told = set(self.evacuations())
+            self.tell()
         if now < self.orders_from:
             return
         for name, pool in plan.moves:
--- a/pumicespur/maintenance/_sizing.py
+++ b/pumicespur/maintenance/_sizing.py
@@ -63,7 +63,9 @@
         """Decide what moves now; short pools are served before idle ones are emptied."""
         plan = MovePlan()
         givers = self._givers(state)
+        extra = {pool for pool, instances in givers.items() if instances}
         self._fill(state, plan, givers)
+        self._note_surplus(extra, now)
         self._park(state, plan, givers, now)
         self.emptying = plan.emptying
         return plan
@@ -105,15 +107,17 @@
             for _ in range(max(0, missing[pool])):
                 if len(state.moving) + len(plan.moves) >= MAX_MOVING:
                     return
-                found = self._pick(state, plan, pool, parked, givers)
+                found = self._pick(state, pool, parked, givers)
                 if found is None:
                     break
-                plan.moves.append((found.id, pool))
+                if found.id in state.empty:
+                    plan.moves.append((found.id, pool))
+                else:
+                    plan.emptying.add(found.id)
 
     def _pick(
         self,
         state: FleetState,
-        plan: MovePlan,
         pool: PoolId,
         parked: list[Instance],
         givers: dict[PoolId, list[Instance]],
@@ -127,12 +131,16 @@
                 if giver == pool or (instance.id, pool) in state.refused:
                     continue
                 instances.remove(instance)
-                if instance.id in state.empty:
-                    return instance
-                plan.emptying.add(instance.id)
-                return None
+                return instance
         return None
 
+    def _note_surplus(self, extra: set[PoolId], now: float) -> None:
+        for pool in list(self.surplus_since):
+            if pool not in extra:
+                del self.surplus_since[pool]
+        for pool in extra:
+            self.surplus_since.setdefault(pool, now)
+
     def _park(
         self,
         state: FleetState,
@@ -144,11 +152,8 @@
         if not state.spare:
             return
         spare = min(state.spare)
-        for pool in list(self.surplus_since):
-            if not givers.get(pool):
-                del self.surplus_since[pool]
         for pool, instances in givers.items():
-            if not instances or now - self.surplus_since.setdefault(pool, now) < PARK_AFTER_S:
+            if now - self.surplus_since.get(pool, now) < PARK_AFTER_S:
                 continue
             for instance in instances:
                 if (instance.id, spare) in state.refused:
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -46,6 +46,9 @@
 MAX_SLOW_S = 2.0
 """Most that slow answers put a takeover off, in seconds; a dead owner's tasks wait for it."""
 
+LEAST_PAUSE_S = 0.1
+"""Least pause between heartbeats, however much there is to tell."""
+
 RETRY_S = 0.2
 """Pause after a fault of the store."""
 
@@ -89,12 +92,17 @@
             self.tasks.start_soon(self._follow_owners)
             self.tasks.start_soon(self._follow_heartbeats)
             while True:
+                self.changed = anyio.Event()
                 await self._beat()
                 await self._decide()
-                self.changed = anyio.Event()
-                with anyio.move_on_after(self.settings.store.heartbeat_s):
+                await anyio.sleep(LEAST_PAUSE_S)
+                with anyio.move_on_after(self.settings.store.heartbeat_s - LEAST_PAUSE_S):
                     await self.changed.wait()
 
+    def hurry(self) -> None:
+        """Ask for a heartbeat at once, since others wait for what it tells."""
+        self.changed.set()
+
     async def stop(self) -> None:
         """Give up all pools and take no more."""
         self.stopping = True
@@ -294,12 +302,24 @@
         if pool == FLEET:
             wait_s = self._fleet_wait_s(before)
             owner = FleetHolder(
-                self.settings, self.view, self.table, self.fleet_orders, ownership, wait_s
+                self.settings,
+                self.view,
+                self.table,
+                self.fleet_orders,
+                ownership,
+                wait_s,
+                self.hurry,
             )
         else:
             unknown_until = now + self._unknown_s(before)
             owner = PoolOwner(
-                self.settings, self.view, self.table, self.orders, ownership, unknown_until
+                self.settings,
+                self.view,
+                self.table,
+                self.orders,
+                ownership,
+                unknown_until,
+                self.hurry,
             )
         self.owned[pool] = owner
         assert self.tasks is not None
