--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -23,10 +23,13 @@
 LEAD_S = 1.5
 """Time by which growth is foreseen: that of a move."""
 
+WAITING_SHARE = 0.5
+"""Weight of a waiting task: those that wait may run in turn and still be in time."""
+
 FILL_SHARE = 0.8
 """Share of its workers that a pool plans to use; tasks seldom fill a worker to the brim."""
 
-LEAST_WORKERS = 3
+LEAST_WORKERS = 4
 """Workers kept in an idle pool: one may be lost and one down while a third takes work."""
 
 
@@ -82,9 +85,11 @@
             continue
         for group in job.ready_groups(now_ms):
             spec = group.spec
-            left = len(group.tasks) - group.done
-            cpu[spec.long_running] += 0 if spec.fills else left * spec.cpu_millis
-            memory[spec.long_running] += left * spec.memory_mb
+            share = 1.0 if spec.long_running else WAITING_SHARE
+            waiting = len(group.waiting())
+            count = len(group.tasks) - group.done - waiting + share * waiting
+            cpu[spec.long_running] += 0 if spec.fills else int(count * spec.cpu_millis)
+            memory[spec.long_running] += int(count * spec.memory_mb)
     return Demand(cpu[False], memory[False]), Demand(cpu[True], memory[True])
 
 
