--- a/pumicespur/jobs/_availability.py
+++ b/pumicespur/jobs/_availability.py
@@ -8,7 +8,7 @@
 from pumicespur.model import WorkerState
 
 if TYPE_CHECKING:
-    from pumicespur.jobs._job import StepGroup, Task
+    from pumicespur.jobs._job import Task
     from pumicespur.jobs._load import WorkerLoad
     from pumicespur.jobs._pool import PoolState
 
@@ -26,7 +26,7 @@
     chosen: list[Task] = []
     for load in leaving:
         for task in sorted(load.tasks, key=lambda task: task.name):
-            if _may_stop(task, now, chosen) and has_place(pool, task, now):
+            if _may_stop(pool, task, now, chosen) and has_place(pool, task, now):
                 chosen.append(task)
     return chosen
 
@@ -36,28 +36,32 @@
     return load.reachable and (load.evacuating or draining)
 
 
-def _may_stop(task: Task, now: float, chosen: list[Task]) -> bool:
+def _may_stop(pool: PoolState, task: Task, now: float, chosen: list[Task]) -> bool:
     if not task.spec.long_running or task.job.ended or task.state is not TaskState.RUNNING:
         return False
     if now - task.stop_sent_at < MOVE_AGAIN_S:
         return False
     if not task.spec.may_miss:
         return True
-    return away_beside(task.group, task, chosen) < task.spec.may_miss
+    return away_beside(pool, task, chosen) < task.spec.may_miss
 
 
-def away_beside(group: StepGroup, task: Task, chosen: list[Task]) -> int:
-    """Count the other tasks of a step that are not at work, or will not be."""
+def away_beside(pool: PoolState, task: Task, chosen: list[Task]) -> int:
+    """Count the other tasks of a step that are not known to be at work, or will not be."""
     return sum(
         1
-        for other in group.tasks
-        if other is not task
-        and (
-            other in chosen or other.away_since is not None or other.state is not TaskState.RUNNING
-        )
+        for other in task.group.tasks
+        if other is not task and (other in chosen or _is_away(pool, other))
     )
 
 
+def _is_away(pool: PoolState, task: Task) -> bool:
+    if task.away_since is not None or task.state is not TaskState.RUNNING:
+        return True
+    load = pool.loads.get(task.worker) if task.worker else None
+    return load is None or not load.reachable
+
+
 def has_place(pool: PoolState, task: Task, now: float) -> bool:
     """Tell whether another worker has room for a task, so that a stop leads somewhere."""
     return any(
--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -33,6 +33,13 @@
 """Workers kept in an idle pool: one may be lost and one down while a third takes work."""
 
 
+MOST_WORKERS = 12
+"""Workers that demand alone may ask for; half as many again as a pool is declared with."""
+
+BUSY_WORKERS = 6
+"""Need at which a pool counts as having had its busy time."""
+
+
 @dataclass(frozen=True)
 class Demand:
     """What tasks ask for, in thousandths of a core and in MB."""
@@ -94,11 +101,11 @@
 
 
 def wanted_workers(pool: PoolState, short: Demand, lasting: Demand, room: Capacity) -> int:
-    """Return how many workers of a size the pool ought to have."""
+    """Return how many workers of a size the pool's present work takes."""
     cpu = (short.cpu_millis + lasting.cpu_millis) / max(1, room.cpu_millis)
     memory = (short.memory_mb + lasting.memory_mb) / max(1, room.memory_mb)
     by_demand = math.ceil(max(cpu, memory) / FILL_SHARE)
-    return max(LEAST_WORKERS, by_demand, _spread(pool))
+    return max(LEAST_WORKERS, min(by_demand, MOST_WORKERS), _spread(pool))
 
 
 def _spread(pool: PoolState) -> int:
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -11,7 +11,13 @@
 from logbook import Logger
 
 from pumicespur.jobs._availability import tasks_to_move
-from pumicespur.jobs._demand import Demand, DemandTracker, current_demand, wanted_workers
+from pumicespur.jobs._demand import (
+    BUSY_WORKERS,
+    Demand,
+    DemandTracker,
+    current_demand,
+    wanted_workers,
+)
 from pumicespur.jobs._job import ENDED_PHASES, Job, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import (
@@ -105,6 +111,8 @@
         """Jobs that have ended, by the time of day in milliseconds."""
         self.submissions_version = 0
         self.demand = DemandTracker()
+        self.was_busy = False
+        """Whether the pool's busy time has been seen under this owner."""
         self.short = Demand()
         self.lasting = Demand()
         self.tell = tell
@@ -442,5 +450,9 @@
                 if load.worker.capacity.cpu_millis == rooms[len(rooms) // 2]
             )
             foreseen = self.demand.foreseen()
-            report.wanted_workers = wanted_workers(self.pool, foreseen, self.lasting, room)
+            wanted = wanted_workers(self.pool, foreseen, self.lasting, room)
+            self.was_busy = self.was_busy or wanted >= BUSY_WORKERS
+            listed = sum(1 for load in self.pool.loads.values() if load.listed)
+            # Until its load has been seen to come and go, a pool keeps what it has.
+            report.wanted_workers = wanted if self.was_busy else max(wanted, listed)
         return report
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -249,7 +249,8 @@
         if settings is not None and settings.spare:
             return True
         report = self._worker_report(instance)
-        return report is not None and report.evacuating and not report.tasks
+        known = report is not None and report.reachable and report.evacuating
+        return known and report is not None and not report.tasks
 
     def _is_released(self, name: InstanceId) -> bool:
         """Whether an instance surely carries no task that an availability budget protects."""
