--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -219,7 +219,8 @@
         now = time.monotonic()
         self._note_returned(progress, now)
         idle = {i.id for i in self.instances.values() if self._is_idle(i)}
-        for name in choose_emptying(progress, self.instances, idle):
+        wanted = self._fleet_state().wanted
+        for name in choose_emptying(progress, self.instances, idle, wanted):
             progress.emptying[name] = now
             log.info("instance to be emptied", wave=progress.wave.number, instance=name)
         if now < self.orders_from:
--- a/pumicespur/maintenance/_waves.py
+++ b/pumicespur/maintenance/_waves.py
@@ -49,10 +49,12 @@
     progress: WaveProgress,
     instances: Mapping[InstanceId, Instance],
     idle: set[InstanceId],
+    wanted: Mapping[PoolId, int],
 ) -> list[InstanceId]:
     """Choose instances to empty, so that as many as allowed are under way.
 
-    Instances without tasks go first; pools give up instances evenly and never many at once.
+    Instances without tasks go first. Pools give up instances evenly, as many as they can
+    spare by what their owners want, and a share at least.
     """
     sizes = Counter(i.pool for i in instances.values() if i.state is InstanceState.UP)
     busy: Counter[PoolId] = Counter(
@@ -72,10 +74,17 @@
     while room > 0 and waiting:
         instance = min(waiting, key=lambda i: (i.id not in idle, busy[i.pool], i.rack, i.id))
         waiting.remove(instance)
-        allowed = max(1, int(sizes[instance.pool] * MAX_SHARE_DOWN))
+        size = sizes[instance.pool] + _down(progress, instances, instance.pool)
+        spare = size - wanted.get(instance.pool, size)
+        allowed = max(1, int(size * MAX_SHARE_DOWN), spare)
         if instance.id not in idle and busy[instance.pool] >= allowed:
             continue
         busy[instance.pool] += 1
         chosen.append(instance.id)
         room -= 1
     return chosen
+
+
+def _down(progress: WaveProgress, instances: Mapping[InstanceId, Instance], pool: PoolId) -> int:
+    """Count the pool's instances that are down for the wave."""
+    return sum(1 for name in progress.ordered if name in instances and instances[name].pool == pool)
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -81,6 +81,8 @@
         self.stopping = False
         self.answered_at = float("-inf")
         """When the store last took a heartbeat (monotonic seconds)."""
+        self.heard_at = time.monotonic()
+        """When the store last told of heartbeats (monotonic seconds)."""
         self.failing = False
         """Whether the last heartbeat failed."""
         self.changed = anyio.Event()
@@ -158,7 +160,6 @@
     async def _follow_heartbeats(self) -> None:
         """Hear of the other processes; a pause gathers many heartbeats into one answer."""
         version: int | None = None
-        heard_at = time.monotonic()
         while True:
             if version is None:
                 answer = await self.table.scan(HEARTBEATS_TABLE, "")
@@ -168,9 +169,9 @@
             now = time.monotonic()
             match answer:
                 case Result(tag="ok", ok=page):
-                    if now - heard_at > self.settings.store.missing_s:
+                    if now - self.heard_at > self.settings.store.missing_s:
                         self.view.steady_since = now
-                    heard_at = now
+                    self.heard_at = now
                     version = page.version
                     for row in page.rows:
                         self._see(row, now)
@@ -232,6 +233,9 @@
         now = time.monotonic()
         if self.stopping or now - self.started_at < SETTLE_S or not self.view.workers_known:
             return
+        if now - self.heard_at > self.settings.store.missing_s:
+            # Nobody can be judged by heartbeats that this process has not heard.
+            return
         for pool in self._duties():
             if pool in self.owned:
                 continue
