--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -129,7 +129,10 @@
             progress = self.waves.get(wave.number)
             if progress is None:
                 progress = await self._open_wave(wave.number)
-            if progress is not None and not progress.completed:
+            if progress is None:
+                continue
+            self._note_returned(progress, time.monotonic())
+            if not progress.completed:
                 await self._work_on(progress)
         await self._resize()
 
@@ -217,7 +220,6 @@
 
     async def _work_on(self, progress: WaveProgress) -> None:
         now = time.monotonic()
-        self._note_returned(progress, now)
         idle = {i.id for i in self.instances.values() if self._is_idle(i)}
         wanted = self._fleet_state().wanted
         for name in choose_emptying(progress, self.instances, idle, wanted):
