--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -33,13 +33,6 @@
 """Workers kept in an idle pool: one may be lost and one down while a third takes work."""
 
 
-MOST_WORKERS = 12
-"""Workers that demand alone may ask for; half as many again as a pool is declared with."""
-
-BUSY_WORKERS = 6
-"""Need at which a pool counts as having had its busy time."""
-
-
 @dataclass(frozen=True)
 class Demand:
     """What tasks ask for, in thousandths of a core and in MB."""
@@ -105,7 +98,7 @@
     cpu = (short.cpu_millis + lasting.cpu_millis) / max(1, room.cpu_millis)
     memory = (short.memory_mb + lasting.memory_mb) / max(1, room.memory_mb)
     by_demand = math.ceil(max(cpu, memory) / FILL_SHARE)
-    return max(LEAST_WORKERS, min(by_demand, MOST_WORKERS), _spread(pool))
+    return max(LEAST_WORKERS, by_demand, _spread(pool))
 
 
 def _spread(pool: PoolState) -> int:
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -12,7 +12,6 @@
 
 from pumicespur.jobs._availability import tasks_to_move
 from pumicespur.jobs._demand import (
-    BUSY_WORKERS,
     Demand,
     DemandTracker,
     current_demand,
@@ -111,10 +110,6 @@
         """Jobs that have ended, by the time of day in milliseconds."""
         self.submissions_version = 0
         self.demand = DemandTracker()
-        self.first_size = 0
-        """Instances that the pool had when this owner first told its needs."""
-        self.was_busy = False
-        """Whether the pool's busy time has been seen under this owner."""
         self.short = Demand()
         self.lasting = Demand()
         self.tell = tell
@@ -453,9 +448,5 @@
             )
             foreseen = self.demand.foreseen()
             wanted = wanted_workers(self.pool, foreseen, self.lasting, room)
-            self.was_busy = self.was_busy or wanted >= BUSY_WORKERS
-            if not self.first_size:
-                self.first_size = len({load.worker.instance for load in self.pool.loads.values()})
-            # Until its load has been seen to come and go, a pool keeps what it had.
-            report.wanted_workers = wanted if self.was_busy else max(wanted, self.first_size)
+            report.wanted_workers = wanted
         return report
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -29,7 +30,7 @@
     from pumicespur.jobs import Ownership
     from pumicespur.node import NodeView
     from pumicespur.platform import FleetOrders, PlatformTable
-    from pumicespur.schema.jobs_pb import WorkerReport
+    from pumicespur.schema.jobs_pb import PoolReport, WorkerReport
 
 log = Logger(__name__)
 
@@ -45,6 +46,9 @@
 SLACK_S = 0.5
 """Added to the wait of a new holder, for orders that travel slowly."""
 
+GROWTH = 1.5
+"""How far a pool may grow beyond the instances it came with, by need."""
+
 LOST_S = 4.0
 """Time beyond a move's own after which an order without effect counts as not done."""
 
@@ -78,6 +82,8 @@
         self.journal = Journal(table, ownership, 0)
         self.waves: dict[int, WaveProgress] = {}
         self.instances: dict[InstanceId, Instance] = {}
+        self.declared: Counter[PoolId] = Counter()
+        """Instances of each pool when this holder first saw the list."""
         self.sizer = Sizer()
         self.moving: dict[InstanceId, tuple[PoolId, float]] = {}
         """Instances on their way to a pool, by the monotonic time of the order."""
@@ -122,6 +128,8 @@
         match answer:
             case Result(tag="ok", ok=instances):
                 self.instances = {instance.id: instance for instance in instances}
+                if not self.declared:
+                    self.declared = Counter(instance.pool for instance in instances)
             case Result(error=fault):
                 log.warning("instances not listed", reason=str(fault))
                 return
@@ -179,6 +187,11 @@
             case Result(error=fault):
                 log.warning("move not answered", instance=name, pool=pool, reason=str(fault))
 
+    def _size(self, pool: PoolId, report: PoolReport) -> int:
+        """Return the instances that a pool ought to have: those it came with, more by need."""
+        declared = self.declared.get(pool, 0)
+        return max(declared, min(report.wanted_workers, int(declared * GROWTH)))
+
     def _fleet_state(self) -> FleetState:
         reports = {
             pool: report
@@ -190,7 +203,7 @@
         taken = {n for p in self.waves.values() for n in (*p.emptying, *p.ordered)}
         return FleetState(
             instances=self.instances,
-            wanted={p: r.wanted_workers for p, r in reports.items() if r.wanted_workers},
+            wanted={p: self._size(p, r) for p, r in reports.items() if r.wanted_workers},
             spare=frozenset(p.id for p in self.view.configuration.pools.values() if p.spare),
             reachable=frozenset(name for name, w in found.items() if w.reachable),
             tasks={name: w.tasks for name, w in found.items()},
