--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -46,7 +46,7 @@
 SLACK_S = 0.5
 """Added to the wait of a new holder, for orders that travel slowly."""
 
-GROWTH = 1.5
+GROWTH = 1.0
 """How far a pool may grow beyond the instances it came with, by need."""
 
 LOST_S = 4.0
