--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -1,14 +1,15 @@
 """The one process that gives orders for instances: it empties them, then takes them down.
 
 The platform may not check fencing tokens of these orders, so time keeps holders apart: a
-holder orders only shortly after it has proved that it still holds the duty, and a new one
-waits until its predecessor's last order is older than the lease between holders.
+holder records what it is about to order, orders only shortly after that proof that it still
+holds the duty, and a new one leaves those instances alone until its predecessor's last order
+is older than the lease between holders.
 """
 
 from __future__ import annotations
 
 import time
-from collections import Counter
+from collections import Counter, deque
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,7 +21,7 @@
 from pumicespur.maintenance._waves import WaveProgress, choose_emptying
 from pumicespur.model import Instance, InstanceId, InstanceState, PoolId, WorkerId
 from pumicespur.platform import encode_wave_state, wave_state_key
-from pumicespur.schema.jobs_pb import WaveRecord
+from pumicespur.schema.jobs_pb import OrderIntent, OrderIntents, WaveRecord
 from pumicespur.store import NeverDone, Transaction, Unavailable, Write
 
 if TYPE_CHECKING:
@@ -37,6 +38,8 @@
 FLEET = PoolId("~fleet")
 """Stands for the duty where pools stand otherwise; no pool has this name."""
 
+INTENTS_KEY = f"waves/{FLEET}/intents"
+
 ROUND_S = 0.4
 """Pause between rounds; each reads the list of instances once."""
 
@@ -46,7 +49,7 @@
 SLACK_S = 0.5
 """Added to the wait of a new holder, for orders that travel slowly."""
 
-GROWTH = 1.0
+GROWTH = 1.5
 """How far a pool may grow beyond the instances it came with, by need."""
 
 LOST_S = 4.0
@@ -78,7 +81,11 @@
         self.orders = orders
         self.ownership = ownership
         self.orders_from = ownership.acquired_at + wait_s
-        """Monotonic time before which no order is given."""
+        """Monotonic time before which instances of the last holder's intents get no order."""
+        self.reserved: set[InstanceId] = set()
+        """Instances for which the last holder may have given orders just now."""
+        self.intents: deque[tuple[float, frozenset[InstanceId]]] = deque()
+        """Instances of recent intents, by monotonic time in seconds, oldest first."""
         self.journal = Journal(table, ownership, 0)
         self.waves: dict[int, WaveProgress] = {}
         self.instances: dict[InstanceId, Instance] = {}
@@ -99,10 +106,10 @@
         """Hold the duty until it is lost or given up."""
         try:
             await self.journal.load()
+            await self._read_intents()
             self.ready = True
             log.info("fleet duty taken", token=self.ownership.token)
             while not self.stopping:
-                await self.journal.commit([])
                 await self._round()
                 await anyio.sleep(ROUND_S)
             await self.journal.release(self.settings.process.id)
@@ -116,6 +123,47 @@
         self.stopping = True
         await self.stopped.wait()
 
+    async def _read_intents(self) -> None:
+        """Learn for which instances the holder before may have given orders just now."""
+        while True:
+            found = await self.table.read(INTENTS_KEY)
+            match found:
+                case Result(tag="ok", ok=row):
+                    record = OrderIntents.from_binary(row.value)
+                    names = {name for intent in record.intents for name in intent.instances}
+                    self.reserved = {InstanceId(name) for name in names}
+                    return
+                case Result(error=fault):
+                    log.warning("intents not read", reason=str(fault))
+                    await anyio.sleep(ROUND_S)
+
+    async def _announce(self, names: set[InstanceId]) -> None:
+        """Record what is about to be ordered; this also proves that the duty is still held.
+
+        Without news an empty commit is the proof, and the recorded intents stay as they are.
+        """
+        now = time.monotonic()
+        kept = len(self.intents)
+        while self.intents and now - self.intents[0][0] > self._intent_age_s():
+            self.intents.popleft()
+        if not names and kept == len(self.intents):
+            await self.journal.commit([])
+            return
+        if names:
+            self.intents.append((now, frozenset(names)))
+        record = OrderIntents(
+            intents=[OrderIntent(instances=sorted(names)) for _, names in self.intents]
+        )
+        await self.journal.commit([Write(INTENTS_KEY, record.to_binary())])
+
+    def _intent_age_s(self) -> float:
+        """Return how long an intent matters to a next holder, in seconds."""
+        return self.settings.fleet.lease_ms / 1000 + PROOF_S + SLACK_S
+
+    def _may_order(self, name: InstanceId) -> bool:
+        """Whether enough time lies behind the last holder's orders for an instance."""
+        return name not in self.reserved or time.monotonic() >= self.orders_from
+
     def evacuations(self) -> list[WorkerId]:
         """Return the workers that their owners shall empty."""
         names = [name for progress in self.waves.values() for name in progress.emptying]
@@ -154,9 +202,9 @@
         if set(self.evacuations()) != self.told:
             self.told = set(self.evacuations())
             self.tell()
-        if now < self.orders_from:
-            return
-        for name, pool in plan.moves:
+        moves = [(name, pool) for name, pool in plan.moves if self._may_order(name)]
+        await self._announce({name for name, _ in moves})
+        for name, pool in moves:
             await self._move(name, pool)
 
     def _has_arrived(self, name: InstanceId, pool: PoolId, since_s: float) -> bool:
@@ -238,13 +286,18 @@
         for name in choose_emptying(progress, self.instances, idle, wanted):
             progress.emptying[name] = now
             log.info("instance to be emptied", wave=progress.wave.number, instance=name)
-        if now < self.orders_from:
-            return
+        due: set[InstanceId] = set()
         for name, since in list(progress.emptying.items()):
             if name not in self.instances:
                 del progress.emptying[name]
             elif name in idle or (now - since > EMPTY_S and self._is_released(name)):
+                due.add(name)
+        due = {name for name in due if self._may_order(name)}
+        if due:
+            await self._announce(due)
+            for name in sorted(due):
                 await self._take_down(progress, name)
+            await self._record(progress)
         if not progress.left(self.instances) and not progress.emptying:
             progress.completed = True
             await self._record(progress)
@@ -292,7 +345,6 @@
                 progress.emptying.pop(name, None)
                 progress.begun.add(name)
                 log.info("instance down", wave=number, instance=name, token=self.ownership.token)
-                await self._record(progress)
             case Result(error=fault):
                 log.warning(
                     "instance not taken down", wave=number, instance=name, reason=str(fault)
