Prove the node's path on a stand-in of the users' protocol; end the lease of silent workers

Found by the tests: each repeated call to a worker that did not answer promised it a new lease, so its tasks were never started elsewhere; an answer that is not understood ended the process. 25 tests on real processes (submission, faults of store and workers, takeovers, waves, logs).

--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -92,9 +92,11 @@
         """Extend the lease and read the account; return whether to look again at once."""
         settings = self.owner.settings.workers
         wait_s = settings.watch_s if self.lease.clock_ms is not None else 0.0
-        if self.seen > self.recorded or self.unsettled:
+        if self.seen > self.recorded or self.unsettled or self.failures:
             wait_s = 0.0
-        deadline = self.lease.grant(now, settings.lease_s)
+        # A worker that did not answer is promised nothing more, so that its lease does end.
+        silent = self.failures > 0
+        deadline = self.lease.granted() if silent else self.lease.grant(now, settings.lease_s)
         answer = await self.owner.orders.hold(
             self.load.worker, self.owner.token, self.recorded, deadline, wait_s
         )
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -346,7 +346,11 @@
         return self.settings.fleet.lease_ms / 1000 + PROOF_S + SLACK_S
 
     async def _own(self, pool: PoolId, owner: PoolOwner | FleetHolder) -> None:
-        await owner.run()
+        try:
+            await owner.run()
+        except Exception:
+            # A fault in one pool must not end the process; the pool is taken anew.
+            log.exception("pool failed", pool=pool)
         if self.owned.get(pool) is owner:
             del self.owned[pool]
         self.changed.set()
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -111,6 +111,9 @@
             await self.stop_asked.wait()
             await self._drain()
             tasks.cancel_scope.cancel()
+        await self.server.aclose()
+        for caller in (self.store_caller, self.order_caller, self.watch_caller):
+            await caller.aclose()
         log.info("process stopped", in_flight=self.server.in_flight)
 
     async def _listen_to_signals(
--- a/pumicespur/platform/_fleet.py
+++ b/pumicespur/platform/_fleet.py
@@ -10,7 +10,7 @@
 
 from pumicespur.model import DataHall, Instance, InstanceId, InstanceState, PoolId, WorkerId
 from pumicespur.platform._declarations import WireCapacity, rack_of
-from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller
+from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller, understand
 from pumicespur.store import NeverDone, Unavailable
 
 if TYPE_CHECKING:
@@ -86,11 +86,14 @@
             answer = await self.caller.call("GET", url, TIMEOUT_S)
             match answer:
                 case Result(tag="ok", ok=Answer(status=200, body=content)):
-                    found = _MACHINES.decode(content)
-                    instances += [_instance(machine) for machine in found.machines]
-                    if not found.next_page:
+                    match understand(_MACHINES.decode, content):
+                        case Result(tag="error", error=fault):
+                            return Error(fault)
+                        case Result(ok=found):
+                            instances += [_instance(machine) for machine in found.machines]
+                            page = found.next_page or ""
+                    if not page:
                         return Ok(instances)
-                    page = found.next_page
                 case Result(tag="ok", ok=refusal):
                     return Error(Unavailable(f"list refused with {refusal.status}"))
                 case Result(error=fault):
--- a/pumicespur/platform/_http.py
+++ b/pumicespur/platform/_http.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import aiohttp
+import msgspec
 from expression import Error, Ok, Result
+from logbook import Logger
 
 from pumicespur.store import AnswerLost, Unavailable
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
+
+log = Logger(__name__)
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 KEEP_ALIVE_S = 30.0
@@ -26,6 +30,24 @@
     body: bytes
 
 
+Decoded = TypeVar("Decoded")
+
+
+def understand(
+    decode: Callable[[bytes], Decoded], content: bytes
+) -> Result[Decoded, Unavailable | AnswerLost]:
+    """Decode the body of an answer; one that is not understood counts as none."""
+    try:
+        return Ok(decode(content))
+    except (msgspec.MsgspecError, ValueError) as failure:
+        log.error(
+            "answer not understood",
+            reason=str(failure),
+            body=content[:200].decode(errors="replace"),
+        )
+        return Error(AnswerLost(f"not understood: {failure}"))
+
+
 class HttpCaller:
     """A pool of connections; a call returns an answer or tells whether it may have arrived."""
 
--- a/pumicespur/platform/_orders.py
+++ b/pumicespur/platform/_orders.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from pumicespur.model import Account, OtherLife, Refused, RunEnd, Running, TaskEnd, TaskName
-from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller
+from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller, understand
 from pumicespur.store import Unavailable
 
 if TYPE_CHECKING:
@@ -137,7 +137,7 @@
         answer = await self._call(self.watcher, worker, HOLD_PATH, body, timeout_s)
         match answer:
             case Result(tag="ok", ok=Answer(status=200, body=content)):
-                return Ok(_account(content))
+                return understand(_account, content)
             case Result(tag="ok", ok=refusal):
                 return Error(_fault(refusal))
             case Result(error=fault):
@@ -154,8 +154,9 @@
         )
         match answer:
             case Result(tag="ok", ok=Answer(status=200, body=content)):
-                advised = _ADVISED.decode(content)
-                return Ok((dict(advised.good), advised.valid_ms / 1000))
+                return understand(_ADVISED.decode, content).map(
+                    lambda advised: (dict(advised.good), advised.valid_ms / 1000)
+                )
             case Result(tag="ok", ok=refusal):
                 return Error(Unavailable(f"advice refused with {refusal.status}"))
             case Result(error=fault):
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -15,7 +15,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller
+from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller, understand
 from pumicespur.store import AnswerLost, AnswerTimes, Conflict, HistoryGone, Page, Row, Unavailable
 
 if TYPE_CHECKING:
@@ -104,7 +104,7 @@
         answer = await self._timed_call("POST", TRANSACT_PATH, body)
         match answer:
             case Result(tag="ok", ok=Answer(status=200, body=content)):
-                return Ok(_WRITTEN.decode(content).ver)
+                return understand(_WRITTEN.decode, content).map(lambda written: written.ver)
             case Result(tag="ok", ok=Answer(status=412, body=content)):
                 return Error(Conflict(tuple(_key(row) for row in _ROWS.decode(content).rows)))
             case Result(tag="ok", ok=Answer(status=status, body=content)):
@@ -188,7 +188,7 @@
 def _rows(answer: Result[Answer, Unavailable | AnswerLost]) -> Result[_Rows, Fault]:
     match answer:
         case Result(tag="ok", ok=Answer(status=200, body=content)):
-            return Ok(_ROWS.decode(content))
+            return understand(_ROWS.decode, content)
         case Result(tag="ok", ok=Answer(status=410)):
             return Error(HistoryGone("the history is gone"))
         case Result(tag="ok", ok=Answer(status=status, body=content)):
--- /dev/null
+++ b/standins/hosted/_nodes.py
@@ -0,0 +1,117 @@
+"""Start and end the program's role `node` as real processes."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+END_S = 10.0
+
+SETTINGS = """
+[process]
+id = {name}
+data_hall = hall
+stop_grace_s = 3
+[listen]
+callers = 127.0.0.1:{callers}
+readiness = 127.0.0.1:{readiness}
+metrics = 127.0.0.1:{metrics}
+[store]
+address = {store}
+timeout_s = 0.3
+heartbeat_s = 0.1
+missing_s = 0.6
+watch_s = 1
+[workers]
+lease_s = 1.2
+call_timeout_s = 0.3
+watch_s = 0.2
+owner_silence_s = 1.5
+[fleet]
+address = {fleet}
+lease_ms = 300
+move_s = 0.1
+upkeep_s = 0.1
+"""
+
+
+@dataclass
+class Node:
+    """One process and where it listens."""
+
+    name: str
+    callers: int
+    readiness: int
+    metrics: int
+    log: Path
+    process: subprocess.Popen[bytes]
+
+    @property
+    def url(self) -> str:
+        """Where callers reach the node."""
+        return f"http://127.0.0.1:{self.callers}"
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process, which the tests started."""
+        self.process.send_signal(number)
+
+
+@dataclass
+class Nodes:
+    """The nodes that one test started; it ends only these."""
+
+    folder: tempfile.TemporaryDirectory[str] = field(default_factory=tempfile.TemporaryDirectory)
+    nodes: dict[str, Node] = field(default_factory=dict)
+
+    def start(self, name: str, store: str, fleet: str) -> Node:
+        """Start a node with a settings file of its own; a name may be started again."""
+        callers, readiness, metrics = free_ports(3)
+        path = Path(self.folder.name) / f"{name}.ini"
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                callers=callers,
+                readiness=readiness,
+                metrics=metrics,
+                store=store,
+                fleet=fleet,
+            )
+        )
+        log = Path(self.folder.name) / f"{name}.log"
+        with log.open("ab") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "pumicespur.commands.node"],
+                env={**os.environ, "PUMICESPUR_NODE_FILE": str(path)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        node = Node(name, callers, readiness, metrics, log, process)
+        self.nodes[name] = node
+        return node
+
+    def close(self) -> None:
+        """End every node that was started."""
+        for node in self.nodes.values():
+            if node.process.poll() is None:
+                node.send_signal(signal.SIGCONT)
+                node.process.kill()
+            node.process.wait(END_S)
+        self.folder.cleanup()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now; all are held until the last one is found."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
--- /dev/null
+++ b/standins/hosted/_workers.py
@@ -0,0 +1,227 @@
+"""A worker's stand-in: leased runs, ends until acknowledged, fencing, orders done late."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+LAST = 10**9
+"""A duration that no test outlives, in seconds."""
+
+
+@dataclass
+class Run:
+    """One run of a task, as its worker saw it."""
+
+    task: str
+    number: int
+    worker: str
+    payload: str
+    checkpoint: str
+    token: int
+    started_at: float
+    """Monotonic time, as for the end."""
+    ended_at: float | None = None
+    how: str = ""
+
+
+@dataclass
+class WorkerFaults:
+    """What goes wrong; a test sets it while the worker runs."""
+
+    silent: bool = False
+    late_starts_s: float = 0.0
+    """Starts get no answer and are done after this time."""
+    fail_all: bool = False
+
+
+@dataclass
+class HostedWorker:
+    """One life of a worker; `history` is shared by all and outlives it."""
+
+    id: str
+    pool: str
+    instance: str
+    rack: str
+    history: list[Run]
+    cpu: int = 4000
+    memory_mb: int = 8000
+    task_s: float = 0.05
+    faults: WorkerFaults = field(default_factory=WorkerFaults)
+    address: str = ""
+    highest_token: int = 0
+    deadline_ms: float = 0.0
+    running: dict[str, Run] = field(default_factory=dict)
+    ended: list[list[Any]] = field(default_factory=list)
+    refused: dict[str, int] = field(default_factory=dict)
+    """The highest run of each task that was stopped or ended here."""
+    count: int = 0
+    alive: bool = True
+    news: asyncio.Event = field(default_factory=asyncio.Event)
+    runner: web.AppRunner | None = None
+
+    def clock_ms(self) -> float:
+        """Return the worker's own clock."""
+        return time.monotonic() * 1000
+
+    async def serve(self) -> None:
+        """Listen at a free port."""
+        app = web.Application()
+        app.router.add_post("/pumicespur/run-start", self._start)
+        app.router.add_post("/pumicespur/run-stop", self._stop)
+        app.router.add_post("/pumicespur/hold", self._hold)
+        app.router.add_post("/pumicespur/pace", self._pace)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self.runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    def description(self, state: str = "ready") -> bytes:
+        """Return what the worker keeps in the store about itself."""
+        return json.dumps(
+            {
+                "backend": self.pool,
+                "address": self.address,
+                "zone": "hall",
+                "state": state,
+                "capacity": {"cpu": self.cpu, "memMb": self.memory_mb},
+                "labels": ["a", self.rack],
+                "machine": self.instance,
+                "callSeq": 0,
+            }
+        ).encode()
+
+    async def crash(self) -> None:
+        """End this life with all that it runs."""
+        self.alive = False
+        for run in self.running.values():
+            run.ended_at = time.monotonic()
+            run.how = "gone"
+        self.running.clear()
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def _end(self, run: Run, how: str) -> None:
+        if self.running.get(run.task) is not run:
+            return
+        del self.running[run.task]
+        run.ended_at = time.monotonic()
+        run.how = how
+        self.refused[run.task] = max(run.number, self.refused.get(run.task, 0))
+        self.count += 1
+        checkpoint = f"after-{run.number}" if how == "stopped" else ""
+        self.ended.append([self.count, run.task, run.number, how, checkpoint])
+        self.news.set()
+        self.news = asyncio.Event()
+
+    def _note_order(self, body: dict[str, Any]) -> web.Response | None:
+        """Refuse an order under an older token; take the deadline of any other."""
+        if body.get("fencingToken", 0) < self.highest_token:
+            return self._refuse("fence")
+        self.highest_token = body.get("fencingToken", 0)
+        self.deadline_ms = max(self.deadline_ms, body.get("deadlineMs") or 0)
+        return None
+
+    def _refuse(self, reason: str) -> web.Response:
+        return web.json_response({"clockMs": self.clock_ms(), "reason": reason}, status=409)
+
+    async def _gate(self, request: web.Request) -> web.Response | None:
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if request.headers.get("X-Pumicespur-Expect-Instance") != self.id:
+            return web.Response(status=421)
+        return None
+
+    async def _start(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        refused = await self._gate(request)
+        if refused is not None:
+            return refused
+        if self.faults.late_starts_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.late_starts_s, self._take_start, body)
+            await asyncio.sleep(3600)
+        return self._take_start(body)
+
+    def _take_start(self, body: dict[str, Any]) -> web.Response:
+        refused = self._note_order(body)
+        if refused is not None:
+            return refused
+        task, number = body["task"], body["run"]
+        present = self.running.get(task)
+        if present is not None and present.number == number:
+            return web.json_response({"clockMs": self.clock_ms()})
+        if number <= self.refused.get(task, 0):
+            return self._refuse("old")
+        if body["deadlineMs"] < self.clock_ms():
+            return self._refuse("late")
+        self._begin(body)
+        return web.json_response({"clockMs": self.clock_ms()})
+
+    def _begin(self, body: dict[str, Any]) -> None:
+        run = Run(
+            body["task"],
+            body["run"],
+            self.id,
+            body["taskSpec"],
+            body.get("checkpoint", ""),
+            body["fencingToken"],
+            time.monotonic(),
+        )
+        self.running[run.task] = run
+        self.history.append(run)
+        loop = asyncio.get_running_loop()
+        lasts_s = LAST if run.payload == "lasts" else self.task_s
+        if lasts_s < LAST:
+            how = "failed" if self.faults.fail_all or run.payload == "fails" else "done"
+            loop.call_later(lasts_s, self._end, run, how)
+        loop.call_later(0.05, self._check_lease)
+
+    def _check_lease(self) -> None:
+        if not self.alive or not self.running:
+            return
+        if self.clock_ms() > self.deadline_ms:
+            for run in list(self.running.values()):
+                self._end(run, "lapsed")
+            return
+        asyncio.get_running_loop().call_later(0.02, self._check_lease)
+
+    async def _stop(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        refused = await self._gate(request) or self._note_order(body)
+        if refused is not None:
+            return refused
+        run = self.running.get(body["task"])
+        if run is not None and run.number == body["run"]:
+            asyncio.get_running_loop().call_later(0.02, self._end, run, "stopped")
+        elif run is None:
+            known = self.refused.get(body["task"], 0)
+            self.refused[body["task"]] = max(body["run"], known)
+        return web.json_response({"clockMs": self.clock_ms()})
+
+    async def _pace(self, request: web.Request) -> web.StreamResponse:
+        refused = await self._gate(request)
+        return refused or web.json_response({"clockMs": self.clock_ms()})
+
+    async def _hold(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        refused = await self._gate(request) or self._note_order(body)
+        if refused is not None:
+            return refused
+        self.ended = [end for end in self.ended if end[0] > body["lastSeen"]]
+        if not self.ended and body.get("waitMs"):
+            # If nothing ends in the time asked for, the account is answered all the same.
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(self.news.wait(), body["waitMs"] / 1000)
+        running = [[r.task, r.number, "", 100] for r in self.running.values()]
+        return web.json_response(
+            {"clockMs": self.clock_ms(), "running": running, "endedAt": self.ended}
+        )
--- /dev/null
+++ b/standins/hosted/_world.py
@@ -0,0 +1,194 @@
+"""Everything that a test of the role `node` needs: the platform's stand-ins and the nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import time
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from aiohttp import web
+
+from pumicespur.schema.jobs_pb import OwnerRecord
+from standins.hosted._fleet import HostedFleet
+from standins.hosted._nodes import Nodes
+from standins.hosted._store import HostedStore
+from standins.hosted._workers import HostedWorker, Run
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from standins.hosted._nodes import Node
+
+WAIT_S = 20.0
+CHECK_S = 0.02
+HOST = "jobs.example"
+
+
+class World:
+    """A platform with one pool `main`, a spare one, and nodes under test."""
+
+    def __init__(self) -> None:
+        self.store = HostedStore()
+        self.fleet = HostedFleet(self._rebuild)
+        self.nodes = Nodes()
+        self.history: list[Run] = []
+        self.workers: dict[str, HostedWorker] = {}
+        """The present worker of each instance."""
+        self.numbers = itertools.count(1)
+        self.runners: list[web.AppRunner] = []
+        self.session: aiohttp.ClientSession | None = None
+        self.addresses: dict[str, str] = {}
+
+    async def open(self) -> None:
+        """Serve the store and the list of instances."""
+        self.session = aiohttp.ClientSession()
+        for name, app in (("store", self.store.app()), ("fleet", self.fleet.app())):
+            runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            host, port = runner.addresses[0][:2]
+            self.addresses[name] = f"{host}:{port}"
+            self.runners.append(runner)
+        self.configure(1)
+
+    async def close(self) -> None:
+        """End all that was started."""
+        self.nodes.close()
+        if self.session is not None:
+            await self.session.close()
+        for worker in self.workers.values():
+            await worker.crash()
+        for runner in self.runners:
+            await runner.cleanup()
+
+    def configure(self, version: int, routes: tuple[str, ...] = ("quick",), **fields: Any) -> None:
+        """Write the operators' configuration with routes to the pool `main`."""
+        made = [
+            {
+                "name": name,
+                "host": HOST,
+                "pathPrefix": f"/{name}/",
+                "backend": "main",
+                "timeoutMs": 3000,
+                "targetLatencyMs": 500,
+                "maxAttempts": 3,
+                "stretch": 2.0,
+                **fields,
+            }
+            for name in routes
+        ]
+        pools = [{"name": "main", "admissionCheck": True}, {"name": "idle", "spare": True}]
+        content = {"version": version, "routes": made, "services": pools, "limits": {}}
+        self.store.put(("op", "", "config"), json.dumps(content).encode())
+
+    async def add_worker(self, instance: str, rack: str = "r1-1", pool: str = "main") -> None:
+        """Give an instance a new worker in a pool."""
+        number = next(self.numbers)
+        worker = HostedWorker(f"w-{number}", pool, instance, rack, self.history)
+        await worker.serve()
+        self.workers[instance] = worker
+        self.fleet.pools[instance] = pool
+        self.fleet.racks[instance] = rack
+        self.fleet.workers[instance] = worker.id
+        self.store.put(("servers", "", worker.id), worker.description())
+
+    async def crash_worker(self, instance: str) -> None:
+        """End a worker without a word; the store drops its entry."""
+        worker = self.workers.pop(instance)
+        await worker.crash()
+        self.store.remove(("servers", "", worker.id))
+
+    async def _rebuild(self, instance: str, pool: str) -> None:
+        if instance in self.workers:
+            await self.crash_worker(instance)
+        if pool != "idle":
+            await self.add_worker(instance, self.fleet.racks[instance], pool)
+
+    def start_node(self, name: str) -> Node:
+        """Start a node against this platform."""
+        return self.nodes.start(name, self.addresses["store"], self.addresses["fleet"])
+
+    async def call(self, node: Node, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """Send one caller's request; return status and body."""
+        assert self.session is not None
+        headers = {"Host": HOST, "X-Pumicespur-Deadline-Ms": "3000"}
+        try:
+            async with self.session.request(
+                method, node.url + path, json=body, headers=headers
+            ) as answer:
+                return answer.status, await answer.json(content_type=None)
+        except aiohttp.ClientError as failure:
+            return 0, {"error": str(failure)}
+
+    async def submit(
+        self, node: Node, job: str, steps: list[dict[str, Any]], payload: str = "quick"
+    ) -> int:
+        """Submit a job to the route `quick`; return the status."""
+        body = {"taskSpec": payload, "steps": steps}
+        status, _ = await self.call(node, "POST", f"/quick/{job}", body)
+        return status
+
+    async def state(self, node: Node, job: str) -> str:
+        """Return a job's state, or the status if it has none."""
+        status, body = await self.call(node, "GET", f"/quick/{job}")
+        return str(body["state"]) if status == 200 else str(status)
+
+    async def wait_state(self, node: Node, job: str, wanted: str) -> None:
+        """Wait until a job is shown in a state."""
+        until = time.monotonic() + WAIT_S
+        shown = ""
+        while time.monotonic() < until:
+            shown = await self.state(node, job)
+            if shown == wanted:
+                return
+            await asyncio.sleep(CHECK_S)
+        raise AssertionError(f"job {job} is shown as {shown}, not {wanted}")
+
+    async def wait_ready(self, node: Node) -> None:
+        """Wait until a node says that it is ready."""
+        assert self.session is not None
+        url = f"http://127.0.0.1:{node.readiness}/pumicespur/readiness"
+
+        async def ready() -> bool:
+            assert self.session is not None
+            try:
+                async with self.session.get(url) as answer:
+                    return answer.status == 200
+            except aiohttp.ClientError:
+                # It does not listen yet.
+                return False
+
+        until = time.monotonic() + WAIT_S
+        while not await ready():
+            if time.monotonic() > until:
+                raise AssertionError(f"{node.name} is not ready: {node.log.read_text()[-2000:]}")
+            await asyncio.sleep(CHECK_S)
+
+    async def wait_for(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait until something holds."""
+        until = time.monotonic() + WAIT_S
+        while not condition():
+            if time.monotonic() > until:
+                raise AssertionError(f"did not come true: {what}")
+            await asyncio.sleep(CHECK_S)
+
+    def overlaps(self) -> list[tuple[Run, Run]]:
+        """Return pairs of runs of one task that were at work at once, or one after a done one."""
+        found = []
+        for first, second in itertools.combinations(self.history, 2):
+            if first.task != second.task:
+                continue
+            first_end = first.ended_at if first.ended_at is not None else float("inf")
+            if second.started_at < first_end or first.how == "done":
+                found.append((first, second))
+        return found
+
+    def owner(self) -> str:
+        """Return the process that the store names as the owner of the pool `main`."""
+        value = self.store.value(("owners", "main", "owner"))
+        if value is None:
+            return ""
+        return OwnerRecord.from_binary(value).process
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,326 @@
+"""Tests of the role `node` as real processes against the users' platform's stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import unittest
+from typing import Any
+
+from standins.hosted import World
+from tests.base import quiet_loop
+
+STEP = {"count": 3, "cpu": 500, "memMb": 100, "estimatedMs": 50}
+LASTING = {"count": 2, "cpu": 500, "memMb": 100, "longRunning": True, "may_miss": 1}
+
+
+def job_id(number: int) -> str:
+    """Make a job id."""
+    return f"{number:016x}"
+
+
+class NodeCase(unittest.IsolatedAsyncioTestCase):
+    """Tests with a world of their own."""
+
+    nodes = 1
+    workers = 3
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.world = World()
+        await self.world.open()
+        self.addAsyncCleanup(self.world.close)
+        for number in range(self.workers):
+            await self.world.add_worker(f"m-{number}", f"r1-{number % 2}")
+        self.started = [self.world.start_node(f"node-{n}") for n in range(self.nodes)]
+        for node in self.started:
+            await self.world.wait_ready(node)
+        self.node = self.started[0]
+
+    async def asyncTearDown(self) -> None:
+        for node in self.started:
+            text = node.log.read_text()
+            self.assertFalse("Traceback" in text, text[-2500:])
+
+
+class JobPathTest(NodeCase):
+    """A job from submission to end, by one node."""
+
+    async def test_steps_run_in_order_and_once(self) -> None:
+        steps: list[dict[str, Any]] = [STEP, {**STEP, "dependsOn": [0]}]
+        self.assertEqual(200, await self.world.submit(self.node, job_id(1), steps))
+        await self.world.wait_state(self.node, job_id(1), "completed")
+        runs = self.world.history
+        self.assertEqual(6, len(runs))
+        self.assertEqual([], self.world.overlaps())
+        first = [r.ended_at for r in runs if r.task.split(".")[2] == "0"]
+        second = [r.started_at for r in runs if r.task.split(".")[2] == "1"]
+        self.assertLess(max(at or 0 for at in first), min(second))
+
+    async def test_same_id_again_stays_one_job(self) -> None:
+        for _ in range(2):
+            self.assertEqual(200, await self.world.submit(self.node, job_id(2), [STEP]))
+        await self.world.wait_state(self.node, job_id(2), "completed")
+        self.assertEqual(200, await self.world.submit(self.node, job_id(2), [STEP]))
+        await asyncio.sleep(0.3)
+        self.assertEqual(3, len(self.world.history))
+
+    async def test_unknown_job_and_route(self) -> None:
+        self.assertEqual("410", await self.world.state(self.node, job_id(3)))
+        status, _ = await self.world.call(self.node, "GET", "/nowhere/")
+        self.assertEqual(404, status)
+
+    async def test_bad_job_names_its_place(self) -> None:
+        steps = [STEP, {**STEP, "dependsOn": [4]}]
+        body = {"taskSpec": "", "steps": steps}
+        status, answer = await self.world.call(self.node, "POST", f"/quick/{job_id(4)}", body)
+        self.assertEqual(400, status)
+        self.assertIn("steps[1].dependsOn", answer["error"])
+
+    async def test_job_that_always_fails_is_shown_as_failed(self) -> None:
+        await self.world.submit(self.node, job_id(5), [{**STEP, "count": 1}], payload="fails")
+        await self.world.wait_state(self.node, job_id(5), "failed")
+        self.assertEqual(3, len(self.world.history))
+
+    async def test_cancelled_job_is_stopped(self) -> None:
+        await self.world.submit(self.node, job_id(6), [LASTING], payload="lasts")
+        await self.world.wait_for(lambda: len(self.world.history) == 2, "both tasks run")
+        status, _ = await self.world.call(self.node, "DELETE", f"/quick/{job_id(6)}")
+        self.assertEqual(200, status)
+        await self.world.wait_for(
+            lambda: all(run.ended_at for run in self.world.history), "both tasks are stopped"
+        )
+        self.assertEqual("cancelled", await self.world.state(self.node, job_id(6)))
+
+    async def test_waiting_jobs_are_counted(self) -> None:
+        huge = {**STEP, "count": 1, "cpu": 100_000}
+        await self.world.submit(self.node, job_id(7), [huge])
+        counted = 0
+        while counted != 1:
+            _, body = await self.world.call(self.node, "GET", "/quick/")
+            counted = body.get("pending", 0)
+            await asyncio.sleep(0.02)
+
+
+class ConfigurationTest(NodeCase):
+    """Routes come and go while a node serves."""
+
+    async def test_new_route_is_served_and_old_one_refused(self) -> None:
+        self.world.configure(2, ("other",))
+        status = 404
+        while status != 200:
+            status, _ = await self.world.call(self.node, "GET", "/other/")
+        status, _ = await self.world.call(self.node, "GET", "/quick/")
+        self.assertEqual(404, status)
+
+    async def test_forgotten_history_is_read_anew(self) -> None:
+        self.world.store.forget_history()
+        self.world.configure(2, ("quick", "other"))
+        self.world.store.forget_history()
+        status = 404
+        while status != 200:
+            status, _ = await self.world.call(self.node, "GET", "/other/")
+
+
+class StoreFaultTest(NodeCase):
+    """The store is away, loses answers, or carries writes out late."""
+
+    async def test_store_that_refuses_gives_503_with_a_time_to_come_back(self) -> None:
+        self.world.store.faults.refuse_with = 503
+        self.assertEqual(503, await self.world.submit(self.node, job_id(1), [STEP]))
+        self.world.store.faults.refuse_with = 0
+        await asyncio.sleep(0.5)
+        self.assertEqual([], self.world.history)
+        self.assertEqual("410", await self.world.state(self.node, job_id(1)))
+
+    async def test_store_that_is_silent_gives_504(self) -> None:
+        self.world.store.faults.silent = True
+        self.assertEqual(504, await self.world.submit(self.node, job_id(2), [STEP]))
+
+    async def test_lost_answers_run_nothing_twice(self) -> None:
+        self.world.store.faults.lose_share = 0.3
+        accepted = [
+            number
+            for number in range(10, 16)
+            if await self.world.submit(self.node, job_id(number), [STEP]) == 200
+        ]
+        self.world.store.faults.lose_share = 0.0
+        for number in accepted:
+            await self.world.wait_state(self.node, job_id(number), "completed")
+        self.assertEqual([], self.world.overlaps())
+
+    async def test_late_writes_run_nothing_twice(self) -> None:
+        self.world.store.faults.late_share = 0.3
+        accepted = [
+            number
+            for number in range(20, 26)
+            if await self.world.submit(self.node, job_id(number), [STEP]) == 200
+        ]
+        self.world.store.faults.late_share = 0.0
+        for number in accepted:
+            await self.world.wait_state(self.node, job_id(number), "completed")
+        await asyncio.sleep(1.0)
+        self.assertEqual([], self.world.overlaps())
+
+    async def test_lasting_tasks_outlive_an_outage(self) -> None:
+        await self.world.submit(self.node, job_id(30), [LASTING], payload="lasts")
+        await self.world.wait_for(lambda: len(self.world.history) == 2, "both tasks run")
+        self.world.store.faults.refuse_with = 503
+        await asyncio.sleep(1.4)
+        self.world.store.faults.refuse_with = 0
+        await asyncio.sleep(0.5)
+        self.assertEqual([None, None], [run.ended_at for run in self.world.history])
+
+
+class WorkerFaultTest(NodeCase):
+    """Workers crash, fall silent, and do orders late."""
+
+    async def test_tasks_of_a_crashed_worker_run_elsewhere(self) -> None:
+        for worker in self.world.workers.values():
+            worker.task_s = 0.4
+        await self.world.submit(self.node, job_id(1), [{**STEP, "count": 6}])
+        await self.world.wait_for(lambda: len(self.world.history) == 6, "all tasks run")
+        await self.world.crash_worker("m-0")
+        await self.world.wait_state(self.node, job_id(1), "completed")
+        self.assertEqual([], self.world.overlaps())
+
+    async def test_silent_worker_is_waited_out(self) -> None:
+        await self.world.submit(self.node, job_id(2), [LASTING], payload="lasts")
+        await self.world.wait_for(lambda: len(self.world.history) == 2, "both tasks run")
+        name = next(n for n, w in self.world.workers.items() if w.running)
+        self.world.workers[name].faults.silent = True
+        await self.world.wait_for(lambda: len(self.world.history) == 3, "one runs elsewhere")
+        self.assertEqual([], self.world.overlaps())
+
+    async def test_starts_done_late_run_nothing_twice(self) -> None:
+        for worker in self.world.workers.values():
+            worker.faults.late_starts_s = 0.8
+        await self.world.submit(self.node, job_id(3), [STEP])
+        await asyncio.sleep(0.5)
+        for worker in self.world.workers.values():
+            worker.faults.late_starts_s = 0.0
+        await self.world.wait_state(self.node, job_id(3), "completed")
+        await asyncio.sleep(1.0)
+        self.assertEqual([], self.world.overlaps())
+
+    async def test_draining_worker_gets_nothing_new(self) -> None:
+        worker = self.world.workers["m-0"]
+        self.world.store.put(("servers", "", worker.id), worker.description("draining"))
+        await asyncio.sleep(0.8)
+        await self.world.submit(self.node, job_id(4), [{**STEP, "count": 6}])
+        await self.world.wait_state(self.node, job_id(4), "completed")
+        self.assertNotIn(worker.id, {run.worker for run in self.world.history})
+
+
+class TakeoverTest(NodeCase):
+    """Owners are killed, paused, stopped or turned away while they work."""
+
+    nodes = 3
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.world.wait_for(lambda: bool(self.world.owner()), "the pool has an owner")
+        names = {node.name: node for node in self.started}
+        self.owner = names[self.world.owner()]
+        self.other = next(node for node in self.started if node is not self.owner)
+        for worker in self.world.workers.values():
+            worker.task_s = 0.3
+
+    async def submit_several(self) -> list[str]:
+        jobs = [job_id(number) for number in range(100, 106)]
+        for job in jobs:
+            self.assertEqual(200, await self.world.submit(self.other, job, [STEP]))
+        return jobs
+
+    async def finish(self, jobs: list[str]) -> None:
+        for job in jobs:
+            await self.world.wait_state(self.other, job, "completed")
+        await asyncio.sleep(0.5)
+        self.assertEqual([], self.world.overlaps())
+
+    async def test_killed_owner(self) -> None:
+        jobs = await self.submit_several()
+        self.owner.process.kill()
+        await self.finish(jobs)
+        self.assertNotEqual(self.owner.name, self.world.owner())
+
+    async def test_paused_owner_wakes_beside_its_successor(self) -> None:
+        jobs = await self.submit_several()
+        self.owner.send_signal(signal.SIGSTOP)
+        await self.world.wait_for(
+            lambda: self.world.owner() != self.owner.name, "another node owns the pool"
+        )
+        self.owner.send_signal(signal.SIGCONT)
+        await self.finish(jobs)
+
+    async def test_stopped_owner_hands_over(self) -> None:
+        lasting = job_id(200)
+        await self.world.submit(self.other, lasting, [LASTING], payload="lasts")
+        jobs = await self.submit_several()
+        self.owner.send_signal(signal.SIGTERM)
+        await self.finish(jobs)
+        self.assertEqual(0, await asyncio.to_thread(self.owner.process.wait, 10))
+        lasts = [run for run in self.world.history if run.payload == "lasts"]
+        self.assertEqual([None, None], [run.ended_at for run in lasts])
+
+    async def test_owner_that_the_store_turns_away(self) -> None:
+        jobs = await self.submit_several()
+        self.world.store.faults.refused_callers.add(self.owner.name)
+        await self.world.wait_for(
+            lambda: self.world.owner() != self.owner.name, "another node owns the pool"
+        )
+        await self.finish(jobs)
+
+    async def test_all_nodes_killed_at_once(self) -> None:
+        jobs = await self.submit_several()
+        cancelled = job_id(300)
+        await self.world.submit(self.other, cancelled, [LASTING], payload="lasts")
+        await self.world.call(self.other, "DELETE", f"/quick/{cancelled}")
+        for node in self.started:
+            node.process.kill()
+        for node in self.started:
+            node.process.wait(10)
+        self.other = self.world.start_node("node-9")
+        await self.world.wait_ready(self.other)
+        await self.finish(jobs)
+        self.assertEqual("cancelled", await self.world.state(self.other, cancelled))
+        self.assertTrue(all(run.ended_at for run in self.world.history))
+
+
+class WaveTest(NodeCase):
+    """Maintenance waves and the availability budget of lasting tasks."""
+
+    workers = 4
+
+    async def test_every_instance_goes_down_once_and_budgets_hold(self) -> None:
+        spread = {**LASTING, "count": 3, "antiAffinity": 1}
+        await self.world.submit(self.node, job_id(1), [spread], payload="lasts")
+        await self.world.wait_for(lambda: len(self.world.history) == 3, "all tasks run")
+        names = [f"m-{number}" for number in range(4)]
+        wave = {"wave": 1, "machines": names, "durationS": 20, "upperLimit": 2}
+        self.world.store.put(("op", "", "wave/1"), json.dumps(wave).encode())
+
+        def told() -> bool:
+            value = self.world.store.value(("status", "", "wave/1")) or b""
+            return b"completed" in value
+
+        await self.world.wait_for(told, "the wave is told as completed")
+        down = [order.instance for order in self.world.fleet.orders if order.kind == "maintain"]
+        self.assertEqual(sorted(names), sorted(down))
+        self.assertNotIn("gone", [run.how for run in self.world.history])
+
+
+class LogTest(NodeCase):
+    """What a process says can be read by a program."""
+
+    async def test_lines_are_json_and_name_the_job(self) -> None:
+        await self.world.submit(self.node, job_id(1), [STEP])
+        await self.world.wait_state(self.node, job_id(1), "completed")
+        self.node.send_signal(signal.SIGTERM)
+        self.assertEqual(0, await asyncio.to_thread(self.node.process.wait, 10))
+        lines = [json.loads(line) for line in self.node.log.read_text().splitlines()]
+        about = {line["event"] for line in lines if line.get("job") == job_id(1)}
+        self.assertLessEqual({"job accepted", "job known", "task ended", "job ended"}, about)
+        events = {line["event"] for line in lines}
+        self.assertLessEqual({"process started", "stop asked", "process stopped"}, events)
