--- a/pumicespur/__main__.py
+++ b/pumicespur/__main__.py
@@ -17,6 +17,8 @@
 from pumicespur.commands import check as check_command
 from pumicespur.commands import drain as drain_command
 from pumicespur.commands import dump as dump_command
+from pumicespur.commands import explain as explain_command
+from pumicespur.commands import node as node_command
 from pumicespur.commands import run as run_command
 from pumicespur.commands import status as status_command
 from pumicespur.commands import wave as wave_command
@@ -43,6 +45,8 @@
 RESUME_HELP = "Take the instance back into service."
 WAVE_HELP = "The wave."
 WATCH_HELP = "Print the wave's progress until it no longer runs."
+WANTED_HELP = "Id of a job, a task, a worker or a pool."
+LOGS_HELP = "Log files of any number of processes."
 PROCESS_HELP = "The process; the manager itself if left out."
 
 Settings = Annotated[Path, Parameter(help=SETTINGS_HELP)]
@@ -52,6 +56,8 @@
 Json = Annotated[bool, Parameter(name="--json", help=JSON_HELP, negative="")]
 Instance = Annotated[str, Parameter(help=INSTANCE_HELP)]
 Resume = Annotated[bool, Parameter(help=RESUME_HELP, negative="")]
+Wanted = Annotated[str, Parameter(help=WANTED_HELP)]
+Logs = Annotated[list[Path], Parameter(help=LOGS_HELP, negative="")]
 WaveName = Annotated[str, Parameter(help=WAVE_HELP)]
 Watch = Annotated[bool, Parameter(help=WATCH_HELP, negative="")]
 ProcessName = Annotated[str, Parameter(help=PROCESS_HELP)]
@@ -115,6 +121,24 @@
     run_command.run(Role.MANAGER, settings)
 
 
+@app.command
+def node(settings: Settings) -> None:
+    """Run the role node: serve callers and own pools on a hosted platform.
+
+    Example: pumicespur node node.ini
+    """
+    node_command.node(settings)
+
+
+@app.command
+def explain(wanted: Wanted, files: Logs, *, json: Json = False) -> None:
+    """Put the log lines of several processes about one id in order.
+
+    Example: pumicespur explain 5c0e7a21d94b36f8 node-1.log node-2.log
+    """
+    explain_command.explain(wanted, files, as_json=json)
+
+
 @check.command(name="settings")
 def check_settings(settings: Settings) -> None:
     """Check a settings file.
--- a/pumicespur/commands/node.py
+++ b/pumicespur/commands/node.py
@@ -28,7 +28,7 @@
     set_up_event_log(
         settings.process.id, settings.process.log_level, settings.process.log_lines_per_s
     )
-    anyio.run(NodeProcess(settings).run)
+    anyio.run(NodeProcess(settings, path).run)
 
 
 def main() -> int:
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -88,6 +88,10 @@
     """Time of day before which no task may start, in milliseconds since 1970; 0 for none."""
     tasks: list[Task] = field(default_factory=list)
     done: int = 0
+    gang_checkpoint: str = ""
+    """The newest checkpoint of any member; every member of a gang starts from the same one."""
+    failed_run: int = 0
+    """The newest run of a gang that failed; it counts once for all members."""
     rack: Rack | None = None
     """The rack of the first placed task, for steps that stay in one rack."""
 
@@ -172,6 +176,8 @@
             task.run = kept.run
             task.failures = kept.failures
             task.checkpoint = kept.checkpoint
+            if task.spec.gang and kept.checkpoint:
+                task.group.gang_checkpoint = kept.checkpoint
             if kept.worker and task.state is not TaskState.DONE:
                 task.worker = WorkerId(kept.worker)
                 task.state = TaskState.STARTING
--- a/pumicespur/jobs/_journal.py
+++ b/pumicespur/jobs/_journal.py
@@ -14,6 +14,7 @@
 from pumicespur.jobs._keys import commit_key, owner_key
 from pumicespur.schema.jobs_pb import CommitRecord, OwnerRecord
 from pumicespur.store import AnswerLost, Condition, Conflict, Transaction, Write
+from pumicespur.utils import METRICS
 
 if TYPE_CHECKING:
     from pumicespur.model import PoolId
@@ -89,6 +90,7 @@
         when it is refused, that row tells whether it had been applied.
         """
         transaction, record = self._transaction(writes)
+        started = time.monotonic()
         pause_s = RETRY_S
         while True:
             sent_at = time.monotonic()
@@ -96,6 +98,7 @@
             match answer:
                 case Result(tag="ok", ok=version):
                     self._confirm(version, sent_at)
+                    METRICS.commits.observe({}, time.monotonic() - started)
                     return
                 case Result(error=Conflict()):
                     applied = await self._applied_version(record)
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -31,7 +31,7 @@
 from pumicespur.model import JobId, WorkerId
 from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
 from pumicespur.store import HistoryGone, Page, Row, Transaction, Write
-from pumicespur.utils import now_ms
+from pumicespur.utils import METRICS, now_ms
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
@@ -40,6 +40,7 @@
     from anyio.abc import TaskGroup
 
     from pumicespur.config import NodeSettings
+    from pumicespur.jobs._job import StepGroup
     from pumicespur.model import TaskEnd, Worker
     from pumicespur.node import NodeView
     from pumicespur.platform import PlatformTable, WorkerOrders
@@ -149,6 +150,7 @@
                 self.tasks.cancel_scope.cancel()
         except* OwnershipLostError as lost:
             reason = str(lost.exceptions[0])
+            METRICS.lost.inc({})
             log.warning("pool lost", pool=self.pool.pool, token=self.token, reason=reason)
         finally:
             self.stopped.set()
@@ -173,6 +175,7 @@
                 self.ended[job] = record.changed_ms
         for row in await self._read_submissions():
             self._take_submission(row, progress)
+        METRICS.takeovers.inc({})
         log.info(
             "pool taken",
             pool=pool,
@@ -308,6 +311,7 @@
             worker=watch.id,
             how=end.how.value,
         )
+        METRICS.tasks.inc({"pool": self.pool.pool, "how": end.how.value})
         self.pool.note_end(watch.id, end, now)
         if task is not None and task.job.ended:
             log.info("job ended", job=task.job.id, phase=task.job.phase.name)
@@ -429,6 +433,13 @@
             # A later owner finds the end in the job's progress all the same.
             log.info("submission not emptied", job=job, reason=str(answer.error))
 
+    def stop_gang(self, group: StepGroup, run: int) -> None:
+        """Stop the other members of a gang, one of which did not start; all start again."""
+        for task in group.tasks:
+            watch = self.watches.get(task.worker) if task.worker else None
+            if watch is not None and task.run == run:
+                self.spawn(watch.stop, task.name, run, "a member of its gang did not start")
+
     def _stop_all(self, job: Job) -> None:
         for task in job.tasks:
             watch = self.watches.get(task.worker) if task.worker else None
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -33,6 +33,8 @@
 def place_group(group: StepGroup, loads: Sequence[WorkerLoad], now: float) -> list[Task]:
     """Choose workers for a group's waiting tasks; gangs are placed whole or not at all."""
     placed: list[Task] = []
+    if group.spec.gang and len(group.waiting()) < len(group.tasks):
+        return []
     for task in group.waiting():
         load = choose_worker(group, loads, now)
         if load is None:
@@ -43,9 +45,19 @@
         for task in placed:
             take_back(task, loads)
         return []
+    if group.spec.gang:
+        share_run(group)
     return placed
 
 
+def share_run(group: StepGroup) -> None:
+    """Give all members of a gang the same run number and checkpoint."""
+    run = max(task.run for task in group.tasks)
+    for task in group.tasks:
+        task.run = run
+        task.checkpoint = group.gang_checkpoint
+
+
 def put(task: Task, load: WorkerLoad) -> None:
     """Assign a task to a worker under a new run number."""
     task.state = TaskState.PLACED
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -123,11 +123,21 @@
 
     def _fail(self, task: Task, end: TaskEnd) -> None:
         if end.how is RunEnd.FAILED and not task.spec.long_running:
-            task.failures += 1
+            self._count_failure(task, end.run)
+        if task.spec.gang and end.checkpoint:
+            task.group.gang_checkpoint = end.checkpoint
         self.free(task, end.checkpoint)
         if task.failures >= task.job.max_attempts:
             task.job.phase = JobPhase.FAILED
 
+    def _count_failure(self, task: Task, run: int) -> None:
+        if not task.spec.gang:
+            task.failures += 1
+        elif task.group.failed_run != run:
+            task.group.failed_run = run
+            for member in task.group.tasks:
+                member.failures += 1
+
     def place(self, now: float, now_ms: float) -> list[Task]:
         """Choose workers for waiting tasks whose turn has come."""
         loads = list(self.loads.values())
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -14,6 +14,7 @@
 from pumicespur.jobs._lease import WorkerLease
 from pumicespur.model import Account, OtherLife, Refused, StartOrder
 from pumicespur.store import AnswerLost, Unavailable
+from pumicespur.utils import METRICS
 
 if TYPE_CHECKING:
     from pumicespur.jobs._job import Task
@@ -192,6 +193,8 @@
             reason=reason,
         )
         self.owner.pool.free(task)
+        if task.spec.gang:
+            self.owner.stop_gang(task.group, run)
         self.owner.wake()
 
     async def _stop_foreign(self, running: dict[tuple[TaskName, int], Running], now: float) -> None:
@@ -228,6 +231,8 @@
             task.name, run, task.job.record.payload, task.checkpoint, deadline, task.ticket
         )
         answer = await self.owner.orders.start(self.load.worker, self.owner.token, order)
+        outcome = "taken" if answer.is_ok() else type(answer.error).__name__
+        METRICS.starts.inc({"pool": self.owner.pool.pool, "outcome": outcome})
         if task.run != run or task.worker != self.id:
             return
         match answer:
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -15,7 +15,9 @@
 from pumicespur.jobs import JobService, PoolOwner
 from pumicespur.model import WorkerId
 from pumicespur.node._follow import TableFollower
+from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._keeper import OwnershipKeeper
+from pumicespur.node._reload import SettingsFile
 from pumicespur.node._view import NodeView
 from pumicespur.platform import (
     CONFIGURATION_KEY,
@@ -31,9 +33,11 @@
     decode_wave,
     decode_worker,
 )
+from pumicespur.utils import METRICS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from pathlib import Path
 
     from anyio.abc import TaskStatus
 
@@ -64,6 +68,9 @@
 
 POLL_S = 0.05
 
+GAUGES_S = 1.0
+"""Pause between updates of the gauges."""
+
 WORKERS_PAUSE_S = 0.3
 """Workers write often; a worker that drains is known well within the two seconds allowed."""
 
@@ -71,8 +78,9 @@
 class NodeProcess:
     """All parts of one process."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, settings: NodeSettings, path: Path) -> None:
         self.settings = settings
+        self.file = SettingsFile(path, settings)
         self.view = NodeView()
         self.incarnation = uuid.uuid4().hex
         self.stopping = False
@@ -107,6 +115,11 @@
             ):
                 follower = TableFollower(self.table, settings.store, name, handler, pause_s)
                 tasks.start_soon(follower.run)
+            if settings.listen.metrics:
+                inspection = await serve_inspection(settings.listen.metrics, self.describe)
+                self.server.runners.append(inspection)
+            tasks.start_soon(self.file.follow)
+            tasks.start_soon(self._count)
             tasks.start_soon(self.keeper.run)
             await self.stop_asked.wait()
             await self._drain()
@@ -124,7 +137,7 @@
             task_status.started()
             async for number in signals:
                 if number == signal.SIGHUP:
-                    log.info("reload asked", reason="SIGHUP")
+                    self.file.reload("SIGHUP")
                 elif number == signal.SIGUSR1:
                     log.info("state dump", **self.describe())
                 else:
@@ -142,6 +155,14 @@
             while self.server.in_flight:
                 await anyio.sleep(POLL_S)
 
+    async def _count(self) -> None:
+        """Keep the gauges in line."""
+        while True:
+            METRICS.store.set({}, self.table.calls)
+            for owner in self.keeper.pool_owners():
+                METRICS.owned.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
+            await anyio.sleep(GAUGES_S)
+
     def describe(self) -> dict[str, object]:
         """Return the process's state."""
         view = self.view
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -13,7 +13,7 @@
 from pumicespur.jobs import Cancellation, Submission
 from pumicespur.model import JobId
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, StepRecord
-from pumicespur.utils import now_ms
+from pumicespur.utils import METRICS, now_ms
 
 if TYPE_CHECKING:
     from pumicespur.jobs import JobService
@@ -125,10 +125,12 @@
 
     async def _serve_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
+        started = time.monotonic()
         try:
             response = await self._answer(request)
         finally:
             self.in_flight -= 1
+            METRICS.callers.observe({"method": request.method}, time.monotonic() - started)
         if self.context.is_stopping():
             response.force_close()
         return response
@@ -178,6 +180,7 @@
                 return _refuse(400, reason)
             case Result(ok=record):
                 outcome = await self.context.jobs.submit(route, record, give_up_at)
+                METRICS.jobs.inc({"outcome": outcome.value})
         match outcome:
             case Submission.ACCEPTED:
                 return _json(200, {"state": "queued"})
--- a/pumicespur/platform/_http.py
+++ b/pumicespur/platform/_http.py
@@ -40,11 +40,8 @@
     try:
         return Ok(decode(content))
     except (msgspec.MsgspecError, ValueError) as failure:
-        log.error(
-            "answer not understood",
-            reason=str(failure),
-            body=content[:200].decode(errors="replace"),
-        )
+        start = content[:200].decode(errors="replace")
+        log.error("answer not understood", reason=str(failure), body=start)
         return Error(AnswerLost(f"not understood: {failure}"))
 
 
--- a/pumicespur/utils/__init__.py
+++ b/pumicespur/utils/__init__.py
@@ -6,10 +6,12 @@
 from pumicespur.utils._event_log import set_up_event_log
 from pumicespur.utils._logs import set_up_logs
 from pumicespur.utils._messages import replace_fields
+from pumicespur.utils._metrics import METRICS
 from pumicespur.utils._processes import announce, stop_on_signals
 from pumicespur.utils._rate import TokenBucket
 
 __all__ = [
+    "METRICS",
     "TokenBucket",
     "announce",
     "now_ms",
--- /dev/null
+++ b/pumicespur/utils/_metrics.py
@@ -0,0 +1,50 @@
+"""Counters and histograms of a process, for the metrics address."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0]
+"""Bounds of latency histograms in seconds: from one answer of the store to a caller's deadline."""
+
+
+class Metrics:
+    """All series of a process; label values come from small fixed sets and pool names."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.jobs = Counter("pumicespur_jobs_total", "Submitted jobs by outcome.")
+        self.tasks = Counter("pumicespur_task_ends_total", "Ended runs by pool and how they ended.")
+        self.starts = Counter("pumicespur_task_starts_total", "Ordered starts by pool and outcome.")
+        self.takeovers = Counter("pumicespur_takeovers_total", "Pools taken by this process.")
+        self.lost = Counter("pumicespur_pools_lost_total", "Pools that another process took.")
+        self.store = Gauge("pumicespur_store_calls", "Calls to the store since the start.")
+        self.owned = Gauge("pumicespur_owned_jobs", "Open jobs of the pools owned, by pool.")
+        self.commits = Histogram(
+            "pumicespur_commit_seconds", "Time until a commit is recorded.", buckets=BUCKETS_S
+        )
+        self.callers = Histogram(
+            "pumicespur_caller_seconds", "Time until a caller is answered.", buckets=BUCKETS_S
+        )
+        for series in (
+            self.jobs,
+            self.tasks,
+            self.starts,
+            self.takeovers,
+            self.lost,
+            self.store,
+            self.owned,
+            self.commits,
+            self.callers,
+        ):
+            self.registry.register(series)
+
+    def page(self) -> tuple[bytes, dict[str, str]]:
+        """Return the text page and its headers."""
+        content, headers = render(self.registry, ["text/plain"])
+        return content, headers
+
+
+METRICS = Metrics()
+"""The series of this process."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -324,3 +324,56 @@
         self.assertLessEqual({"job accepted", "job known", "task ended", "job ended"}, about)
         events = {line["event"] for line in lines}
         self.assertLessEqual({"process started", "stop asked", "process stopped"}, events)
+
+
+class GangTest(NodeCase):
+    """Tasks that work only together."""
+
+    async def test_members_start_together_and_share_their_run(self) -> None:
+        gang = {**STEP, "gang": True}
+        await self.world.submit(self.node, job_id(1), [gang])
+        await self.world.wait_state(self.node, job_id(1), "completed")
+        self.assertEqual({1}, {run.number for run in self.world.history})
+
+
+class InspectionTest(NodeCase):
+    """Metrics, the state dump and new settings while a node runs."""
+
+    async def fetch(self, path: str) -> str:
+        assert self.world.session is not None
+        url = f"http://127.0.0.1:{self.node.metrics}{path}"
+        async with self.world.session.get(url) as answer:
+            self.assertEqual(200, answer.status)
+            return await answer.text()
+
+    async def test_metrics_count_what_was_done(self) -> None:
+        await self.world.submit(self.node, job_id(1), [STEP])
+        await self.world.wait_state(self.node, job_id(1), "completed")
+        page = await self.fetch("/metrics")
+        self.assertIn('pumicespur_jobs_total{outcome="accepted"} 1', page)
+        self.assertIn('pumicespur_task_ends_total{how="done",pool="main"} 3', page)
+        self.assertIn("pumicespur_commit_seconds_bucket", page)
+
+    async def test_state_names_what_is_owned(self) -> None:
+        await self.world.wait_for(lambda: bool(self.world.owner()), "the pool has an owner")
+        owned: dict[str, Any] = {}
+        while "main" not in owned:
+            owned = json.loads(await self.fetch("/state"))["owned"]
+        self.assertEqual(0, owned["main"]["jobs"])
+
+    async def test_settings_are_read_again_on_sighup(self) -> None:
+        path = self.node.log.with_suffix(".ini")
+        path.write_text(path.read_text().replace("lease_s = 1.2", "lease_s = 1.4"))
+        self.node.send_signal(signal.SIGHUP)
+        await self.world.wait_for(
+            lambda: '"changed":["workers.lease_s"]' in self.node.log.read_text(), "new settings"
+        )
+
+    async def test_faulty_settings_change_nothing(self) -> None:
+        path = self.node.log.with_suffix(".ini")
+        path.write_text(path.read_text().replace("lease_s = 1.2", "lease_s = soon"))
+        self.node.send_signal(signal.SIGHUP)
+        await self.world.wait_for(
+            lambda: "[workers] lease_s: error: takes a number" in self.node.log.read_text(),
+            "the refusal names its place",
+        )
