--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,348 @@
+"""Tests of the job service's decisions, without processes."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pumicespur.jobs._availability import tasks_to_move
+from pumicespur.jobs._demand import Demand, DemandTracker
+from pumicespur.jobs._job import Job, Task, TaskState, longest_chain_ms, make_job
+from pumicespur.jobs._lease import WorkerLease
+from pumicespur.jobs._load import EJECT_AFTER, WorkerLoad
+from pumicespur.jobs._placement import order_groups, place_group
+from pumicespur.jobs._pool import PoolState
+from pumicespur.model import (
+    Capacity,
+    Configuration,
+    DataHall,
+    InstanceId,
+    PoolId,
+    Rack,
+    Route,
+    RouteName,
+    RunEnd,
+    TaskEnd,
+    Worker,
+    WorkerId,
+    WorkerState,
+)
+from pumicespur.schema.jobs_pb import JobPhase, JobRecord, ProgressRecord, StepRecord
+
+POOL = PoolId("main")
+ROUTE = Route(RouteName("quick"), "host", "/quick/", POOL, 3.0, 0, 2, 1.5, 0.6)
+CONFIGURATION = Configuration(1, {ROUTE.name: ROUTE}, {})
+
+
+def make_worker(name: str, rack: str = "r1-1", cpu: int = 4000) -> Worker:
+    """Make a ready worker."""
+    return Worker(
+        WorkerId(name),
+        POOL,
+        "127.0.0.1:1",
+        DataHall("hall"),
+        WorkerState.READY,
+        Capacity(cpu, 8000),
+        frozenset({"a", rack}),
+        Rack(rack),
+        InstanceId(f"m-{name}"),
+    )
+
+
+def make_record(*steps: StepRecord, job: str = "0" * 16, accepted_ms: int = 0) -> JobRecord:
+    """Make a submitted job."""
+    return JobRecord(id=job, route=ROUTE.name, steps=list(steps), accepted_ms=accepted_ms)
+
+
+def make_pool(*workers: Worker) -> PoolState:
+    """Make a pool whose workers all answer."""
+    pool = PoolState(POOL)
+    for worker in workers:
+        pool.add_worker(worker).reachable = True
+    return pool
+
+
+def submit(pool: PoolState, record: JobRecord) -> Job:
+    """Take a job in."""
+    job = pool.add_job(record, CONFIGURATION, None)
+    assert job is not None
+    return job
+
+
+def run_all(pool: PoolState) -> list[Task]:
+    """Place what can be placed and let it run."""
+    placed = pool.place(0.0, 0.0)
+    for task in placed:
+        task.state = TaskState.RUNNING
+    return placed
+
+
+def end(task: Task, how: RunEnd, number: int = 1, checkpoint: str = "") -> TaskEnd:
+    """Make the end of a task's newest run."""
+    return TaskEnd(number, task.name, task.run, how, checkpoint)
+
+
+def finish(pool: PoolState, task: Task, how: RunEnd = RunEnd.DONE, checkpoint: str = "") -> None:
+    """Let a task's newest run end."""
+    assert task.worker is not None
+    pool.note_end(task.worker, end(task, how, checkpoint=checkpoint), 0.0)
+
+
+class JobTest(unittest.TestCase):
+    """A job's steps and its record."""
+
+    def test_step_waits_for_the_steps_it_depends_on(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        first = StepRecord(count=2, cpu_millis=100)
+        submit(pool, make_record(first, StepRecord(count=1, cpu_millis=100, depends_on=[0])))
+        placed = run_all(pool)
+        self.assertEqual(2, len(placed))
+        finish(pool, placed[0])
+        self.assertEqual([], run_all(pool))
+        finish(pool, placed[1])
+        self.assertEqual(1, len(run_all(pool)))
+
+    def test_repeat_waits_for_its_time(self) -> None:
+        record = make_record(StepRecord(count=1, cpu_millis=100))
+        record.repeats, record.first_due_ms, record.interval_ms = 3, 1000, 500
+        pool = make_pool(make_worker("w-1"))
+        submit(pool, record)
+        self.assertEqual(0, len(pool.place(0.0, 999)))
+        self.assertEqual(1, len(pool.place(0.0, 1000)))
+        self.assertEqual(1, len(pool.place(0.0, 1500)))
+
+    def test_longest_chain_adds_up_along_dependencies(self) -> None:
+        steps = [
+            StepRecord(count=1, estimated_ms=100),
+            StepRecord(count=1, estimated_ms=50),
+            StepRecord(count=1, estimated_ms=30, depends_on=[0, 1]),
+        ]
+        self.assertEqual(130, longest_chain_ms(make_record(*steps)))
+
+    @given(st.sets(st.integers(0, 11)), st.dictionaries(st.integers(0, 11), st.integers(1, 5)))
+    def test_progress_survives_being_written_and_read(
+        self, done: set[int], runs: dict[int, int]
+    ) -> None:
+        record = make_record(StepRecord(count=12, cpu_millis=1), StepRecord(count=1))
+        job = make_job(record, ROUTE)
+        for index, run in runs.items():
+            job.tasks[index].run = run
+            job.tasks[index].worker = WorkerId("w-1")
+            job.tasks[index].state = TaskState.RUNNING
+        for index in done:
+            job.finish_task(job.tasks[index])
+        again = make_job(record, ROUTE)
+        again.restore(ProgressRecord.from_binary(job.progress(7).to_binary()))
+        for task in again.tasks:
+            self.assertEqual(task.index in done, task.state is TaskState.DONE)
+            if task.index not in done:
+                self.assertEqual(runs.get(task.index, 0), task.run)
+                self.assertEqual(task.index in runs, task.state is TaskState.STARTING)
+
+
+class EndTest(unittest.TestCase):
+    """What the end of a run does."""
+
+    def setUp(self) -> None:
+        self.pool = make_pool(make_worker("w-1"), make_worker("w-2"))
+        self.job = submit(self.pool, make_record(StepRecord(count=1, cpu_millis=100)))
+        (self.task,) = run_all(self.pool)
+
+    def test_stopped_run_starts_again_from_its_checkpoint(self) -> None:
+        finish(self.pool, self.task, RunEnd.STOPPED, "half")
+        (again,) = run_all(self.pool)
+        self.assertEqual((2, "half"), (again.run, again.checkpoint))
+
+    def test_job_fails_with_the_last_attempt(self) -> None:
+        finish(self.pool, self.task, RunEnd.FAILED)
+        run_all(self.pool)
+        finish(self.pool, self.task, RunEnd.FAILED)
+        self.assertIs(JobPhase.FAILED, self.job.phase)
+
+    def test_lapsed_run_costs_no_attempt(self) -> None:
+        for _ in range(5):
+            finish(self.pool, self.task, RunEnd.LAPSED)
+            run_all(self.pool)
+        self.assertIs(JobPhase.RUNNING, self.job.phase)
+
+    def test_end_of_an_older_run_changes_nothing_unless_it_is_well(self) -> None:
+        worker = self.task.worker
+        assert worker is not None
+        old = end(self.task, RunEnd.FAILED)
+        finish(self.pool, self.task, RunEnd.LAPSED)
+        run_all(self.pool)
+        self.pool.note_end(worker, old, 0.0)
+        self.assertIs(TaskState.RUNNING, self.task.state)
+        self.pool.note_end(worker, TaskEnd(3, self.task.name, 1, RunEnd.DONE, ""), 0.0)
+        self.assertIs(JobPhase.COMPLETED, self.job.phase)
+
+    def test_room_is_free_again(self) -> None:
+        finish(self.pool, self.task)
+        self.assertEqual([0, 0], [load.cpu_millis for load in self.pool.loads.values()])
+
+
+class GangTest(unittest.TestCase):
+    """Tasks that work only together."""
+
+    def test_placed_whole_or_not_at_all(self) -> None:
+        pool = make_pool(make_worker("w-1", cpu=1000))
+        submit(pool, make_record(StepRecord(count=3, cpu_millis=400, gang=True)))
+        self.assertEqual([], pool.place(0.0, 0.0))
+        self.assertEqual(0, pool.loads[WorkerId("w-1")].cpu_millis)
+
+    def test_members_share_run_checkpoint_and_attempt(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        job = submit(pool, make_record(StepRecord(count=2, cpu_millis=100, gang=True)))
+        first, second = run_all(pool)
+        finish(pool, first, RunEnd.FAILED, "c")
+        self.assertEqual([], run_all(pool))
+        finish(pool, second, RunEnd.BROKEN)
+        again = run_all(pool)
+        self.assertEqual({(2, "c", 1)}, {(t.run, t.checkpoint, t.failures) for t in again})
+        finish(pool, again[0])
+        self.assertIs(JobPhase.COMPLETED, job.phase)
+
+
+class PlacementTest(unittest.TestCase):
+    """Which worker gets which task, against a naive first fit."""
+
+    @given(
+        st.lists(st.integers(100, 3000), min_size=1, max_size=12),
+        st.lists(st.integers(1000, 6000), min_size=1, max_size=5),
+    )
+    def test_never_past_the_room_and_never_less_than_first_fit(
+        self, tasks: list[int], rooms: list[int]
+    ) -> None:
+        workers = [make_worker(f"w-{n}", cpu=room) for n, room in enumerate(rooms)]
+        pool = make_pool(*workers)
+        cpu = max(tasks)
+        submit(pool, make_record(StepRecord(count=len(tasks), cpu_millis=cpu)))
+        placed = pool.place(0.0, 0.0)
+        for load in pool.loads.values():
+            self.assertLessEqual(load.cpu_millis, load.worker.capacity.cpu_millis)
+        naive = min(len(tasks), sum(room // cpu for room in rooms))
+        self.assertEqual(naive, len(placed))
+
+    @given(st.integers(1, 3), st.integers(1, 9))
+    def test_spread_is_kept(self, most: int, count: int) -> None:
+        pool = make_pool(make_worker("w-1"), make_worker("w-2"))
+        submit(pool, make_record(StepRecord(count=count, cpu_millis=1, max_per_worker=most)))
+        self.assertEqual(min(count, 2 * most), len(pool.place(0.0, 0.0)))
+
+    def test_same_rack(self) -> None:
+        workers = [make_worker(f"w-{n}", f"r1-{n % 2}", 1000) for n in range(4)]
+        pool = make_pool(*workers)
+        submit(pool, make_record(StepRecord(count=2, cpu_millis=1000, same_rack=True)))
+        placed = pool.place(0.0, 0.0)
+        racks = {pool.loads[task.worker].worker.rack for task in placed if task.worker}
+        self.assertEqual((2, 1), (len(placed), len(racks)))
+
+    def test_near_the_data_while_there_is_room(self) -> None:
+        pool = make_pool(make_worker("w-1", "r1-1"), make_worker("w-2", "r1-2", 1000))
+        submit(pool, make_record(StepRecord(count=2, cpu_millis=1000, data_rack="r1-2")))
+        placed = pool.place(0.0, 0.0)
+        self.assertEqual(["w-2", "w-1"], [task.worker for task in placed])
+
+    def test_label_is_required(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        submit(pool, make_record(StepRecord(count=1, cpu_millis=1, required_label="b")))
+        self.assertEqual([], pool.place(0.0, 0.0))
+
+    def test_filling_tasks_take_no_room(self) -> None:
+        pool = make_pool(make_worker("w-1", cpu=1000))
+        submit(pool, make_record(StepRecord(count=3, cpu_millis=1000, fills=True)))
+        self.assertEqual(3, len(pool.place(0.0, 0.0)))
+
+    def test_earlier_deadline_goes_first(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        step = StepRecord(count=1, cpu_millis=1)
+        late = submit(pool, make_record(step, job="a" * 16, accepted_ms=500))
+        early = submit(pool, make_record(step, job="b" * 16, accepted_ms=100))
+        order = [group.job for group in order_groups(pool.jobs.values(), 0.0)]
+        self.assertEqual([early, late], order)
+
+    def test_worker_that_fails_everything_is_left_out_for_a_while(self) -> None:
+        load = WorkerLoad(make_worker("w-1"), reachable=True)
+        for _ in range(EJECT_AFTER):
+            load.note_result(False, 0.0)
+        self.assertFalse(load.open(1.0))
+        self.assertTrue(load.open(2.1))
+
+    def test_draining_evacuating_or_silent_worker_gets_nothing(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        job = submit(pool, make_record(StepRecord(count=1, cpu_millis=1)))
+        load = pool.loads[WorkerId("w-1")]
+        load.evacuating = True
+        self.assertEqual([], place_group(job.groups[0], [load], 0.0))
+        load.evacuating, load.reachable = False, False
+        self.assertEqual([], place_group(job.groups[0], [load], 0.0))
+
+
+class AvailabilityTest(unittest.TestCase):
+    """How many long-running tasks are moved at once."""
+
+    def setUp(self) -> None:
+        self.pool = make_pool(*(make_worker(f"w-{n}") for n in range(4)))
+        step = StepRecord(count=3, cpu_millis=10, long_running=True, may_miss=1, max_per_worker=1)
+        self.job = submit(self.pool, make_record(step))
+        run_all(self.pool)
+        for load in self.pool.loads.values():
+            load.evacuating = bool(load.tasks)
+
+    def test_one_at_a_time(self) -> None:
+        self.assertEqual(1, len(tasks_to_move(self.pool, 10.0)))
+
+    def test_none_while_another_is_not_at_work(self) -> None:
+        self.job.tasks[0].away_since = 9.0
+        chosen = tasks_to_move(self.pool, 10.0)
+        self.assertEqual([self.job.tasks[0]], chosen)
+
+    def test_none_while_another_worker_is_silent(self) -> None:
+        # Found on the bench: AVAIL, when a rack had gone dark a moment before.
+        silent = self.job.tasks[0].worker
+        assert silent is not None
+        self.pool.loads[silent].reachable = False
+        self.assertEqual([], tasks_to_move(self.pool, 10.0))
+
+    def test_none_without_a_place_to_go(self) -> None:
+        spare = next(load for load in self.pool.loads.values() if not load.tasks)
+        spare.reachable = False
+        self.assertEqual([], tasks_to_move(self.pool, 10.0))
+
+
+class LeaseTest(unittest.TestCase):
+    """How long a worker may go on without its owner."""
+
+    def test_slow_clock_is_allowed_for(self) -> None:
+        lease = WorkerLease(drift=0.02, unknown_until=0.0)
+        lease.note(1000.0, 10.0)
+        self.assertEqual(2000, lease.grant(10.0, 1.0))
+        self.assertAlmostEqual(10.0 + 1.0 / 0.98, lease.over_at())
+
+    def test_unheard_worker_is_waited_out_for_earlier_owners(self) -> None:
+        self.assertEqual(7.0, WorkerLease(drift=0.02, unknown_until=7.0).over_at())
+
+    def test_silent_worker_is_promised_nothing_more(self) -> None:
+        lease = WorkerLease(drift=0.0, unknown_until=0.0)
+        lease.note(0.0, 0.0)
+        lease.grant(0.0, 1.0)
+        self.assertEqual(1000, lease.granted())
+        self.assertEqual(1.0, lease.over_at())
+
+
+class DemandTest(unittest.TestCase):
+    """What a pool is foreseen to need."""
+
+    def test_steady_demand_is_itself(self) -> None:
+        tracker = DemandTracker()
+        for step in range(20):
+            tracker.note(step * 0.25, Demand(1000, 10))
+        self.assertEqual(Demand(1000, 10), tracker.foreseen())
+
+    def test_growth_is_foreseen(self) -> None:
+        tracker = DemandTracker()
+        for step in range(20):
+            tracker.note(step * 0.25, Demand(step * 100, 0))
+        self.assertGreater(tracker.foreseen().cpu_millis, 1900)
