--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -28,7 +28,7 @@
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
 from pumicespur.jobs._watch import WorkerWatch
-from pumicespur.model import JobId, WorkerId
+from pumicespur.model import JobId, WorkerId, WorkerState
 from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
 from pumicespur.store import HistoryGone, Page, Row, Transaction, Write
 from pumicespur.utils import METRICS, now_ms
@@ -263,6 +263,13 @@
             if watch is None:
                 self._watch(worker)
             else:
+                if watch.load.worker.state is not worker.state:
+                    log.info(
+                        "worker drains" if worker.state is WorkerState.DRAINING else "worker ready",
+                        pool=self.pool.pool,
+                        worker=worker.id,
+                        leaves_in_s=worker.leaves_in_s,
+                    )
                 self.pool.add_worker(worker)
         for watch in list(self.watches.values()):
             if watch.id not in listed:
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -232,6 +232,17 @@
         )
         answer = await self.owner.orders.start(self.load.worker, self.owner.token, order)
         outcome = "taken" if answer.is_ok() else type(answer.error).__name__
+        log.info(
+            "start ordered",
+            job=task.job.id,
+            task=task.name,
+            run=run,
+            worker=self.id,
+            token=self.owner.token,
+            outcome=outcome,
+            worker_share=round(self.load.share(), 2),
+            took_s=round(time.monotonic() - now, 3),
+        )
         METRICS.starts.inc({"pool": self.owner.pool.pool, "outcome": outcome})
         if task.run != run or task.worker != self.id:
             return
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -206,8 +206,14 @@
 
     async def test_draining_worker_gets_nothing_new(self) -> None:
         worker = self.world.workers["m-0"]
+        await self.world.wait_for(lambda: bool(self.world.owner()), "the pool has an owner")
+        await self.world.wait_for(
+            lambda: '"worker answers"' in self.node.log.read_text(), "workers are watched"
+        )
         self.world.store.put(("servers", "", worker.id), worker.description("draining"))
-        await asyncio.sleep(0.8)
+        await self.world.wait_for(
+            lambda: '"worker drains"' in self.node.log.read_text(), "the owner has heard"
+        )
         await self.world.submit(self.node, job_id(4), [{**STEP, "count": 6}])
         await self.world.wait_state(self.node, job_id(4), "completed")
         self.assertNotIn(worker.id, {run.worker for run in self.world.history})
