--- a/pumicespur/planning/_lifecycle.py
+++ b/pumicespur/planning/_lifecycle.py
@@ -17,7 +17,7 @@
 from pumicespur.utils import replace_fields
 
 if TYPE_CHECKING:
-    from pumicespur.planning._decision import Decision, PlanInput
+    from pumicespur.planning._round import Decision, PlanInput
     from pumicespur.schema.platform_pb import ListedInstance
 
 MS = 1000
--- a/pumicespur/planning/_moves.py
+++ b/pumicespur/planning/_moves.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from pumicespur.planning._availability import Availability
-    from pumicespur.planning._decision import Decision, PlanInput
+    from pumicespur.planning._round import Decision, PlanInput
 
 
 def plan_moves(known: PlanInput, available: Availability, decision: Decision) -> None:
--- a/pumicespur/planning/_placement.py
+++ b/pumicespur/planning/_placement.py
@@ -21,7 +21,7 @@
 from pumicespur.utils import replace_fields
 
 if TYPE_CHECKING:
-    from pumicespur.planning._decision import Decision, PlanInput
+    from pumicespur.planning._round import Decision, PlanInput
 
 
 @dataclass
--- a/pumicespur/planning/_planner.py
+++ b/pumicespur/planning/_planner.py
@@ -9,8 +9,9 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.planning._decision import Decision, PlanInput, decide
+from pumicespur.planning._decision import decide
 from pumicespur.planning._effects import Effects
+from pumicespur.planning._round import Decision, PlanInput
 from pumicespur.planning._usage import UsageBook, own_tasks
 from pumicespur.schema.fleet_pb import InstanceState, Record
 from pumicespur.store import Conflict, Listing
--- a/pumicespur/planning/_waves.py
+++ b/pumicespur/planning/_waves.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from pumicespur.planning._availability import Availability
-    from pumicespur.planning._decision import Decision, PlanInput
+    from pumicespur.planning._round import Decision, PlanInput
 
 MINUTE_MS = 60_000
 MINUTES_A_DAY = 24 * 60
