--- /dev/null
+++ b/pumicespur/jobs/_advice.py
@@ -0,0 +1,80 @@
+"""Permission of the advising service: which workers may run a step, and for how long."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs._placement import order_groups
+from pumicespur.model import WorkerId
+from pumicespur.utils import now_ms
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._job import StepGroup
+    from pumicespur.jobs._pool import PoolState
+    from pumicespur.platform import WorkerOrders
+
+log = Logger(__name__)
+
+WORKERS_ASKED = 16
+"""Workers named in one call: enough to spread a step, and a tenth of a second of advice."""
+
+IDLE_S = 0.05
+"""Pause while no step needs advice."""
+
+RETRY_S = 0.3
+"""Pause after the service refused or did not answer; it works on one call at a time."""
+
+
+class AdviceDesk:
+    """Asks for tickets, the most pressing step first, one call at a time."""
+
+    def __init__(self, pool: PoolState, orders: WorkerOrders) -> None:
+        self.pool = pool
+        self.orders = orders
+
+    async def run(self) -> None:
+        """Ask for as long as the pool is owned."""
+        while True:
+            group = self._next_group()
+            if group is None:
+                await anyio.sleep(IDLE_S)
+            elif not await self._ask(group):
+                await anyio.sleep(RETRY_S)
+
+    def _next_group(self) -> StepGroup | None:
+        now = time.monotonic()
+        for group in order_groups(self.pool.jobs.values(), now_ms()):
+            if group.job.advised and not group.has_tickets(now) and self._candidates(group):
+                return group
+        return None
+
+    def _candidates(self, group: StepGroup) -> list[WorkerId]:
+        now = time.monotonic()
+        loads = [
+            load
+            for load in self.pool.loads.values()
+            if load.open(now) and load.fits(group.spec) and load.allows(group)
+        ]
+        loads.sort(key=lambda load: (load.share(), load.worker.id))
+        return [load.worker.id for load in loads[:WORKERS_ASKED]]
+
+    async def _ask(self, group: StepGroup) -> bool:
+        asked_at = time.monotonic()
+        workers = self._candidates(group)
+        answer = await self.orders.advise(group.name, workers)
+        match answer:
+            case Result(tag="ok", ok=(tickets, valid_s)):
+                # Counted from the question, so that no ticket is used after its time.
+                group.tickets = {
+                    WorkerId(name): (ticket, asked_at + valid_s) for name, ticket in tickets.items()
+                }
+                log.info("advice taken", job=group.job.id, step=group.name, workers=len(tickets))
+                return bool(tickets)
+            case Result(error=fault):
+                log.warning("advice not given", step=group.name, reason=str(fault))
+                return False
--- a/pumicespur/jobs/_availability.py
+++ b/pumicespur/jobs/_availability.py
@@ -12,6 +12,9 @@
     from pumicespur.jobs._load import WorkerLoad
     from pumicespur.jobs._pool import PoolState
 
+LEAVE_RESERVE_S = 0.8
+"""Time before a worker leaves by which tasks with checkpoints are stopped: two stops."""
+
 MOVE_AGAIN_S = 1.0
 """Time after which a stop for a move that shows no effect is given again."""
 
@@ -26,11 +29,24 @@
     chosen: list[Task] = []
     for load in leaving:
         for task in sorted(load.tasks, key=lambda task: task.name):
-            if _may_stop(pool, task, now, chosen) and has_place(pool, task, now):
+            if (
+                _may_stop(pool, task, now, chosen)
+                and has_place(pool, task, now)
+                or _loses_progress(load, task, now)
+            ):
                 chosen.append(task)
     return chosen
 
 
+def _loses_progress(load: WorkerLoad, task: Task, now: float) -> bool:
+    """Whether a short task would end with its worker although its progress can be kept."""
+    if load.leaves_at is None or load.leaves_at - now > LEAVE_RESERVE_S:
+        return False
+    if task.spec.long_running or not task.spec.checkpoints or task.job.ended:
+        return False
+    return task.state is TaskState.RUNNING and now - task.stop_sent_at >= MOVE_AGAIN_S
+
+
 def _is_leaving(load: WorkerLoad) -> bool:
     draining = load.worker.state is WorkerState.DRAINING
     return load.reachable and (load.evacuating or draining)
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -13,6 +13,9 @@
     from pumicespur.model import Rack, Route
     from pumicespur.schema.jobs_pb import JobRecord, StepRecord
 
+TICKET_RESERVE_S = 0.2
+"""Time that a ticket must still hold when it is used: a commit and a call."""
+
 ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
 
 
@@ -92,9 +95,25 @@
     """The newest checkpoint of any member; every member of a gang starts from the same one."""
     failed_run: int = 0
     """The newest run of a gang that failed; it counts once for all members."""
+    tickets: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
+    """Permissions to run the step, by worker, and their ends in monotonic seconds."""
     rack: Rack | None = None
     """The rack of the first placed task, for steps that stay in one rack."""
 
+    @property
+    def name(self) -> str:
+        """Return the step's name as the advising service knows it."""
+        return f"{self.job.id}.{self.repeat}.{self.number}"
+
+    def ticket(self, worker: WorkerId, now: float) -> str:
+        """Return a worker's ticket, empty if it has none that holds long enough."""
+        ticket, until = self.tickets.get(worker, ("", 0.0))
+        return ticket if until - now > TICKET_RESERVE_S else ""
+
+    def has_tickets(self, now: float) -> bool:
+        """Whether any ticket still holds."""
+        return any(self.ticket(worker, now) for worker in self.tickets)
+
     @property
     def complete(self) -> bool:
         """Whether every task has ended well."""
@@ -116,6 +135,8 @@
     max_attempts: int
     deadline_ms: float
     """Time of day by which the job ought to be completed, in milliseconds since 1970."""
+    advised: bool = False
+    """Its tasks need tickets of the advising service."""
     phase: JobPhase = JobPhase.QUEUED
     begun: bool = False
     groups: list[StepGroup] = field(default_factory=list)
@@ -206,6 +227,7 @@
         priority=route.priority if route else 0,
         max_attempts=route.max_attempts if route else 1,
         deadline_ms=record.accepted_ms + objective_ms + stretch * chain_ms,
+        advised=route is not None and route.advice is not None,
     )
     for repeat in range(max(1, record.repeats)):
         due_ms = record.first_due_ms + repeat * record.interval_ms if record.repeats else 0
--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -39,6 +39,10 @@
     """The fleet's holder wants it emptied."""
     told_tasks: int = 0
     """Tasks that the last report told of."""
+    paced_at: float = 0.0
+    """Monotonic time of the last change of pace of its filling tasks."""
+    leaves_at: float | None = None
+    """Monotonic time at which the worker may be gone, if it said so."""
     avoid_until: float = 0.0
     """Monotonic time until which it gets no new tasks, in seconds."""
     failures: int = 0
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -10,6 +10,7 @@
 from expression import Result
 from logbook import Logger
 
+from pumicespur.jobs._advice import AdviceDesk
 from pumicespur.jobs._availability import tasks_to_move
 from pumicespur.jobs._demand import (
     Demand,
@@ -25,6 +26,7 @@
     submission_parts,
     submissions_table,
 )
+from pumicespur.jobs._pace import choose_paces
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
 from pumicespur.jobs._watch import WorkerWatch
@@ -146,6 +148,7 @@
                 self.ready = True
                 self.tasks.start_soon(self._follow_submissions)
                 self.tasks.start_soon(self._free_unlisted)
+                self.tasks.start_soon(AdviceDesk(self.pool, self.orders).run)
                 await self._rounds()
                 self.tasks.cancel_scope.cancel()
         except* OwnershipLostError as lost:
@@ -335,6 +338,7 @@
                 self._evacuate()
                 self.pool.place(time.monotonic(), now_ms())
                 self._note_demand()
+                self._pace()
             batch = self._collect()
             idle_s = time.monotonic() - self.journal.confirmed_at
             if batch.writes or idle_s > IDLE_COMMIT_S:
@@ -344,6 +348,13 @@
                 await self.journal.release(self.settings.process.id)
                 return
 
+    def _pace(self) -> None:
+        """Slow filling tasks down where tasks that serve users suffer."""
+        for task, percent in choose_paces(self.pool.loads.values(), time.monotonic()):
+            watch = self.watches.get(task.worker) if task.worker else None
+            if watch is not None:
+                self.spawn(watch.pace, task, percent)
+
     def _note_demand(self) -> None:
         self.short, self.lasting = current_demand(self.pool, now_ms())
         self.demand.note(time.monotonic(), self.short)
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -40,6 +40,7 @@
         if load is None:
             break
         put(task, load)
+        task.ticket = group.ticket(load.worker.id, now)
         placed.append(task)
     if group.spec.gang and len(placed) < len(group.tasks):
         for task in placed:
@@ -82,6 +83,8 @@
     """Pick the best worker for one more task of a group, or None if none has room."""
     spec = group.spec
     able = [load for load in loads if load.open(now) and load.fits(spec) and load.allows(group)]
+    if group.job.advised:
+        able = [load for load in able if group.ticket(load.worker.id, now)]
     if not able:
         return None
     if spec.same_rack:
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -66,6 +66,8 @@
             self.loads[worker.id] = load
         load.worker = worker
         load.listed = True
+        if worker.leaves_in_s is not None and load.leaves_at is None:
+            load.leaves_at = time.monotonic() + worker.leaves_in_s
         return load
 
     def drop_worker(self, worker: WorkerId) -> list[Task]:
--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -17,7 +17,9 @@
 from pumicespur.store import AnswerLost, Condition, Conflict, Row, Transaction, Write
 
 if TYPE_CHECKING:
-    from pumicespur.model import JobId, Route
+    from collections.abc import Callable
+
+    from pumicespur.model import JobId, PoolId, Route
     from pumicespur.platform import PlatformTable
     from pumicespur.store import Fault
 
@@ -50,8 +52,12 @@
 class JobService:
     """Answers callers from the store, so that it needs no owner to be at work."""
 
-    def __init__(self, table: PlatformTable) -> None:
+    def __init__(
+        self, table: PlatformTable, other_pools: Callable[[Route, bool], list[PoolId]]
+    ) -> None:
         self.table = table
+        self.other_pools = other_pools
+        """Pools beside a route's own in which its jobs may be: all, or (true) its earlier ones."""
 
     async def submit(self, route: Route, record: JobRecord, give_up_at: float) -> Submission:
         """Record a job; the same id recorded before counts as accepted.
@@ -62,6 +68,13 @@
         job: JobId = record.id  # type: ignore[assignment]
         conditions = [Condition(submission_key(pool, job), 0)]
         write = Write(submission_key(pool, job), record.to_binary())
+        for earlier in self.other_pools(route, True):
+            found = await self._phase(earlier, job, give_up_at)
+            if found.is_error():
+                return Submission.NOT_TAKEN
+            if found.ok is not None:
+                log.info("job accepted", job=job, route=route.name, pool=earlier, repeat=True)
+                return Submission.ACCEPTED
         lost = False
         pause_s = RETRY_S
         while True:
@@ -96,15 +109,24 @@
         self, route: Route, job: JobId, give_up_at: float
     ) -> Result[JobPhase | None, Fault]:
         """Read how far a job is; None tells that there is no such job."""
+        for pool in (route.pool, *self.other_pools(route, False)):
+            found = await self._phase(pool, job, give_up_at)
+            if found.is_error() or found.ok is not None:
+                return found
+        return Ok(None)
+
+    async def _phase(
+        self, pool: PoolId, job: JobId, give_up_at: float
+    ) -> Result[JobPhase | None, Fault]:
         for _ in range(2):
             # A job that ends between the two reads has its progress row at the second try.
-            progress = await self._read(progress_key(route.pool, job), give_up_at)
+            progress = await self._read(progress_key(pool, job), give_up_at)
             match progress:
                 case Result(tag="ok", ok=row) if row.version:
                     return Ok(ProgressRecord.from_binary(row.value).phase)
                 case Result(error=fault):
                     return Error(fault)
-            submission = await self._read(submission_key(route.pool, job), give_up_at)
+            submission = await self._read(submission_key(pool, job), give_up_at)
             match submission:
                 case Result(tag="ok", ok=row) if row.version:
                     return Ok(JobPhase.QUEUED)
@@ -114,7 +136,16 @@
 
     async def cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
         """Record that a job is not wanted any more; its owner stops it."""
-        key = submission_key(route.pool, job)
+        for pool in (route.pool, *self.other_pools(route, False)):
+            outcome = await self._cancel_in(pool, route, job, give_up_at)
+            if outcome is not Cancellation.NO_SUCH_JOB:
+                return outcome
+        return Cancellation.NO_SUCH_JOB
+
+    async def _cancel_in(
+        self, pool: PoolId, route: Route, job: JobId, give_up_at: float
+    ) -> Cancellation:
+        key = submission_key(pool, job)
         while True:
             found = await self._read(key, give_up_at)
             match found:
@@ -124,7 +155,7 @@
                         log.info("job cancelled", job=job, route=route.name, version=answer.ok)
                         return Cancellation.DONE
                 case Result(tag="ok"):
-                    return await self._cancel_missing(route, job, give_up_at)
+                    return await self._cancel_missing(pool, job, give_up_at)
             if time.monotonic() + MAX_RETRY_S >= give_up_at:
                 return Cancellation.UNKNOWN
             await anyio.sleep(RETRY_S * random.uniform(0.5, 1.0))
@@ -138,9 +169,9 @@
             Transaction([Condition(row.key, row.version)], [Write(row.key, record.to_binary())])
         )
 
-    async def _cancel_missing(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
+    async def _cancel_missing(self, pool: PoolId, job: JobId, give_up_at: float) -> Cancellation:
         """Answer for a job without its own row: it has ended or never was."""
-        found = await self._read(progress_key(route.pool, job), give_up_at)
+        found = await self._read(progress_key(pool, job), give_up_at)
         match found:
             case Result(tag="ok", ok=row) if row.version:
                 phase = ProgressRecord.from_binary(row.value).phase
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -35,6 +35,13 @@
 SICK_PAUSE_S = 1.0
 """Time for which a worker that refused as unhealthy gets nothing."""
 
+STALL_S = 2.0
+"""Time without a percent of progress after which a short task stands still: two looks and a
+half, while sound tasks of the users' sheets gain a percent in a twentieth of a second."""
+
+STALL_SHARE = 0.1
+"""Share of a task's estimate that it may take for one percent; estimates are far off."""
+
 STOP_AGAIN_S = 0.4
 """Time after which a stop that shows no effect is sent again."""
 
@@ -43,9 +50,20 @@
 
 FENCED = "fence"
 FULL = "room"
+NO_TICKET = "ticket"
 SICK = ("429", "503")
 
 
+def is_stalled(task: Task, now: float) -> bool:
+    """Tell whether a task has made no progress for longer than any sound one would."""
+    if task.state is not TaskState.RUNNING or task.job.ended or task.spec.long_running:
+        return False
+    if now - task.stop_sent_at < STOP_AGAIN_S:
+        return False
+    patience_s = max(STALL_S, STALL_SHARE * task.spec.estimated_ms / 1000)
+    return now - task.progressed_at > patience_s
+
+
 class WorkerWatch:
     """The owner's dealings with one life of a worker."""
 
@@ -136,6 +154,7 @@
         self._note_running(running, now)
         await self._settle(running, sent_at)
         await self._stop_foreign(running, now)
+        await self._stop_stalled(now)
 
     def _note_running(self, running: dict[tuple[TaskName, int], Running], now: float) -> None:
         for task in list(self.load.tasks):
@@ -157,6 +176,16 @@
             task.checkpoint = found.checkpoint
             task.figure = found.figure
 
+    async def _stop_stalled(self, now: float) -> None:
+        """Stop tasks that stand still, so that they go on elsewhere from their checkpoint."""
+        for task in list(self.load.tasks):
+            if task.worker != self.id or not is_stalled(task, now):
+                continue
+            task.stop_sent_at = now
+            task.stopping_run = task.run
+            self.load.note_result(False, now)
+            self.owner.spawn(self.stop, task.name, task.run, "it stands still")
+
     def _confirm(self, task: Task) -> None:
         task.state = TaskState.RUNNING
         task.started_at = task.progressed_at = time.monotonic()
@@ -254,7 +283,7 @@
             case Result(error=Refused(reason=reason)) if reason == FENCED:
                 raise OwnershipLostError(f"worker {self.id} has seen a newer token")
             case Result(error=Refused(reason=reason)):
-                self._note_refusal(reason, now)
+                self._note_refusal(task, reason, now)
                 self._free_if_same(task, run, f"refused: {reason}")
             case Result(error=Unavailable(reason=reason)):
                 self._note_failure(reason)
@@ -262,11 +291,24 @@
             case Result(error=AnswerLost()):
                 self.unsettled[task] = run
 
-    def _note_refusal(self, reason: str, now: float) -> None:
+    async def pace(self, task: Task, percent: int) -> None:
+        """Let a filling task work at a share of its speed."""
+        run = task.run
+        answer = await self.owner.orders.pace(
+            self.load.worker, self.owner.token, task.name, run, percent
+        )
+        taken = answer.is_ok()
+        log.info("pace ordered", task=task.name, worker=self.id, percent=percent, taken=taken)
+        if taken and task.run == run:
+            task.pace = percent
+
+    def _note_refusal(self, task: Task, reason: str, now: float) -> None:
         if reason == FULL:
             self.load.avoid_until = now + FULL_PAUSE_S
         elif reason in SICK:
             self.load.avoid_until = now + SICK_PAUSE_S
+        elif reason == NO_TICKET:
+            task.group.tickets.pop(self.id, None)
 
     def _check_lapse(self) -> None:
         """Let tasks wait again once the worker's lease is surely over."""
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -93,7 +93,7 @@
         self.order_caller = HttpCaller(ORDER_CONNECTIONS)
         self.watch_caller = HttpCaller(WATCH_CONNECTIONS)
         self.table = PlatformTable(settings.store, self.store_caller)
-        self.jobs = JobService(self.table)
+        self.jobs = JobService(self.table, self.view.other_pools)
         self.orders = WorkerOrders(settings.workers, self.order_caller, self.watch_caller)
         self.fleet_orders = FleetOrders(settings.fleet, settings.process.id, self.store_caller)
         self.keeper = OwnershipKeeper(
--- a/pumicespur/node/_view.py
+++ b/pumicespur/node/_view.py
@@ -11,7 +11,7 @@
 from pumicespur.model import Configuration, PoolId, ProcessId, RouteName, WorkerId
 
 if TYPE_CHECKING:
-    from pumicespur.model import Wave, Worker
+    from pumicespur.model import Route, Wave, Worker
     from pumicespur.schema.jobs_pb import HeartbeatRecord, OwnerRecord, PoolReport
 
 log = Logger(__name__)
@@ -44,6 +44,8 @@
     workers_known: bool = False
     processes: dict[ProcessId, SeenProcess] = field(default_factory=dict)
     owners: dict[PoolId, SeenOwner] = field(default_factory=dict)
+    earlier_pools: dict[RouteName, set[PoolId]] = field(default_factory=dict)
+    """Pools that a route had in earlier configurations of this process's life."""
     steady_since: float = field(default_factory=time.monotonic)
     """Since when the store has told of heartbeats without a gap (monotonic seconds)."""
 
@@ -57,9 +59,18 @@
             before=self.configuration.version,
             routes=len(configuration.routes),
         )
+        for name, route in configuration.routes.items():
+            before = self.configuration.routes.get(name)
+            if before is not None and before.pool != route.pool:
+                self.earlier_pools.setdefault(name, set()).add(before.pool)
         self.configuration = configuration
         return True
 
+    def other_pools(self, route: Route, earlier: bool) -> list[PoolId]:
+        """Return pools beside a route's own: its earlier ones, or all that have owners."""
+        known = self.earlier_pools.get(route.name, set()) if earlier else set(self.pools())
+        return sorted(known - {route.pool})
+
     def pools(self) -> list[PoolId]:
         """Return the pools that need an owner."""
         return [pool.id for pool in self.configuration.pools.values() if not pool.spare]
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -80,7 +80,11 @@
             }
             for name in routes
         ]
-        pools = [{"name": "main", "admissionCheck": True}, {"name": "idle", "spare": True}]
+        pools = [
+            {"name": "main", "admissionCheck": True},
+            {"name": "second", "admissionCheck": True},
+            {"name": "idle", "spare": True},
+        ]
         content = {"version": version, "routes": made, "services": pools, "limits": {}}
         self.store.put(("op", "", "config"), json.dumps(content).encode())
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -12,8 +12,10 @@
 from pumicespur.jobs._job import Job, Task, TaskState, longest_chain_ms, make_job
 from pumicespur.jobs._lease import WorkerLease
 from pumicespur.jobs._load import EJECT_AFTER, WorkerLoad
+from pumicespur.jobs._pace import choose_paces
 from pumicespur.jobs._placement import order_groups, place_group
 from pumicespur.jobs._pool import PoolState
+from pumicespur.jobs._watch import is_stalled
 from pumicespur.model import (
     Capacity,
     Configuration,
@@ -312,6 +314,86 @@
         self.assertEqual([], tasks_to_move(self.pool, 10.0))
 
 
+class StallTest(unittest.TestCase):
+    """Tasks that stand still."""
+
+    def test_a_short_task_without_progress_is_stalled(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        submit(pool, make_record(StepRecord(count=1, cpu_millis=1, estimated_ms=1000)))
+        (task,) = run_all(pool)
+        task.progressed_at = 10.0
+        self.assertFalse(is_stalled(task, 11.0))
+        self.assertTrue(is_stalled(task, 12.5))
+        task.spec.estimated_ms = 60_000
+        self.assertFalse(is_stalled(task, 12.5))
+
+    def test_a_lasting_task_is_not(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        submit(pool, make_record(StepRecord(count=1, cpu_millis=1, long_running=True)))
+        (task,) = run_all(pool)
+        self.assertFalse(is_stalled(task, 1000.0))
+
+
+class AdviceTest(unittest.TestCase):
+    """Steps that need permission for each worker."""
+
+    def test_only_workers_with_a_ticket_are_used_while_it_holds(self) -> None:
+        pool = make_pool(make_worker("w-1"), make_worker("w-2"))
+        job = submit(pool, make_record(StepRecord(count=2, cpu_millis=1)))
+        job.advised = True
+        self.assertEqual([], pool.place(0.0, 0.0))
+        job.groups[0].tickets = {WorkerId("w-2"): ("t", 5.0)}
+        self.assertEqual([], pool.place(5.0, 0.0))
+        placed = pool.place(1.0, 0.0)
+        self.assertEqual([("w-2", "t")] * 2, [(task.worker, task.ticket) for task in placed])
+
+
+class PaceTest(unittest.TestCase):
+    """Filling tasks give way to tasks that serve users."""
+
+    def setUp(self) -> None:
+        self.pool = make_pool(make_worker("w-1"))
+        serving = StepRecord(count=1, cpu_millis=1, long_running=True, latency_objective_ms=100)
+        filling = StepRecord(count=1, cpu_millis=1, fills=True)
+        submit(self.pool, make_record(serving, filling))
+        run_all(self.pool)
+        (load,) = self.pool.loads.values()
+        self.serving = next(task for task in load.tasks if not task.spec.fills)
+        self.filling = next(task for task in load.tasks if task.spec.fills)
+
+    def paces(self, now: float) -> list[int]:
+        changes = choose_paces(self.pool.loads.values(), now)
+        for task, percent in changes:
+            task.pace = percent
+        return [percent for _, percent in changes]
+
+    def test_slowed_then_stopped_then_let_loose(self) -> None:
+        self.serving.figure = 95
+        self.assertEqual([[30], [0], []], [self.paces(now) for now in (1.0, 2.0, 3.0)])
+        self.serving.figure = 70
+        self.assertEqual([], self.paces(4.0))
+        self.serving.figure = 20
+        self.assertEqual([[20], [40]], [self.paces(now) for now in (5.0, 6.0)])
+
+    def test_changes_wait_for_new_figures(self) -> None:
+        self.serving.figure = 95
+        self.assertEqual([[30], []], [self.paces(now) for now in (1.0, 1.3)])
+
+
+class LeavingTest(unittest.TestCase):
+    """Progress is kept when a worker leaves."""
+
+    def test_task_with_checkpoints_is_stopped_just_before(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        submit(pool, make_record(StepRecord(count=1, cpu_millis=1, checkpoints=True)))
+        (task,) = run_all(pool)
+        (load,) = pool.loads.values()
+        load.evacuating = True
+        load.leaves_at = 10.0
+        self.assertEqual([], tasks_to_move(pool, 9.0))
+        self.assertEqual([task], tasks_to_move(pool, 9.5))
+
+
 class LeaseTest(unittest.TestCase):
     """How long a worker may go on without its owner."""
 
