--- /dev/null
+++ b/pumicespur/jobs/_holding.py
@@ -0,0 +1,41 @@
+"""What the dealings with one worker need of the pool's owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from pumicespur.config import NodeSettings
+    from pumicespur.jobs._job import StepGroup
+    from pumicespur.jobs._pool import PoolState
+    from pumicespur.model import TaskEnd, WorkerId
+    from pumicespur.platform import WorkerOrders
+
+
+class PoolHolder(Protocol):
+    """The owner of a pool, as its workers' tasks see it."""
+
+    settings: NodeSettings
+    pool: PoolState
+    orders: WorkerOrders
+    token: int
+
+    def may_extend(self, now: float) -> bool:
+        """Whether leases may still be extended."""
+
+    def wake(self) -> None:
+        """Ask for a round."""
+
+    def spawn(self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: Any) -> None:
+        """Run something beside the rounds."""
+
+    def note_end(self, worker: WorkerId, end: TaskEnd, now: float) -> None:
+        """Take in the end of a run."""
+
+    def stop_gang(self, group: StepGroup, run: int) -> None:
+        """Stop the members of a gang, one of which did not start."""
+
+    def forget(self, worker: WorkerId) -> None:
+        """Drop a worker whose life is over."""
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -295,9 +295,9 @@
         instance = watch.load.worker.instance
         return bool(instance) and any(w.instance == instance for w in self.view.workers.values())
 
-    def forget(self, watch: WorkerWatch) -> None:
+    def forget(self, worker: WorkerId) -> None:
         """Drop a worker whose life is over."""
-        self.watches.pop(watch.id, None)
+        self.watches.pop(worker, None)
 
     async def _free_unlisted(self) -> None:
         """Let tasks on workers that the store does not list start elsewhere, once that is safe."""
@@ -309,7 +309,7 @@
                     self.pool.free(task)
         self.wake()
 
-    def note_end(self, watch: WorkerWatch, end: TaskEnd, now: float) -> None:
+    def note_end(self, worker: WorkerId, end: TaskEnd, now: float) -> None:
         """Take in the end of a run; it is acknowledged once it is recorded."""
         task = self.pool.task(end.task)
         log.info(
@@ -318,11 +318,11 @@
             task=end.task,
             run=end.run,
             newest_run=task.run if task else None,
-            worker=watch.id,
+            worker=worker,
             how=end.how.value,
         )
         METRICS.tasks.inc({"pool": self.pool.pool, "how": end.how.value})
-        self.pool.note_end(watch.id, end, now)
+        self.pool.note_end(worker, end, now)
         if task is not None and task.job.ended:
             log.info("job ended", job=task.job.id, phase=task.job.phase.name)
         self.wake()
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -17,8 +17,8 @@
 from pumicespur.utils import METRICS
 
 if TYPE_CHECKING:
+    from pumicespur.jobs._holding import PoolHolder
     from pumicespur.jobs._job import Task
-    from pumicespur.jobs._owner import PoolOwner
     from pumicespur.model import Running, TaskName, Worker
 
 log = Logger(__name__)
@@ -67,7 +67,7 @@
 class WorkerWatch:
     """The owner's dealings with one life of a worker."""
 
-    def __init__(self, owner: PoolOwner, worker: Worker, unknown_until: float) -> None:
+    def __init__(self, owner: PoolHolder, worker: Worker, unknown_until: float) -> None:
         self.owner = owner
         self.id = worker.id
         self.load = owner.pool.add_worker(worker)
@@ -94,7 +94,7 @@
             elif not await self._look(now):
                 await anyio.sleep(RETRY_S)
             self._check_lapse()
-        self.owner.forget(self)
+        self.owner.forget(self.id)
 
     async def _wait_for_record(self) -> None:
         if self.seen > self.recorded:
@@ -149,7 +149,7 @@
         for end in account.ended:
             if end.number > self.seen:
                 self.seen = end.number
-                self.owner.note_end(self, end, now)
+                self.owner.note_end(self.id, end, now)
         running = {(run.task, run.run): run for run in account.running}
         self._note_running(running, now)
         await self._settle(running, sent_at)
