--- /dev/null
+++ b/pumicespur/jobs/_intake.py
@@ -0,0 +1,147 @@
+"""How an owner hears of its pool's jobs: submissions, cancellations, and what was recorded."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs._job import ENDED_PHASES
+from pumicespur.jobs._keys import submission_key, submission_parts, submissions_table
+from pumicespur.model import JobId
+from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
+from pumicespur.store import HistoryGone, Page, Row, Transaction, Write
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from pumicespur.jobs._pool import PoolState
+    from pumicespur.node import NodeView
+    from pumicespur.platform import PlatformTable
+
+log = Logger(__name__)
+
+RETRY_S = 0.2
+"""Pause after a fault of the store outside commits."""
+
+
+class JobIntake:
+    """Takes jobs into a pool's state, and drops their submissions when they have ended."""
+
+    def __init__(
+        self,
+        pool: PoolState,
+        table: PlatformTable,
+        view: NodeView,
+        watch_s: float,
+        wake: Callable[[], None],
+    ) -> None:
+        self.pool = pool
+        self.table = table
+        self.view = view
+        self.watch_s = watch_s
+        self.wake = wake
+        """Asks the owner for a round."""
+        self.ended: dict[JobId, int] = {}
+        """Jobs that have ended, by the time of day in milliseconds."""
+        self.version = 0
+        """Version from which submissions are followed."""
+
+    async def load(self) -> None:
+        """Read what earlier owners recorded; since the takeover nothing of theirs can change it."""
+        kept = await self._retry(lambda: self.table.scan("progress", self.pool.pool))
+        progress: dict[str, ProgressRecord] = {}
+        for row in kept.rows:
+            record = ProgressRecord.from_binary(row.value)
+            job = JobId(row.key.rsplit("/", 1)[1])
+            progress[job] = record
+            if record.phase in ENDED_PHASES:
+                self.ended[job] = record.changed_ms
+        for row in await self._read_all():
+            self._take(row, progress)
+
+    async def _read_all(self) -> list[Row]:
+        """Read all submissions; changes are followed from the oldest page on."""
+        pool = self.pool.pool
+        pages: list[Page] = []
+
+        async def read(part: str) -> None:
+            pages.append(await self._retry(lambda: self.table.scan(submissions_table(pool), part)))
+
+        async with anyio.create_task_group() as readers:
+            for part in submission_parts(pool):
+                readers.start_soon(read, part)
+        self.version = min(page.version for page in pages)
+        return [row for page in pages for row in page.rows]
+
+    async def _retry(self, call: Callable[[], Awaitable[Result[Any, Any]]]) -> Any:
+        while True:
+            answer = await call()
+            match answer:
+                case Result(tag="ok", ok=value):
+                    return value
+                case Result(error=fault):
+                    log.warning("store not read", pool=self.pool.pool, reason=str(fault))
+                    await anyio.sleep(RETRY_S)
+
+    def _take(self, row: Row, progress: dict[str, ProgressRecord]) -> None:
+        if not row.version:
+            return
+        record = JobRecord.from_binary(row.value)
+        if record.ended or JobId(record.id) in self.ended:
+            return
+        job = self.pool.add_job(record, self.view.configuration, progress.get(record.id))
+        if job is not None:
+            log.info(
+                "job known",
+                job=job.id,
+                route=job.route,
+                pool=self.pool.pool,
+                steps=len(record.steps),
+                tasks=len(job.tasks),
+                row_version=row.version,
+            )
+        known = self.pool.jobs.get(JobId(record.id))
+        if record.cancelled and known is not None and not known.ended:
+            log.info("job cancelled", job=known.id, pool=self.pool.pool, row_version=row.version)
+            self.pool.cancel(known)
+        self.wake()
+
+    async def follow(self) -> None:
+        """Take in jobs and cancellations as callers' entries write them."""
+        pool = self.pool.pool
+        table = submissions_table(pool)
+        wait_s = self.watch_s
+        while True:
+            answer = await self.table.changes(table, self.version, wait_s)
+            match answer:
+                case Result(tag="ok", ok=page):
+                    self.version = page.version
+                    rows = page.rows
+                case Result(error=HistoryGone()):
+                    log.warning("submissions read anew", pool=pool, reason="history gone")
+                    rows = await self._read_all()
+                case Result(error=fault):
+                    log.warning("submissions not followed", pool=pool, reason=str(fault))
+                    await anyio.sleep(RETRY_S)
+                    continue
+            for row in rows:
+                self._take(row, {})
+
+    async def empty(self, job: JobId) -> None:
+        """Drop what is no longer needed of a job whose end is recorded; its id stays taken."""
+        record = JobRecord(id=job, ended=True)
+        write = Write(submission_key(self.pool.pool, job), record.to_binary())
+        answer = await self.table.transact(Transaction([], [write]))
+        if answer.is_error():
+            # A later owner finds the end in the job's progress all the same.
+            log.info("submission not emptied", job=job, reason=str(answer.error))
+
+    async def remove(self, job: JobId) -> None:
+        """Forget a job that ended long ago."""
+        write = Write(submission_key(self.pool.pool, job), None)
+        answer = await self.table.transact(Transaction([], [write]))
+        if answer.is_error():
+            log.info("submission not removed", job=job, reason=str(answer.error))
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from expression import Result
 from logbook import Logger
 
 from pumicespur.jobs._advice import AdviceDesk
@@ -18,25 +17,22 @@
     current_demand,
     wanted_workers,
 )
-from pumicespur.jobs._job import ENDED_PHASES, Job, Task, TaskState
+from pumicespur.jobs._intake import JobIntake
+from pumicespur.jobs._job import Job, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import (
     progress_key,
-    submission_key,
-    submission_parts,
-    submissions_table,
 )
 from pumicespur.jobs._pace import choose_paces
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
 from pumicespur.jobs._watch import WorkerWatch
-from pumicespur.model import JobId, WorkerId, WorkerState
-from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
-from pumicespur.store import HistoryGone, Page, Row, Transaction, Write
+from pumicespur.model import WorkerId, WorkerState
+from pumicespur.store import Write
 from pumicespur.utils import METRICS, now_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Coroutine
+    from collections.abc import Callable, Coroutine
     from typing import Any
 
     from anyio.abc import TaskGroup
@@ -62,9 +58,6 @@
 ROUND_S = 0.25
 """Longest pause between placements, for work that falls due by time alone."""
 
-RETRY_S = 0.2
-"""Pause after a fault of the store outside commits."""
-
 EVACUATION_MAX_AGE_S = 3.0
 """Oldest word of the fleet's holder that is followed; a few heartbeats."""
 
@@ -109,9 +102,7 @@
         self.pool = PoolState(ownership.pool)
         self.journal = Journal(table, ownership, 0)
         self.watches: dict[WorkerId, WorkerWatch] = {}
-        self.ended: dict[JobId, int] = {}
-        """Jobs that have ended, by the time of day in milliseconds."""
-        self.submissions_version = 0
+        self.intake = JobIntake(self.pool, table, view, settings.store.watch_s, self.wake)
         self.demand = DemandTracker()
         self.short = Demand()
         self.lasting = Demand()
@@ -142,11 +133,13 @@
     async def run(self) -> None:
         """Own the pool until it is lost, or given up after `stop`."""
         try:
-            await self._load()
+            await self.journal.load()
+            await self.intake.load()
+            self._tell_taken()
             async with anyio.create_task_group() as self.tasks:
                 self.sync_workers()
                 self.ready = True
-                self.tasks.start_soon(self._follow_submissions)
+                self.tasks.start_soon(self.intake.follow)
                 self.tasks.start_soon(self._free_unlisted)
                 self.tasks.start_soon(AdviceDesk(self.pool, self.orders).run)
                 await self._rounds()
@@ -164,98 +157,17 @@
         self.wake()
         await self.stopped.wait()
 
-    async def _load(self) -> None:
-        """Read what earlier owners recorded; since the takeover nothing of theirs can change it."""
-        pool = self.ownership.pool
-        await self.journal.load()
-        kept = await self._retry(lambda: self.table.scan("progress", pool))
-        progress: dict[str, ProgressRecord] = {}
-        for row in kept.rows:
-            record = ProgressRecord.from_binary(row.value)
-            job = JobId(row.key.rsplit("/", 1)[1])
-            progress[job] = record
-            if record.phase in ENDED_PHASES:
-                self.ended[job] = record.changed_ms
-        for row in await self._read_submissions():
-            self._take_submission(row, progress)
+    def _tell_taken(self) -> None:
         METRICS.takeovers.inc({})
         log.info(
             "pool taken",
-            pool=pool,
+            pool=self.pool.pool,
             token=self.token,
             jobs=len(self.pool.jobs),
-            ended=len(self.ended),
-            submissions_version=self.submissions_version,
+            ended=len(self.intake.ended),
+            submissions_version=self.intake.version,
         )
 
-    async def _read_submissions(self) -> list[Row]:
-        """Read all submissions; changes are followed from the oldest page on."""
-        pool = self.ownership.pool
-        pages: list[Page] = []
-
-        async def read(part: str) -> None:
-            pages.append(await self._retry(lambda: self.table.scan(submissions_table(pool), part)))
-
-        async with anyio.create_task_group() as readers:
-            for part in submission_parts(pool):
-                readers.start_soon(read, part)
-        self.submissions_version = min(page.version for page in pages)
-        return [row for page in pages for row in page.rows]
-
-    async def _retry(self, call: Callable[[], Awaitable[Result[Any, Any]]]) -> Any:
-        while True:
-            answer = await call()
-            match answer:
-                case Result(tag="ok", ok=value):
-                    return value
-                case Result(error=fault):
-                    log.warning("store not read", pool=self.pool.pool, reason=str(fault))
-                    await anyio.sleep(RETRY_S)
-
-    def _take_submission(self, row: Row, progress: dict[str, ProgressRecord]) -> None:
-        if not row.version:
-            return
-        record = JobRecord.from_binary(row.value)
-        if record.ended or JobId(record.id) in self.ended:
-            return
-        job = self.pool.add_job(record, self.view.configuration, progress.get(record.id))
-        if job is not None:
-            log.info(
-                "job known",
-                job=job.id,
-                route=job.route,
-                pool=self.pool.pool,
-                steps=len(record.steps),
-                tasks=len(job.tasks),
-                row_version=row.version,
-            )
-        known = self.pool.jobs.get(JobId(record.id))
-        if record.cancelled and known is not None and not known.ended:
-            log.info("job cancelled", job=known.id, pool=self.pool.pool, row_version=row.version)
-            self.pool.cancel(known)
-        self.wake()
-
-    async def _follow_submissions(self) -> None:
-        """Take in jobs and cancellations as callers' entries write them."""
-        pool = self.ownership.pool
-        table = submissions_table(pool)
-        wait_s = self.settings.store.watch_s
-        while True:
-            answer = await self.table.changes(table, self.submissions_version, wait_s)
-            match answer:
-                case Result(tag="ok", ok=page):
-                    self.submissions_version = page.version
-                    rows = page.rows
-                case Result(error=HistoryGone()):
-                    log.warning("submissions read anew", pool=pool, reason="history gone")
-                    rows = await self._read_submissions()
-                case Result(error=fault):
-                    log.warning("submissions not followed", pool=pool, reason=str(fault))
-                    await anyio.sleep(RETRY_S)
-                    continue
-            for row in rows:
-                self._take_submission(row, {})
-
     def sync_workers(self) -> None:
         """Watch the workers that the store lists for this pool."""
         if self.tasks is None:
@@ -277,7 +189,7 @@
         for watch in list(self.watches.values()):
             if watch.id not in listed:
                 watch.load.listed = False
-                if self._has_successor(watch, listed.values()):
+                if self._has_successor(watch):
                     watch.end("its instance runs another worker")
         self.wake()
 
@@ -291,7 +203,7 @@
         self.watches[worker.id] = watch
         self.spawn(watch.run)
 
-    def _has_successor(self, watch: WorkerWatch, listed: Any) -> bool:
+    def _has_successor(self, watch: WorkerWatch) -> bool:
         instance = watch.load.worker.instance
         return bool(instance) and any(w.instance == instance for w in self.view.workers.values())
 
@@ -412,19 +324,19 @@
         return batch
 
     def _drop_old(self, batch: Batch, now: int) -> None:
-        old = [job for job, at in self.ended.items() if now - at > RETENTION_MS]
+        old = [job for job, at in self.intake.ended.items() if now - at > RETENTION_MS]
         for job in old[:JOBS_PER_COMMIT]:
-            del self.ended[job]
-            self.spawn(self._remove_submission, job)
+            del self.intake.ended[job]
+            self.spawn(self.intake.remove, job)
             batch.writes.append(Write(progress_key(self.pool.pool, job), None))
 
     def _carry_out(self, batch: Batch) -> None:
         now = now_ms()
         for job in batch.ended:
-            self.ended[job.id] = now
+            self.intake.ended[job.id] = now
             self.pool.jobs.pop(job.id, None)
             self._stop_all(job)
-            self.spawn(self._empty_submission, job.id)
+            self.spawn(self.intake.empty, job.id)
         for watch, number in batch.acknowledged:
             watch.note_recorded(number)
         for task, run, worker in batch.starts:
@@ -435,22 +347,6 @@
         if self.pool.dirty:
             self.wake()
 
-    async def _remove_submission(self, job: JobId) -> None:
-        """Forget a job that ended long ago."""
-        write = Write(submission_key(self.pool.pool, job), None)
-        answer = await self.table.transact(Transaction([], [write]))
-        if answer.is_error():
-            log.info("submission not removed", job=job, reason=str(answer.error))
-
-    async def _empty_submission(self, job: JobId) -> None:
-        """Drop what is no longer needed of a job whose end is recorded; its id stays taken."""
-        record = JobRecord(id=job, ended=True)
-        write = Write(submission_key(self.pool.pool, job), record.to_binary())
-        answer = await self.table.transact(Transaction([], [write]))
-        if answer.is_error():
-            # A later owner finds the end in the job's progress all the same.
-            log.info("submission not emptied", job=job, reason=str(answer.error))
-
     def stop_gang(self, group: StepGroup, run: int) -> None:
         """Stop the other members of a gang, one of which did not start; all start again."""
         for task in group.tasks:
--- a/pumicespur/maintenance/__init__.py
+++ b/pumicespur/maintenance/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
-from pumicespur.maintenance._holder import FLEET, PROOF_S, SLACK_S, FleetHolder
+from pumicespur.maintenance._holder import FleetHolder
+from pumicespur.maintenance._intents import FLEET, PROOF_S, SLACK_S
 
 __all__ = ["FLEET", "PROOF_S", "SLACK_S", "FleetHolder"]
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import time
-from collections import Counter, deque
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -17,11 +17,12 @@
 from logbook import Logger
 
 from pumicespur.jobs import Journal, OwnershipLostError
+from pumicespur.maintenance._intents import FLEET, IntentLog
 from pumicespur.maintenance._sizing import FleetState, Sizer
 from pumicespur.maintenance._waves import WaveProgress, choose_emptying
 from pumicespur.model import Instance, InstanceId, InstanceState, PoolId, WorkerId
 from pumicespur.platform import encode_wave_state, wave_state_key
-from pumicespur.schema.jobs_pb import OrderIntent, OrderIntents, WaveRecord
+from pumicespur.schema.jobs_pb import WaveRecord
 from pumicespur.store import NeverDone, Transaction, Unavailable, Write
 
 if TYPE_CHECKING:
@@ -35,20 +36,10 @@
 
 log = Logger(__name__)
 
-FLEET = PoolId("~fleet")
-"""Stands for the duty where pools stand otherwise; no pool has this name."""
-
-INTENTS_KEY = f"waves/{FLEET}/intents"
 
 ROUND_S = 0.4
 """Pause between rounds; each reads the list of instances once."""
 
-PROOF_S = 1.0
-"""Age up to which a proof of holding the duty allows an order."""
-
-SLACK_S = 0.5
-"""Added to the wait of a new holder, for orders that travel slowly."""
-
 GROWTH = 1.5
 """How far a pool may grow beyond the instances it came with, by need."""
 
@@ -83,13 +74,10 @@
         self.table = table
         self.orders = orders
         self.ownership = ownership
-        self.orders_from = ownership.acquired_at + wait_s
-        """Monotonic time before which instances of the last holder's intents get no order."""
-        self.reserved: set[InstanceId] = set()
-        """Instances for which the last holder may have given orders just now."""
-        self.intents: deque[tuple[float, frozenset[InstanceId]]] = deque()
-        """Instances of recent intents, by monotonic time in seconds, oldest first."""
         self.journal = Journal(table, ownership, 0)
+        self.intents = IntentLog(
+            self.journal, ownership.acquired_at + wait_s, settings.fleet.lease_ms / 1000
+        )
         self.waves: dict[int, WaveProgress] = {}
         self.instances: dict[InstanceId, Instance] = {}
         self.listed_at = 0.0
@@ -111,7 +99,7 @@
         """Hold the duty until it is lost or given up."""
         try:
             await self.journal.load()
-            await self._read_intents()
+            await self.intents.load()
             self.ready = True
             log.info("fleet duty taken", token=self.ownership.token)
             while not self.stopping:
@@ -128,47 +116,6 @@
         self.stopping = True
         await self.stopped.wait()
 
-    async def _read_intents(self) -> None:
-        """Learn for which instances the holder before may have given orders just now."""
-        while True:
-            found = await self.table.read(INTENTS_KEY)
-            match found:
-                case Result(tag="ok", ok=row):
-                    record = OrderIntents.from_binary(row.value)
-                    names = {name for intent in record.intents for name in intent.instances}
-                    self.reserved = {InstanceId(name) for name in names}
-                    return
-                case Result(error=fault):
-                    log.warning("intents not read", reason=str(fault))
-                    await anyio.sleep(ROUND_S)
-
-    async def _announce(self, names: set[InstanceId]) -> None:
-        """Record what is about to be ordered; this also proves that the duty is still held.
-
-        Without news an empty commit is the proof, and the recorded intents stay as they are.
-        """
-        now = time.monotonic()
-        kept = len(self.intents)
-        while self.intents and now - self.intents[0][0] > self._intent_age_s():
-            self.intents.popleft()
-        if not names and kept == len(self.intents):
-            await self.journal.commit([])
-            return
-        if names:
-            self.intents.append((now, frozenset(names)))
-        record = OrderIntents(
-            intents=[OrderIntent(instances=sorted(names)) for _, names in self.intents]
-        )
-        await self.journal.commit([Write(INTENTS_KEY, record.to_binary())])
-
-    def _intent_age_s(self) -> float:
-        """Return how long an intent matters to a next holder, in seconds."""
-        return self.settings.fleet.lease_ms / 1000 + PROOF_S + SLACK_S
-
-    def _may_order(self, name: InstanceId) -> bool:
-        """Whether enough time lies behind the last holder's orders for an instance."""
-        return name not in self.reserved or time.monotonic() >= self.orders_from
-
     def evacuations(self) -> list[WorkerId]:
         """Return the workers that their owners shall empty."""
         names = [name for progress in self.waves.values() for name in progress.emptying]
@@ -209,8 +156,8 @@
         if set(self.evacuations()) != self.told:
             self.told = set(self.evacuations())
             self.tell()
-        moves = [(name, pool) for name, pool in plan.moves if self._may_order(name)]
-        await self._announce({name for name, _ in moves})
+        moves = [(name, pool) for name, pool in plan.moves if self.intents.may_order(name)]
+        await self.intents.announce({name for name, _ in moves})
         for name, pool in moves:
             await self._move(name, pool)
 
@@ -224,7 +171,7 @@
         return since_s > self.settings.fleet.move_s + LOST_S
 
     async def _move(self, name: InstanceId, pool: PoolId) -> None:
-        if time.monotonic() - self.journal.confirmed_at > PROOF_S:
+        if not self.intents.proved():
             return
         self.moving[name] = (pool, time.monotonic())
         before = self.instances[name].pool
@@ -281,8 +228,8 @@
         progress = WaveProgress(self.view.waves[number], time.monotonic())
         progress.begun = {InstanceId(name) for name in record.ordered}
         progress.completed = record.completed
-        progress.suspected = self.reserved & set(progress.wave.instances)
-        progress.suspected_until = self.orders_from + self.settings.fleet.upkeep_s
+        progress.suspected = self.intents.reserved & set(progress.wave.instances)
+        progress.suspected_until = self.intents.orders_from + self.settings.fleet.upkeep_s
         self.waves[number] = progress
         if not progress.completed:
             await self._tell(progress)
@@ -301,9 +248,9 @@
                 del progress.emptying[name]
             elif name in idle or (now - since > EMPTY_S and self._is_released(name)):
                 due.add(name)
-        due = {name for name in due if self._may_order(name)}
+        due = {name for name in due if self.intents.may_order(name)}
         if due:
-            await self._announce(due)
+            await self.intents.announce(due)
             for name in sorted(due):
                 await self._take_down(progress, name)
             await self._record(progress)
@@ -343,7 +290,7 @@
         return next((w for w in workers if w.worker == instance.worker), None)
 
     async def _take_down(self, progress: WaveProgress, name: InstanceId) -> None:
-        if time.monotonic() - self.journal.confirmed_at > PROOF_S:
+        if not self.intents.proved():
             return
         down = progress.down(self.instances, time.monotonic())
         if len(down) >= progress.wave.max_parallel and name not in down:
