--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -26,7 +26,7 @@
 from pumicespur.store import NeverDone, Transaction, Unavailable, Write
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from pumicespur.config import NodeSettings
     from pumicespur.jobs import Ownership
@@ -46,6 +46,9 @@
 LOST_S = 4.0
 """Time beyond a move's own after which an order without effect counts as not done."""
 
+UNREACHED_S = 1.2
+"""Time without an answer after which a worker is replaced; a lost call is repeated by then."""
+
 LIST_LAG_S = 0.2
 """Age that an entry of the list may have when it is read."""
 
@@ -84,6 +87,8 @@
         """Monotonic time at which the list in use was asked for."""
         self.declared: Counter[PoolId] = Counter()
         """Instances of each pool when this holder first saw the list."""
+        self.reached_at: dict[InstanceId, float] = {}
+        """When a worker on each instance last answered its owner (monotonic seconds)."""
         self.sizer = Sizer()
         self.moving: dict[InstanceId, tuple[PoolId, float]] = {}
         """Instances on their way to a pool, by the monotonic time of the order."""
@@ -189,10 +194,19 @@
             case Result(error=fault):
                 log.warning("move not answered", instance=name, pool=pool, reason=str(fault))
 
-    def _size(self, pool: PoolId, report: PoolReport) -> int:
-        """Return the instances that a pool ought to have: those it came with, more by need."""
-        declared = self.declared.get(pool, 0)
-        return max(declared, min(report.wanted_workers, int(declared * GROWTH)))
+    def _bounded_need(self, pool: PoolId, report: PoolReport) -> int:
+        """Return the workers that a pool's work asks for, at most half more than it came with."""
+        return min(report.wanted_workers, int(self.declared.get(pool, 0) * GROWTH))
+
+    def _reachable(self, found: Mapping[InstanceId, WorkerReport]) -> frozenset[InstanceId]:
+        """Return the instances whose workers answer, or did so a moment ago."""
+        now = time.monotonic()
+        for name, report in found.items():
+            if report.reachable:
+                self.reached_at[name] = now
+        return frozenset(
+            name for name in found if now - self.reached_at.get(name, 0.0) < UNREACHED_S
+        )
 
     def _fleet_state(self) -> FleetState:
         reports = {
@@ -205,9 +219,10 @@
         taken = {n for p in self.waves.values() for n in (*p.emptying, *p.ordered)}
         return FleetState(
             instances=self.instances,
-            wanted={p: self._size(p, r) for p, r in reports.items() if r.wanted_workers},
+            declared={p: self.declared.get(p, 0) for p in reports},
+            needed={p: self._bounded_need(p, r) for p, r in reports.items()},
             spare=frozenset(p.id for p in self.view.configuration.pools.values() if p.spare),
-            reachable=frozenset(name for name, w in found.items() if w.reachable),
+            reachable=self._reachable(found),
             tasks={name: w.tasks for name, w in found.items()},
             empty=frozenset(i.id for i in self.instances.values() if self._is_idle(i)),
             held=frozenset(name for name, w in found.items() if w.held_tasks),
@@ -238,7 +253,8 @@
     async def _work_on(self, progress: WaveProgress) -> None:
         now = time.monotonic()
         idle = {i.id for i in self.instances.values() if self._is_idle(i)}
-        wanted = self._fleet_state().wanted
+        state = self._fleet_state()
+        wanted = {p: max(n, state.needed.get(p, 0)) for p, n in state.declared.items()}
         for name in choose_emptying(progress, self.instances, idle, wanted, now):
             progress.emptying[name] = now
             log.info("instance to be emptied", wave=progress.wave.number, instance=name)
--- a/pumicespur/maintenance/_sizing.py
+++ b/pumicespur/maintenance/_sizing.py
@@ -26,8 +26,10 @@
     """What the holder knows when it decides on moves."""
 
     instances: Mapping[InstanceId, Instance]
-    wanted: Mapping[PoolId, int]
-    """Workers that each pool's owner asks for; pools without fresh word are left alone."""
+    declared: Mapping[PoolId, int]
+    """Instances that each pool came with; pools without word of their owner are left out."""
+    needed: Mapping[PoolId, int]
+    """Workers that each pool's owner asks for, within bounds."""
     spare: frozenset[PoolId]
     reachable: frozenset[InstanceId]
     """Instances whose worker answers its owner."""
@@ -73,8 +75,9 @@
     def _givers(self, state: FleetState) -> dict[PoolId, list[Instance]]:
         """Return for each pool the instances beyond what it wants, the easiest to move first."""
         givers: dict[PoolId, list[Instance]] = {}
-        for pool, wanted in state.wanted.items():
+        for pool, declared in state.declared.items():
             members = [i for i in _members(state, pool) if i.id in state.reachable]
+            wanted = max(declared, state.needed.get(pool, 0))
             extra = len(members) + _arriving(state, pool) - wanted
             if extra > 0:
                 racks = Counter(i.rack for i in members)
@@ -99,10 +102,7 @@
     ) -> None:
         """Send instances to pools that have too few, out of the spare pool first."""
         parked = [i for pool in sorted(state.spare) for i in _members(state, pool)]
-        missing = {
-            pool: wanted - _arriving(state, pool) - _serving(state, pool)
-            for pool, wanted in state.wanted.items()
-        }
+        missing = {pool: _missing(state, pool) for pool in state.declared}
         for pool in sorted(missing, key=lambda pool: -missing[pool]):
             for _ in range(max(0, missing[pool])):
                 if len(state.moving) + len(plan.moves) >= MAX_MOVING:
@@ -177,6 +177,20 @@
     ]
 
 
+def _missing(state: FleetState, pool: PoolId) -> int:
+    """Return how many instances a pool is short of.
+
+    Those that a wave has taken come back by themselves within seconds, so that only work
+    that waits, and not the number that the pool came with, asks for others in their place.
+    """
+    present = _arriving(state, pool) + _serving(state, pool)
+    away = sum(
+        1 for name in state.taken if name in state.instances and state.instances[name].pool == pool
+    )
+    by_number = state.declared[pool] - present - away
+    return max(by_number, state.needed.get(pool, 0) - present)
+
+
 def _serving(state: FleetState, pool: PoolId) -> int:
     return sum(1 for i in _members(state, pool) if i.id in state.reachable)
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -95,12 +95,13 @@
 
 
 def make_state(
-    instances: dict[InstanceId, Instance], wanted: dict[PoolId, int], **fields: object
+    instances: dict[InstanceId, Instance], declared: dict[PoolId, int], **fields: object
 ) -> FleetState:
     """Make what the holder knows; every worker is reachable and busy unless told."""
     values: dict[str, object] = {
         "instances": instances,
-        "wanted": wanted,
+        "declared": declared,
+        "needed": {},
         "spare": frozenset({SPARE}),
         "reachable": frozenset(i.id for i in instances.values() if i.pool != SPARE),
         "tasks": {},
@@ -125,6 +126,16 @@
         state = make_state(instances, {MAIN: 2}, reachable=frozenset({InstanceId("m-0")}))
         self.assertEqual([("s-0", MAIN)], Sizer().plan(state, 0.0).moves)
 
+    def test_instance_that_a_wave_took_is_not_replaced_for_its_number(self) -> None:
+        # Found on the bench: spare instances came and went with every step of a wave.
+        down = make_instance("m-1", state=InstanceState.MAINTENANCE)
+        instances = index(make_instance("m-0"), down, make_instance("s-0", SPARE))
+        taken = frozenset({down.id})
+        state = make_state(instances, {MAIN: 2}, taken=taken)
+        self.assertEqual([], Sizer().plan(state, 0.0).moves)
+        state = make_state(instances, {MAIN: 2}, taken=taken, needed={MAIN: 2})
+        self.assertEqual([("s-0", MAIN)], Sizer().plan(state, 0.0).moves)
+
     def test_arriving_instance_counts(self) -> None:
         instances = index(make_instance("m-0"), make_instance("s-0", SPARE))
         state = make_state(instances, {MAIN: 2}, moving={InstanceId("x"): MAIN})
