--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -223,6 +223,7 @@
             needed={p: self._bounded_need(p, r) for p, r in reports.items()},
             spare=frozenset(p.id for p in self.view.configuration.pools.values() if p.spare),
             reachable=self._reachable(found),
+            unproved=frozenset(n for n in self.instances if n not in self.reached_at),
             tasks={name: w.tasks for name, w in found.items()},
             empty=frozenset(i.id for i in self.instances.values() if self._is_idle(i)),
             held=frozenset(name for name, w in found.items() if w.held_tasks),
--- a/pumicespur/maintenance/_sizing.py
+++ b/pumicespur/maintenance/_sizing.py
@@ -38,6 +38,8 @@
     """Instances that carry no task and are given none."""
     held: frozenset[InstanceId]
     """Instances with tasks that an availability budget protects."""
+    unproved: frozenset[InstanceId]
+    """Instances whose worker has not answered yet since this holder began."""
     taken: frozenset[InstanceId]
     """Instances that a wave is emptying or has taken down."""
     moving: Mapping[InstanceId, PoolId]
@@ -181,11 +183,14 @@
     """Return how many instances a pool is short of.
 
     Those that a wave has taken come back by themselves within seconds, so that only work
-    that waits, and not the number that the pool came with, asks for others in their place.
+    that waits, and not the number that the pool came with, asks for others in their place. So
+    do those that are still starting.
     """
     present = _arriving(state, pool) + _serving(state, pool)
     away = sum(
-        1 for name in state.taken if name in state.instances and state.instances[name].pool == pool
+        1
+        for name in state.taken | state.unproved
+        if name in state.instances and state.instances[name].pool == pool
     )
     by_number = state.declared[pool] - present - away
     return max(by_number, state.needed.get(pool, 0) - present)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -108,6 +108,7 @@
         "empty": frozenset(i.id for i in instances.values() if i.pool == SPARE),
         "held": frozenset(),
         "taken": frozenset(),
+        "unproved": frozenset(),
         "moving": {},
     }
     return FleetState(**(values | fields))  # type: ignore[arg-type]
@@ -136,6 +137,17 @@
         state = make_state(instances, {MAIN: 2}, taken=taken, needed={MAIN: 2})
         self.assertEqual([("s-0", MAIN)], Sizer().plan(state, 0.0).moves)
 
+    def test_instance_that_is_still_starting_is_not_replaced(self) -> None:
+        # Found on the bench: eight spare instances moved in while the workers were starting.
+        instances = index(make_instance("m-0"), make_instance("m-1"), make_instance("s-0", SPARE))
+        state = make_state(
+            instances,
+            {MAIN: 2},
+            reachable=frozenset({InstanceId("m-0")}),
+            unproved=frozenset({InstanceId("m-1")}),
+        )
+        self.assertEqual([], Sizer().plan(state, 0.0).moves)
+
     def test_arriving_instance_counts(self) -> None:
         instances = index(make_instance("m-0"), make_instance("s-0", SPARE))
         state = make_state(instances, {MAIN: 2}, moving={InstanceId("x"): MAIN})
