--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -13,13 +13,14 @@
 
 from pumicespur.jobs._job import ENDED_PHASES
 from pumicespur.jobs._keys import progress_key, submission_key
+from pumicespur.model import JobId
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, Condition, Conflict, Row, Transaction, Write
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pumicespur.model import JobId, PoolId, Route
+    from pumicespur.model import PoolId, Route
     from pumicespur.platform import PlatformTable
     from pumicespur.store import Fault
 
@@ -64,8 +65,14 @@
 
         `give_up_at` is the monotonic time by which the caller needs an answer.
         """
+        with anyio.CancelScope(deadline=give_up_at):
+            return await self._submit(route, record, give_up_at)
+        # The store may hold the call that was broken off.
+        return self._give_up(route, JobId(record.id), True, AnswerLost("no answer in time"))
+
+    async def _submit(self, route: Route, record: JobRecord, give_up_at: float) -> Submission:
         pool = route.pool
-        job: JobId = record.id  # type: ignore[assignment]
+        job = JobId(record.id)
         conditions = [Condition(submission_key(pool, job), 0)]
         write = Write(submission_key(pool, job), record.to_binary())
         for earlier in self.other_pools(route, True):
@@ -109,6 +116,13 @@
         self, route: Route, job: JobId, give_up_at: float
     ) -> Result[JobPhase | None, Fault]:
         """Read how far a job is; None tells that there is no such job."""
+        with anyio.CancelScope(deadline=give_up_at):
+            return await self._state(route, job, give_up_at)
+        return Error(AnswerLost("no answer in time"))
+
+    async def _state(
+        self, route: Route, job: JobId, give_up_at: float
+    ) -> Result[JobPhase | None, Fault]:
         for pool in (route.pool, *self.other_pools(route, False)):
             found = await self._phase(pool, job, give_up_at)
             if found.is_error() or found.ok is not None:
@@ -136,6 +150,11 @@
 
     async def cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
         """Record that a job is not wanted any more; its owner stops it."""
+        with anyio.CancelScope(deadline=give_up_at):
+            return await self._cancel(route, job, give_up_at)
+        return Cancellation.UNKNOWN
+
+    async def _cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
         for pool in (route.pool, *self.other_pools(route, False)):
             outcome = await self._cancel_in(pool, route, job, give_up_at)
             if outcome is not Cancellation.NO_SUCH_JOB:
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -57,6 +57,10 @@
 NOT_READY_AFTER_S = 2.0
 """Time without the store after which callers are better served by another process."""
 
+REFUSE_AFTER_S = 1.0
+"""Time without the store after which callers are refused at once: two heartbeats. What would
+be tried in vain would only keep them from trying elsewhere."""
+
 WAITING_MAX_AGE_S = 6.0
 """Oldest word of a pool's owner from which waiting jobs are counted."""
 
@@ -228,6 +232,11 @@
         heard = time.monotonic() - self.keeper.answered_at < NOT_READY_AFTER_S
         return heard and not self.stopping and self.current_configuration() is not None
 
+    def store_answers(self) -> bool:
+        """Tell whether the store answered lately; a heartbeat that failed is the sign."""
+        silent_s = time.monotonic() - self.keeper.answered_at
+        return not self.keeper.failing or silent_s < REFUSE_AFTER_S
+
     def is_stopping(self) -> bool:
         """Tell whether connections are to be closed after their answer."""
         return self.stopping
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -88,6 +88,9 @@
     def is_ready(self) -> bool:
         """Tell whether the process serves callers."""
 
+    def store_answers(self) -> bool:
+        """Tell whether the store answered lately; without it nothing can be taken or told."""
+
     def is_stopping(self) -> bool:
         """Tell whether connections are to be closed after their answer."""
 
@@ -148,6 +151,8 @@
             return self._count(route)
         if len(name) != ID_LENGTH or not set(name) <= HEX_DIGITS:
             return _refuse(404, "no such job")
+        if not self.context.store_answers():
+            return _refuse(503, "the store does not answer; nothing was done")
         give_up_at = time.monotonic() + _patience_s(request, route)
         match request.method:
             case "POST":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -158,6 +158,19 @@
         self.world.store.faults.silent = True
         self.assertEqual(504, await self.world.submit(self.node, job_id(2), [STEP]))
 
+    async def test_store_known_to_be_silent_refuses_at_once(self) -> None:
+        # Found on the bench: requests held for over half of their callers' time.
+        self.world.store.faults.silent = True
+        status, body = 0, {"error": ""}
+        until_refused = {"error": "the store does not answer; nothing was done"}
+        while body != until_refused:
+            status, body = await self.world.call(self.node, "GET", f"/quick/{job_id(3)}")
+        self.assertEqual(503, status)
+        self.assertEqual(503, await self.world.submit(self.node, job_id(4), [STEP]))
+        self.world.store.faults.silent = False
+        while await self.world.state(self.node, job_id(4)) != "410":
+            await asyncio.sleep(0.05)
+
     async def test_lost_answers_run_nothing_twice(self) -> None:
         self.world.store.faults.lose_share = 0.3
         accepted = [
