--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -89,6 +89,8 @@
         """Instances of each pool when this holder first saw the list."""
         self.reached_at: dict[InstanceId, float] = {}
         """When a worker on each instance last answered its owner (monotonic seconds)."""
+        self.needs: Mapping[PoolId, int] = {}
+        """Workers that each pool's owner asked for in the present round, within bounds."""
         self.sizer = Sizer()
         self.moving: dict[InstanceId, tuple[PoolId, float]] = {}
         """Instances on their way to a pool, by the monotonic time of the order."""
@@ -157,7 +159,9 @@
         for name, (pool, ordered_at) in list(self.moving.items()):
             if self._has_arrived(name, pool, now - ordered_at):
                 del self.moving[name]
-        plan = self.sizer.plan(self._fleet_state(), now)
+        state = self._fleet_state()
+        self.needs = state.needed
+        plan = self.sizer.plan(state, now)
         if set(self.evacuations()) != self.told:
             self.told = set(self.evacuations())
             self.tell()
@@ -183,7 +187,16 @@
         answer = await self.orders.move(self.ownership.token, name, pool)
         match answer:
             case Result(tag="ok"):
-                log.info("instance moved", instance=name, pool=pool, before=before)
+                log.info(
+                    "instance moved",
+                    instance=name,
+                    pool=pool,
+                    before=before,
+                    token=self.ownership.token,
+                    declared=self.declared.get(pool, 0),
+                    needed=self.needs.get(pool, 0),
+                    list_age_s=round(time.monotonic() - self.listed_at, 3),
+                )
             case Result(error=NeverDone(reason=reason)):
                 self.refused.add((name, pool))
                 del self.moving[name]
@@ -245,7 +258,7 @@
         progress.begun = {InstanceId(name) for name in record.ordered}
         progress.completed = record.completed
         progress.suspected = self.intents.reserved & set(progress.wave.instances)
-        progress.suspected_until = self.intents.orders_from + self.settings.fleet.upkeep_s
+        progress.suspected_until = self.intents.orders_from + self.settings.fleet.maintenance_s
         self.waves[number] = progress
         if not progress.completed:
             await self._tell(progress)
@@ -280,7 +293,7 @@
         """Count instances as up again; an order without an answer may still take effect."""
         for name, ordered_at in list(progress.ordered.items()):
             instance = self.instances.get(name)
-            over = self.listed_at - ordered_at > self.settings.fleet.upkeep_s + LIST_LAG_S
+            over = self.listed_at - ordered_at > self.settings.fleet.maintenance_s + LIST_LAG_S
             back = instance is not None and instance.state is InstanceState.UP
             if instance is None or (over and back and name in progress.begun):
                 del progress.ordered[name]
--- a/standins/hosted/_nodes.py
+++ b/standins/hosted/_nodes.py
@@ -37,7 +37,7 @@
 address = {fleet}
 lease_ms = 300
 move_s = 0.1
-upkeep_s = 0.1
+maintenance_s = 0.1
 """
 
 
