Say each thing once: who takes a task, whose worker, an intent's age, following the owners

The owners' rows are followed by the follower that the other tables have. A pool that mixes workers with and without a rack label now keeps a one-rack step to the rack that was chosen; before, an unlabelled choice fell back to another.

--- a/pumicespur/jobs/_advice.py
+++ b/pumicespur/jobs/_advice.py
@@ -55,11 +55,7 @@
 
     def _candidates(self, group: StepGroup) -> list[WorkerId]:
         now = time.monotonic()
-        loads = [
-            load
-            for load in self.pool.loads.values()
-            if load.open(now) and load.fits(group.spec) and load.allows(group)
-        ]
+        loads = [load for load in self.pool.loads.values() if load.takes(group, now)]
         loads.sort(key=lambda load: (load.share(), load.worker.id))
         return [load.worker.id for load in loads[:WORKERS_ASKED]]
 
--- a/pumicespur/jobs/_availability.py
+++ b/pumicespur/jobs/_availability.py
@@ -74,14 +74,12 @@
 def _is_away(pool: PoolState, task: Task) -> bool:
     if task.away_since is not None or task.state is not TaskState.RUNNING:
         return True
-    load = pool.loads.get(task.worker) if task.worker else None
+    load = pool.load_of(task)
     return load is None or not load.reachable
 
 
 def has_place(pool: PoolState, task: Task, now: float) -> bool:
     """Tell whether another worker has room for a task, so that a stop leads somewhere."""
     return any(
-        load.open(now) and load.fits(task.spec) and load.allows(task.group)
-        for load in pool.loads.values()
-        if load.worker.id != task.worker
+        load.takes(task.group, now) for load in pool.loads.values() if load.worker.id != task.worker
     )
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -46,7 +46,6 @@
     percent: int = 0
     progressed_at: float = 0.0
     """Monotonic time at which the percent last changed, in seconds."""
-    started_at: float = 0.0
     stop_sent_at: float = float("-inf")
     """Monotonic time of the last order to stop the present run."""
     stopping_run: int = 0
--- a/pumicespur/jobs/_journal.py
+++ b/pumicespur/jobs/_journal.py
@@ -46,10 +46,10 @@
 class Journal:
     """Writes an owner's commits one after the other."""
 
-    def __init__(self, table: PlatformTable, ownership: Ownership, last_version: int) -> None:
+    def __init__(self, table: PlatformTable, ownership: Ownership) -> None:
         self.table = table
         self.ownership = ownership
-        self.last_version = last_version
+        self.last_version = 0
         """Version of the row that each commit replaces."""
         self.number = 0
         self.confirmed_at = ownership.acquired_at
--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -83,15 +83,6 @@
             and self.accelerators + spec.accelerators <= room.accelerators
         )
 
-    def could_ever_fit(self, spec: StepRecord) -> bool:
-        """Whether the worker, empty, has room for a task of a step."""
-        room = self.worker.capacity
-        return (
-            spec.cpu_millis <= room.cpu_millis
-            and spec.memory_mb <= room.memory_mb
-            and spec.accelerators <= room.accelerators
-        )
-
     def allows(self, group: StepGroup) -> bool:
         """Whether the step's label and spread permit one more of its tasks here."""
         spec = group.spec
@@ -102,6 +93,10 @@
         held = sum(1 for task in self.tasks if task.group is group)
         return held < spec.max_per_worker
 
+    def takes(self, group: StepGroup, now: float) -> bool:
+        """Whether one more task of a step may be given to the worker now."""
+        return self.open(now) and self.fits(group.spec) and self.allows(group)
+
     def share(self) -> float:
         """Return how full the worker is, by its scarcest resource."""
         room = self.worker.capacity
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -11,18 +11,11 @@
 
 from pumicespur.jobs._advice import AdviceDesk
 from pumicespur.jobs._availability import tasks_to_move
-from pumicespur.jobs._demand import (
-    Demand,
-    DemandTracker,
-    current_demand,
-    wanted_workers,
-)
+from pumicespur.jobs._demand import Demand, DemandTracker, current_demand, wanted_workers
 from pumicespur.jobs._intake import JobIntake
 from pumicespur.jobs._job import Job, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
-from pumicespur.jobs._keys import (
-    progress_key,
-)
+from pumicespur.jobs._keys import progress_key
 from pumicespur.jobs._pace import choose_paces
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
@@ -100,7 +93,7 @@
         self.unknown_until = unknown_until
         """Monotonic time by which leases given by earlier owners are over."""
         self.pool = PoolState(ownership.pool)
-        self.journal = Journal(table, ownership, 0)
+        self.journal = Journal(table, ownership)
         self.watches: dict[WorkerId, WorkerWatch] = {}
         self.intake = JobIntake(self.pool, table, view, settings.store.watch_s, self.wake)
         self.demand = DemandTracker()
@@ -108,8 +101,6 @@
         self.lasting = Demand()
         self.tell = tell
         """Asks for a heartbeat at once."""
-        self.news = False
-        """Whether the other processes wait for something that has changed."""
         self.stopping = False
         self.stopped = anyio.Event()
         self.ready = False
@@ -207,6 +198,9 @@
         instance = watch.load.worker.instance
         return bool(instance) and any(w.instance == instance for w in self.view.workers.values())
 
+    def _watch_of(self, task: Task) -> WorkerWatch | None:
+        return self.watches.get(task.worker) if task.worker else None
+
     def forget(self, worker: WorkerId) -> None:
         """Drop a worker whose life is over."""
         self.watches.pop(worker, None)
@@ -263,7 +257,7 @@
     def _pace(self) -> None:
         """Slow filling tasks down where tasks that serve users suffer."""
         for task, percent in choose_paces(self.pool.loads.values(), time.monotonic()):
-            watch = self.watches.get(task.worker) if task.worker else None
+            watch = self._watch_of(task)
             if watch is not None:
                 self.spawn(watch.pace, task, percent)
 
@@ -275,19 +269,19 @@
         """Keep new tasks off workers that are to be emptied, and move lasting ones away."""
         wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
         now = time.monotonic()
+        news = False
         for load in self.pool.loads.values():
             if load.evacuating != (load.worker.id in wanted):
                 load.evacuating = not load.evacuating
-                self.news = True
+                news = True
             if load.evacuating and not load.tasks and load.told_tasks:
-                self.news = True
-        if self.news:
-            self.news = False
+                news = True
+        if news:
             self.tell()
         if now - self.ownership.acquired_at < SETTLE_S:
             return
         for task in tasks_to_move(self.pool, now):
-            watch = self.watches.get(task.worker) if task.worker else None
+            watch = self._watch_of(task)
             if watch is not None:
                 task.stop_sent_at = now
                 task.stopping_run = task.run
@@ -350,13 +344,13 @@
     def stop_gang(self, group: StepGroup, run: int) -> None:
         """Stop the other members of a gang, one of which did not start; all start again."""
         for task in group.tasks:
-            watch = self.watches.get(task.worker) if task.worker else None
+            watch = self._watch_of(task)
             if watch is not None and task.run == run:
                 self.spawn(watch.stop, task.name, run, "a member of its gang did not start")
 
     def _stop_all(self, job: Job) -> None:
         for task in job.tasks:
-            watch = self.watches.get(task.worker) if task.worker else None
+            watch = self._watch_of(task)
             if watch is not None:
                 self.spawn(watch.stop, task.name, task.run, f"job {job.phase.name.lower()}")
 
@@ -365,13 +359,9 @@
         report = report_pool(self.pool, self.token)
         report.demand_cpu_millis = self.short.cpu_millis + self.lasting.cpu_millis
         if time.monotonic() - self.ownership.acquired_at > SETTLE_S and self.pool.loads:
-            rooms = sorted(load.worker.capacity.cpu_millis for load in self.pool.loads.values())
-            room = next(
-                load.worker.capacity
-                for load in self.pool.loads.values()
-                if load.worker.capacity.cpu_millis == rooms[len(rooms) // 2]
+            rooms = [load.worker.capacity for load in self.pool.loads.values()]
+            rooms.sort(key=lambda room: room.cpu_millis)
+            report.wanted_workers = wanted_workers(
+                self.pool, self.demand.foreseen(), self.lasting, rooms[len(rooms) // 2]
             )
-            foreseen = self.demand.foreseen()
-            wanted = wanted_workers(self.pool, foreseen, self.lasting, room)
-            report.wanted_workers = wanted
         return report
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -12,6 +12,7 @@
 
     from pumicespur.jobs._job import Job, StepGroup, Task
     from pumicespur.jobs._load import WorkerLoad
+    from pumicespur.model import Rack
 
 PATIENT_WAIT_MS = 20_000.0
 """Lead that one level of priority gives; work that is later than this goes first all the same."""
@@ -82,7 +83,7 @@
 def choose_worker(group: StepGroup, loads: Sequence[WorkerLoad], now: float) -> WorkerLoad | None:
     """Pick the best worker for one more task of a group, or None if none has room."""
     spec = group.spec
-    able = [load for load in loads if load.open(now) and load.fits(spec) and load.allows(group)]
+    able = [load for load in loads if load.takes(group, now)]
     if group.job.advised:
         able = [load for load in able if group.ticket(load.worker.id, now)]
     if not able:
@@ -104,13 +105,8 @@
     if group.rack is not None:
         able = [load for load in able if load.worker.rack == group.rack]
         return min(able, key=lambda load: (load.share(), load.worker.id), default=None)
-    room: Counter[str] = Counter()
+    room: Counter[Rack] = Counter()
     for load in able:
         room[load.worker.rack] += load.worker.capacity.cpu_millis - load.cpu_millis
-    rack = max(sorted(room), key=lambda name: (name == group.spec.data_rack, room[name]))
-    group.rack = (
-        able[0].worker.rack
-        if not rack
-        else next(load.worker.rack for load in able if load.worker.rack == rack)
-    )
+    group.rack = max(sorted(room), key=lambda name: (name == group.spec.data_rack, room[name]))
     return _in_one_rack(group, able)
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -70,6 +70,10 @@
             load.leaves_at = time.monotonic() + worker.leaves_in_s
         return load
 
+    def load_of(self, task: Task) -> WorkerLoad | None:
+        """Return the worker that a task's newest start was meant for, if it is counted."""
+        return self.loads.get(task.worker) if task.worker else None
+
     def drop_worker(self, worker: WorkerId) -> list[Task]:
         """Forget a worker whose tasks are known to be over; return the tasks that wait again."""
         load = self.loads.pop(worker, None)
@@ -89,7 +93,7 @@
 
     def free(self, task: Task, checkpoint: str = "") -> None:
         """Let a task wait again after its run is known to be over."""
-        load = self.loads.get(task.worker) if task.worker else None
+        load = self.load_of(task)
         if load is not None:
             load.remove(task)
         task.release(checkpoint)
@@ -117,7 +121,7 @@
     def _finish(self, task: Task) -> None:
         members = task.group.tasks if task.spec.gang else [task]
         for member in members:
-            load = self.loads.get(member.worker) if member.worker else None
+            load = self.load_of(member)
             if load is not None:
                 load.remove(member)
             member.job.finish_task(member)
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -188,10 +188,10 @@
 
     def _confirm(self, task: Task) -> None:
         task.state = TaskState.RUNNING
-        task.started_at = task.progressed_at = time.monotonic()
+        task.progressed_at = time.monotonic()
         task.job.begun = True
         if task.spec.long_running and task.away_since is None:
-            task.away_since = task.started_at
+            task.away_since = task.progressed_at
         self.unsettled.pop(task, None)
 
     async def _settle(self, running: dict[tuple[TaskName, int], Running], sent_at: float) -> None:
--- a/pumicespur/maintenance/__init__.py
+++ b/pumicespur/maintenance/__init__.py
@@ -3,6 +3,6 @@
 from __future__ import annotations
 
 from pumicespur.maintenance._holder import FleetHolder
-from pumicespur.maintenance._intents import FLEET, PROOF_S, SLACK_S
+from pumicespur.maintenance._intents import FLEET, intent_age_s
 
-__all__ = ["FLEET", "PROOF_S", "SLACK_S", "FleetHolder"]
+__all__ = ["FLEET", "FleetHolder", "intent_age_s"]
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -17,7 +17,7 @@
 from logbook import Logger
 
 from pumicespur.jobs import Journal, OwnershipLostError
-from pumicespur.maintenance._intents import FLEET, IntentLog
+from pumicespur.maintenance._intents import FLEET, IntentLog, intent_age_s
 from pumicespur.maintenance._sizing import FleetState, Sizer
 from pumicespur.maintenance._waves import WaveProgress, choose_emptying
 from pumicespur.model import Instance, InstanceId, InstanceState, PoolId, WorkerId
@@ -36,7 +36,6 @@
 
 log = Logger(__name__)
 
-
 ROUND_S = 0.4
 """Pause between rounds; each reads the list of instances once."""
 
@@ -77,9 +76,9 @@
         self.table = table
         self.orders = orders
         self.ownership = ownership
-        self.journal = Journal(table, ownership, 0)
+        self.journal = Journal(table, ownership)
         self.intents = IntentLog(
-            self.journal, ownership.acquired_at + wait_s, settings.fleet.lease_ms / 1000
+            self.journal, ownership.acquired_at + wait_s, intent_age_s(settings.fleet)
         )
         self.waves: dict[int, WaveProgress] = {}
         self.instances: dict[InstanceId, Instance] = {}
@@ -254,7 +253,7 @@
             case Result(error=fault):
                 log.warning("wave not read", wave=number, reason=str(fault))
                 return None
-        progress = WaveProgress(self.view.waves[number], time.monotonic())
+        progress = WaveProgress(self.view.waves[number])
         progress.begun = {InstanceId(name) for name in record.ordered}
         progress.completed = record.completed
         progress.suspected = self.intents.reserved & set(progress.wave.instances)
@@ -266,17 +265,16 @@
 
     async def _work_on(self, progress: WaveProgress) -> None:
         now = time.monotonic()
-        idle = {i.id for i in self.instances.values() if self._is_idle(i)}
         state = self._fleet_state()
         wanted = {p: max(n, state.needed.get(p, 0)) for p, n in state.declared.items()}
-        for name in choose_emptying(progress, self.instances, idle, wanted, now):
+        for name in choose_emptying(progress, self.instances, state.empty, wanted, now):
             progress.emptying[name] = now
             log.info("instance to be emptied", wave=progress.wave.number, instance=name)
         due: set[InstanceId] = set()
         for name, since in list(progress.emptying.items()):
             if name not in self.instances:
                 del progress.emptying[name]
-            elif name in idle or (now - since > EMPTY_S and self._is_released(name)):
+            elif name in state.empty or (now - since > EMPTY_S and self._is_released(name)):
                 due.add(name)
         due = {name for name in due if self.intents.may_order(name)}
         if due:
@@ -306,8 +304,9 @@
         if settings is not None and settings.spare:
             return True
         report = self._worker_report(instance)
-        known = report is not None and report.reachable and report.evacuating
-        return known and report is not None and not report.tasks
+        if report is None:
+            return False
+        return report.reachable and report.evacuating and not report.tasks
 
     def _is_released(self, name: InstanceId) -> bool:
         """Whether an instance surely carries no task that an availability budget protects."""
--- a/pumicespur/maintenance/_intents.py
+++ b/pumicespur/maintenance/_intents.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from pumicespur.jobs import Journal
+    from pumicespur.schema.node_pb import FleetSettings
 
 log = Logger(__name__)
 
@@ -34,14 +35,19 @@
 """Pause after the intents could not be read."""
 
 
+def intent_age_s(settings: FleetSettings) -> float:
+    """Return how long an intent matters to a next holder, in seconds."""
+    return settings.lease_ms / 1000 + PROOF_S + SLACK_S
+
+
 class IntentLog:
     """What this holder is about to order, and what the one before may just have ordered."""
 
-    def __init__(self, journal: Journal, orders_from: float, lease_s: float) -> None:
+    def __init__(self, journal: Journal, orders_from: float, age_s: float) -> None:
         self.journal = journal
         self.orders_from = orders_from
         """Monotonic time before which instances of the last holder's intents get no order."""
-        self.age_s = lease_s + PROOF_S + SLACK_S
+        self.age_s = age_s
         """How long an intent matters to a next holder, in seconds."""
         self.reserved: set[InstanceId] = set()
         """Instances for which the last holder may have given orders just now."""
--- a/pumicespur/maintenance/_waves.py
+++ b/pumicespur/maintenance/_waves.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from collections.abc import Set as AbstractSet
 
     from pumicespur.model import Instance, InstanceId, PoolId, Wave
 
@@ -22,8 +23,6 @@
     """What the holder knows of one wave."""
 
     wave: Wave
-    known_at: float
-    """Monotonic time at which the wave was first seen."""
     begun: set[InstanceId] = field(default_factory=set)
     """Instances whose maintenance the platform has confirmed."""
     ordered: dict[InstanceId, float] = field(default_factory=dict)
@@ -58,7 +57,7 @@
 def choose_emptying(
     progress: WaveProgress,
     instances: Mapping[InstanceId, Instance],
-    idle: set[InstanceId],
+    idle: AbstractSet[InstanceId],
     wanted: Mapping[PoolId, int],
     now: float,
 ) -> list[InstanceId]:
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -16,13 +16,16 @@
 from logbook import Logger
 
 from pumicespur.jobs import OWNERS_TABLE, Ownership, PoolOwner, owner_key
-from pumicespur.maintenance import FLEET, PROOF_S, SLACK_S, FleetHolder
+from pumicespur.maintenance import FLEET, FleetHolder, intent_age_s
 from pumicespur.model import PoolId, ProcessId
+from pumicespur.node._follow import TableFollower
 from pumicespur.node._view import SeenOwner, SeenProcess
 from pumicespur.schema.jobs_pb import HeartbeatRecord, OwnerRecord
 from pumicespur.store import Condition, HistoryGone, Transaction, Write
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from anyio.abc import TaskGroup
 
     from pumicespur.config import NodeSettings
@@ -91,7 +94,8 @@
     async def run(self) -> None:
         """Keep beating and deciding until cancelled."""
         async with anyio.create_task_group() as self.tasks:
-            self.tasks.start_soon(self._follow_owners)
+            owners = TableFollower(self.table, self.settings.store, OWNERS_TABLE, self._see_owners)
+            self.tasks.start_soon(owners.run)
             self.tasks.start_soon(self._follow_heartbeats)
             while True:
                 self.changed = anyio.Event()
@@ -199,27 +203,16 @@
         if before != (heartbeat.incarnation, heartbeat.number):
             self.view.processes[process] = SeenProcess(heartbeat, now)
 
-    async def _follow_owners(self) -> None:
-        """Hear of takeovers and releases as they happen."""
-        version: int | None = None
-        while True:
-            if version is None:
-                self.view.owners.clear()
-                start = await self.table.scan(HEARTBEATS_TABLE, "")
-                version = start.ok.version if start.is_ok() else None
-                if version is None:
-                    await anyio.sleep(RETRY_S)
-                continue
-            answer = await self.table.changes(OWNERS_TABLE, version, self.settings.store.watch_s)
-            match answer:
-                case Result(tag="ok", ok=page):
-                    version = page.version
-                    for row in page.rows:
-                        self._see_owner(row)
-                case Result(error=HistoryGone()):
-                    version = None
-                case Result():
-                    await anyio.sleep(RETRY_S)
+    def _see_owners(self, rows: Sequence[Row], whole: bool) -> None:
+        """Hear of takeovers and releases as they happen.
+
+        The rows lie in the pools' parts, so a whole reading of the empty part holds none; each
+        owner that is not known is then read by itself.
+        """
+        if whole:
+            self.view.owners.clear()
+        for row in rows:
+            self._see_owner(row)
 
     def _see_owner(self, row: Row) -> None:
         pool = PoolId(row.key.split("/", 2)[1])
@@ -304,7 +297,8 @@
         ownership = Ownership(pool, token, self.incarnation, now)
         owner: PoolOwner | FleetHolder
         if pool == FLEET:
-            wait_s = self._fleet_wait_s(before)
+            # Until the orders of a holder before are older than the lease between holders.
+            wait_s = intent_age_s(self.settings.fleet) if before.token else 0.0
             owner = FleetHolder(
                 self.settings,
                 self.view,
@@ -339,12 +333,6 @@
             return lease_s
         return lease_s + workers.owner_silence_s
 
-    def _fleet_wait_s(self, before: SeenOwner) -> float:
-        """Return how long a new holder waits, so that orders keep the lease apart (s)."""
-        if not before.token:
-            return 0.0
-        return self.settings.fleet.lease_ms / 1000 + PROOF_S + SLACK_S
-
     async def _own(self, pool: PoolId, owner: PoolOwner | FleetHolder) -> None:
         try:
             await owner.run()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -49,7 +49,7 @@
 
 def make_wave(instances: dict[InstanceId, Instance], parallel: int) -> WaveProgress:
     """Make a wave over all instances."""
-    return WaveProgress(Wave(1, tuple(instances), 20.0, parallel), 0.0)
+    return WaveProgress(Wave(1, tuple(instances), 20.0, parallel))
 
 
 class WaveTest(unittest.TestCase):
--- a/tests/test_takeover_model.py
+++ b/tests/test_takeover_model.py
@@ -119,7 +119,7 @@
         taken_now = table.apply(Transaction([Condition(key, before)], [Write(key, name.encode())]))
         assert taken_now.is_ok()
         taken.append(taken_now.ok)
-        owner = journal(table, Ownership(POOL, taken_now.ok, name, 0.0), 0)  # type: ignore[arg-type]
+        owner = journal(table, Ownership(POOL, taken_now.ok, name, 0.0))  # type: ignore[arg-type]
         await owner.load()
         for number in range(COMMITS):
             try:
