Wait for exactly the tasks of a silent worker, and show the logs when a wait fails

Cause: test_silent_worker_is_waited_out failed once in three runs side by side ("one runs elsewhere"). It waited for three runs in all. Where one worker held both tasks, the count goes from two to four at once (seen in a trial with a single worker), and the wait can't end. The failed run's own log was not kept, so that this was its cause is likely and not shown; failed waits now show runs and logs. The test now asks that each task of the silent worker, and no other, runs again elsewhere, once; a second test makes the case of a single worker happen every time.

--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -24,6 +24,8 @@
 
 WAIT_S = 20.0
 CHECK_S = 0.02
+LOG_TAIL = 4000
+"""Characters of each node's log that a failed wait shows."""
 HOST = "jobs.example"
 
 
@@ -149,7 +151,7 @@
             if shown == wanted:
                 return
             await asyncio.sleep(CHECK_S)
-        raise AssertionError(f"job {job} is shown as {shown}, not {wanted}")
+        raise AssertionError(f"job {job} is shown as {shown}, not {wanted}\n{self._account()}")
 
     async def wait_ready(self, node: Node) -> None:
         """Wait until a node says that it is ready."""
@@ -178,9 +180,15 @@
         until = time.monotonic() + WAIT_S
         while not condition():
             if time.monotonic() > until:
-                raise AssertionError(f"did not come true: {what}")
+                raise AssertionError(f"did not come true: {what}\n{self._account()}")
             await asyncio.sleep(CHECK_S)
 
+    def _account(self) -> str:
+        """Tell what ran and what the nodes said last, for a test that failed."""
+        runs = "\n".join(str(run) for run in self.history)
+        logs = "\n".join(node.log.read_text()[-LOG_TAIL:] for node in self.nodes.nodes.values())
+        return f"{runs}\n{logs}"
+
     def overlaps(self) -> list[tuple[Run, Run]]:
         """Return pairs of runs of one task that were at work at once, or one after a done one."""
         found = []
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -206,7 +206,24 @@
         self.assertEqual([None, None], [run.ended_at for run in self.world.history])
 
 
-class WorkerFaultTest(NodeCase):
+class SilenceCase(NodeCase):
+    """What the tests of silent workers share."""
+
+    async def silence(self, name: str) -> None:
+        """Silence a worker; each of its tasks has to run once elsewhere, and no other again."""
+        silent = self.world.workers[name]
+        lost = sorted(silent.running)
+        before = len(self.world.history)
+        silent.faults.silent = True
+        await self.world.wait_for(
+            lambda: sorted(run.task for run in self.world.history[before:]) == lost,
+            "exactly its tasks run elsewhere",
+        )
+        self.assertNotIn(silent.id, [run.worker for run in self.world.history[before:]])
+        self.assertEqual([], self.world.overlaps())
+
+
+class WorkerFaultTest(SilenceCase):
     """Workers crash, fall silent, and do orders late."""
 
     async def test_tasks_of_a_crashed_worker_run_elsewhere(self) -> None:
@@ -221,10 +238,7 @@
     async def test_silent_worker_is_waited_out(self) -> None:
         await self.world.submit(self.node, job_id(2), [LASTING], payload="lasts")
         await self.world.wait_for(lambda: len(self.world.history) == 2, "both tasks run")
-        name = next(n for n, w in self.world.workers.items() if w.running)
-        self.world.workers[name].faults.silent = True
-        await self.world.wait_for(lambda: len(self.world.history) == 3, "one runs elsewhere")
-        self.assertEqual([], self.world.overlaps())
+        await self.silence(next(n for n, w in self.world.workers.items() if w.running))
 
     async def test_starts_done_late_run_nothing_twice(self) -> None:
         for worker in self.world.workers.values():
@@ -252,6 +266,18 @@
         self.assertNotIn(worker.id, {run.worker for run in self.world.history})
 
 
+class SilentOnlyWorkerTest(SilenceCase):
+    """All tasks are on the worker that falls silent; those that join take them over."""
+
+    workers = 1
+
+    async def test_silent_worker_is_waited_out(self) -> None:
+        await self.world.submit(self.node, job_id(2), [LASTING], payload="lasts")
+        await self.world.wait_for(lambda: len(self.world.history) == 2, "both tasks run")
+        await self.world.add_worker("m-8")
+        await self.silence("m-0")
+
+
 class TakeoverTest(NodeCase):
     """Owners are killed, paused, stopped or turned away while they work."""
 
