--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,95 @@
+"""The soak's command line: run seeds, replay a plan, shrink a failing one."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+
+from cyclopts import App
+
+from soak._plan import Deployment, Plan, draw_plan, load_plan, save_plan
+from soak._run import Outcome, play
+from standins.hosted import NODE_MODULE
+
+app = App(name="soak", help=__doc__)
+
+KEEP = Path("target/soak")
+
+
+def _show(outcome: Outcome) -> None:
+    kinds = ", ".join(sorted({fault.kind.value for fault in outcome.plan.faults}))
+    verdict = "FAILED" if outcome.findings else "held"
+    print(
+        f"seed {outcome.plan.seed}: {verdict}; {outcome.accepted} of {outcome.jobs} jobs accepted,"
+        f" {outcome.runs} runs, {outcome.took_s:.0f} s; {kinds}",
+        flush=True,
+    )
+    for finding in outcome.findings:
+        print(f"    {finding.promise}: {finding.detail[:300]}", flush=True)
+
+
+@app.command
+def run(
+    *,
+    seed: int | None = None,
+    count: int = 1,
+    length_s: float = 12.0,
+    nodes: int = 3,
+    workers: int = 6,
+    at_once: int = 2,
+    keep: Path = KEEP,
+    module: str = NODE_MODULE,
+) -> int:
+    """Play seeds one after the other, some beside each other; fresh ones if none is named."""
+    first = int(time.time()) % 10_000_000 if seed is None else seed
+    deployment = replace(Deployment(), nodes=nodes, workers=workers)
+    plans = [draw_plan(first + n, length_s, deployment) for n in range(count)]
+    outcomes = asyncio.run(_play_all(plans, at_once, keep, module))
+    failed = [outcome.plan.seed for outcome in outcomes if outcome.findings]
+    print(f"{count - len(failed)} seeds held, {len(failed)} failed: {failed}")
+    return 1 if failed else 0
+
+
+async def _play_all(plans: list[Plan], at_once: int, keep: Path, module: str) -> list[Outcome]:
+    waiting = iter(plans)
+    outcomes: list[Outcome] = []
+
+    async def work() -> None:
+        for plan in waiting:
+            outcomes.append(await play(plan, keep, module))
+            _show(outcomes[-1])
+
+    async with asyncio.TaskGroup() as tasks:
+        for _ in range(at_once):
+            tasks.create_task(work())
+    return outcomes
+
+
+@app.command
+def replay(plan: Path, *, keep: Path = KEEP) -> int:
+    """Play a kept plan once more."""
+    outcome = asyncio.run(play(load_plan(plan), keep))
+    _show(outcome)
+    return 1 if outcome.findings else 0
+
+
+@app.command
+def shrink(plan: Path, *, tries: int = 3, keep: Path = KEEP) -> int:
+    """Leave out faults one by one while the plan still fails, each time in some of `tries` runs."""
+    smallest = load_plan(plan)
+    for fault in list(smallest.faults):
+        smaller = smallest.without(fault)
+        for _ in range(tries):
+            if asyncio.run(play(smaller, keep)).findings:
+                smallest = smaller
+                print(f"fails without {fault.kind.value}", flush=True)
+                break
+    save_plan(smallest, plan.with_name("shrunk.json"))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,256 @@
+"""Carry out the faults of a plan, and note when each was in force."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from soak._links import Passage
+from soak._plan import FaultKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from soak._links import Link
+    from soak._plan import Fault
+    from soak._world import NodeLinks, SoakWorld
+    from standins.hosted import HostedWorker, Node
+
+END_S = 6.0
+"""Time for a node to end after SIGTERM; its own grace period is 3 s."""
+
+SLOW_CLOCK = 0.98
+"""Speed of a worker's clock at the least (users' protocol page: 2% slow)."""
+
+LATE_S = 0.8
+"""How much later a late order or write is carried out, at most."""
+
+SLOW_S = 0.4
+"""Longest delay that a slow store or link adds."""
+
+PLANNED = frozenset(
+    {FaultKind.STOP_NODE, FaultKind.RELOAD_NODE, FaultKind.CONFIGURE, FaultKind.WAVE}
+)
+"""Planned work, during which every promise holds."""
+
+
+@dataclass
+class Span:
+    """When a fault was in force, in monotonic seconds."""
+
+    fault: Fault
+    began: float
+    ended: float = float("inf")
+
+
+@dataclass(frozen=True)
+class WaveOrder:
+    """A maintenance wave as the operator asked for it."""
+
+    number: int
+    instances: tuple[str, ...]
+    at_once: int
+
+
+class Injector:
+    """Carries out faults against one world."""
+
+    def __init__(self, world: SoakWorld) -> None:
+        self.world = world
+        self.spans: list[Span] = []
+        self.waves: list[WaveOrder] = []
+
+    def calm_since(self, now: float) -> float:
+        """Return since when no unplanned fault has been in force; infinity if one is."""
+        unplanned = [span for span in self.spans if span.fault.kind not in PLANNED]
+        if any(span.began <= now < span.ended for span in unplanned):
+            return float("inf")
+        return max((span.ended for span in unplanned if span.ended <= now), default=0.0)
+
+    async def run(self, faults: Iterable[Fault], began: float) -> None:
+        """Carry out all faults at their times; they may overlap."""
+        async with asyncio.TaskGroup() as tasks:
+            for fault in faults:
+                tasks.create_task(self._at_its_time(fault, began))
+
+    async def _at_its_time(self, fault: Fault, began: float) -> None:
+        await asyncio.sleep(max(0.0, began + fault.at_s - time.monotonic()))
+        span = Span(fault, time.monotonic())
+        self.spans.append(span)
+        await self._carry_out(fault)
+        span.ended = time.monotonic()
+
+    async def _carry_out(self, fault: Fault) -> None:
+        match fault.kind:
+            case FaultKind.KILL_NODE | FaultKind.STOP_NODE | FaultKind.KILL_ALL_NODES:
+                await self._end_nodes(fault)
+            case FaultKind.PAUSE_NODE | FaultKind.RELOAD_NODE:
+                await self._signal_node(fault)
+            case FaultKind.CONFIGURE | FaultKind.WAVE:
+                self._operate(fault)
+            case _ if fault.kind.name.startswith("STORE_LINK"):
+                await self._disturb([self._links(fault).store], fault)
+            case _ if fault.kind.name.startswith("WORKER_LINKS"):
+                await self._disturb(list(self._links(fault).workers.values()), fault)
+            case FaultKind.CALLER_LINK_RESET:
+                await self._disturb([self._links(fault).callers], fault)
+            case _ if fault.kind.name.startswith("STORE"):
+                await self._disturb_store(fault)
+            case _:
+                await self._disturb_worker(fault)
+
+    def _name(self, fault: Fault) -> str:
+        names = sorted(self.world.links)
+        return names[fault.target % len(names)]
+
+    def _links(self, fault: Fault) -> NodeLinks:
+        return self.world.links[self._name(fault)]
+
+    async def _end_nodes(self, fault: Fault) -> None:
+        """End one node or all, and start each again after a while."""
+        everyone = fault.kind is FaultKind.KILL_ALL_NODES
+        names = sorted(self.world.links) if everyone else [self._name(fault)]
+        nodes = [self.world.nodes.nodes[name] for name in names]
+        ending = [node for node in nodes if node.process.pid not in self.world.expected_ends]
+        for node in ending:
+            self.world.expected_ends.add(node.process.pid)
+            stop = fault.kind is FaultKind.STOP_NODE
+            node.send_signal(signal.SIGTERM if stop else signal.SIGKILL)
+        for node in ending:
+            await asyncio.to_thread(node.process.wait, END_S)
+        await asyncio.sleep(fault.for_s)
+        for node in ending:
+            self.world.start_node(node.name)
+
+    async def _signal_node(self, fault: Fault) -> None:
+        node = self.world.nodes.nodes[self._name(fault)]
+        if fault.kind is FaultKind.RELOAD_NODE:
+            self._change_settings(node)
+            self._send(node, signal.SIGHUP)
+            return
+        self._send(node, signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        self._send(node, signal.SIGCONT)
+
+    def _send(self, node: Node, number: signal.Signals) -> None:
+        if node.process.poll() is None:
+            node.send_signal(number)
+
+    def _change_settings(self, node: Node) -> None:
+        """Replace the settings file at once, so that no half of it is ever read."""
+        path = node.log.with_suffix(".ini")
+        fresh = path.with_suffix(".new")
+        fresh.write_text(path.read_text().replace("watch_s = 0.2", "watch_s = 0.25"))
+        os.replace(fresh, path)
+
+    def _operate(self, fault: Fault) -> None:
+        """Do what an operator does: configure, or ask for maintenance."""
+        if fault.kind is FaultKind.CONFIGURE:
+            version = self.world.version + 1
+            self.world.configure(version, ("quick", f"v{version}"))
+            return
+        names = tuple(sorted(self.world.fleet.pools))
+        wave = WaveOrder(len(self.waves) + 1, names, 1 + fault.target % 2)
+        self.waves.append(wave)
+        content = {
+            "wave": wave.number,
+            "machines": wave.instances,
+            "durationS": 20,
+            "upperLimit": wave.at_once,
+        }
+        self.world.store.put(("op", "", f"wave/{wave.number}"), json.dumps(content).encode())
+
+    async def _disturb(self, links: list[Link], fault: Fault) -> None:
+        match fault.kind:
+            case FaultKind.STORE_LINK_SILENT | FaultKind.WORKER_LINKS_SILENT:
+                await self._hold(links, Passage.NOTHING, fault.for_s)
+            case FaultKind.STORE_LINK_NO_ANSWERS | FaultKind.WORKER_LINKS_NO_ANSWERS:
+                await self._hold(links, Passage.REQUESTS_ONLY, fault.for_s)
+            case FaultKind.STORE_LINK_SLOW:
+                links[0].delay_s = SLOW_S * fault.strength
+                await asyncio.sleep(fault.for_s)
+                links[0].delay_s = 0.0
+            case _:
+                for link in links:
+                    link.reset()
+
+    async def _hold(self, links: list[Link], passage: Passage, for_s: float) -> None:
+        for link in links:
+            link.let_pass(passage)
+        await asyncio.sleep(for_s)
+        for link in links:
+            link.let_pass(Passage.BOTH_WAYS)
+
+    async def _disturb_store(self, fault: Fault) -> None:
+        faults = self.world.store.faults
+        match fault.kind:
+            case FaultKind.STORE_SILENT:
+                faults.silent = True
+            case FaultKind.STORE_REFUSES:
+                faults.refuse_with = 503
+            case FaultKind.STORE_SLOW:
+                faults.slow_s = SLOW_S * fault.strength
+            case FaultKind.STORE_LOSES_ANSWERS:
+                faults.lose_share = fault.strength / 2
+            case FaultKind.STORE_WRITES_LATE:
+                faults.late_share, faults.late_s = fault.strength / 2, LATE_S
+            case _:
+                self.world.store.forget_history()
+                return
+        await asyncio.sleep(fault.for_s)
+        faults.silent, faults.refuse_with, faults.slow_s = False, 0, 0.0
+        faults.lose_share, faults.late_share = 0.0, 0.0
+
+    async def _disturb_worker(self, fault: Fault) -> None:
+        workers = self.world.serving_workers()
+        if not workers:
+            return
+        worker = workers[fault.target % len(workers)]
+        match fault.kind:
+            case FaultKind.WORKER_CRASH:
+                await self._replace(worker, fault.for_s)
+            case FaultKind.WORKER_DRAINS:
+                await self._drain(worker, fault.for_s)
+            case FaultKind.WORKER_CLOCK_SLOW:
+                worker.slow_clock(SLOW_CLOCK)
+            case FaultKind.WORKER_SILENT:
+                await self._while(fault, lambda on: setattr(worker.faults, "silent", on))
+            case FaultKind.WORKER_STARTS_LATE:
+                late_s = LATE_S * fault.strength
+                await self._while(
+                    fault, lambda on: setattr(worker.faults, "late_starts_s", late_s if on else 0.0)
+                )
+            case _:
+                await self._while(fault, lambda on: setattr(worker.faults, "fail_all", on))
+
+    async def _while(self, fault: Fault, switch: Callable[[bool], None]) -> None:
+        switch(True)
+        await asyncio.sleep(fault.for_s)
+        switch(False)
+
+    async def _drain(self, worker: HostedWorker, for_s: float) -> None:
+        """Let a worker say that it leaves, serve on and leave; another life follows."""
+        row = ("servers", "", worker.id)
+        if self.world.store.value(row) is None:
+            return
+        self.world.store.put(row, worker.description("draining"))
+        await asyncio.sleep(for_s)
+        await self._replace(worker, for_s / 2)
+
+    async def _replace(self, worker: HostedWorker, for_s: float) -> None:
+        """End a worker for good; its instance runs another one after a while."""
+        name = worker.instance
+        if self.world.workers.get(name) is not worker:
+            return
+        self.world.fleet.workers.pop(name, None)
+        await self.world.crash_worker(name)
+        await asyncio.sleep(for_s)
+        if name not in self.world.workers and name not in self.world.fleet.busy:
+            await self.world.add_worker(
+                name, self.world.fleet.racks[name], self.world.fleet.pools[name]
+            )
--- /dev/null
+++ b/soak/_plan.py
@@ -0,0 +1,134 @@
+"""What a soak run does: its deployment and its faults, drawn from a seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+FIRST_FAULT_S = 1.0
+"""Callers work undisturbed for so long, so that there is something to disturb."""
+
+MIN_FAULT_S = 0.2
+MAX_FAULT_S = 3.0
+"""Longest time of one fault: twice the lease of a worker in a soak."""
+
+MAX_SERIES = 4
+"""Series of faults in one run; they overlap."""
+
+MAX_REPEATS = 4
+"""Faults of one series."""
+
+
+class FaultKind(Enum):
+    """What is done from outside."""
+
+    KILL_NODE = "kill node"
+    KILL_ALL_NODES = "kill all nodes"
+    PAUSE_NODE = "pause node"
+    STOP_NODE = "stop node"
+    """SIGTERM; the node is started again after its end."""
+    RELOAD_NODE = "reload node"
+    """SIGHUP, with settings that changed."""
+    STORE_SILENT = "store silent"
+    STORE_REFUSES = "store refuses"
+    STORE_SLOW = "store slow"
+    STORE_LOSES_ANSWERS = "store loses answers"
+    STORE_WRITES_LATE = "store writes late"
+    STORE_FORGETS = "store forgets its history"
+    STORE_LINK_SILENT = "link to the store silent"
+    STORE_LINK_NO_ANSWERS = "link to the store carries no answers"
+    STORE_LINK_SLOW = "link to the store slow"
+    STORE_LINK_RESET = "link to the store reset"
+    WORKER_LINKS_SILENT = "links to workers silent"
+    WORKER_LINKS_NO_ANSWERS = "links to workers carry no answers"
+    WORKER_LINKS_RESET = "links to workers reset"
+    CALLER_LINK_RESET = "link from callers reset"
+    WORKER_CRASH = "worker crashes"
+    WORKER_SILENT = "worker silent"
+    WORKER_STARTS_LATE = "worker starts late"
+    WORKER_FAILS_TASKS = "worker fails its tasks"
+    WORKER_DRAINS = "worker drains and leaves"
+    WORKER_CLOCK_SLOW = "worker's clock slow"
+    CONFIGURE = "new configuration"
+    WAVE = "maintenance wave"
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """How much of everything takes part."""
+
+    nodes: int = 3
+    workers: int = 6
+    spares: int = 2
+    """Instances that begin in the spare pool."""
+    callers: int = 4
+    submissions_per_s: float = 4.0
+    """Of all callers together."""
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault; `target` is taken modulo what there is of its kind."""
+
+    kind: FaultKind
+    at_s: float
+    """Time after the callers begin."""
+    for_s: float
+    target: int
+    strength: float
+    """Share of writes, or delay in tenths of a second, from 0 to 1."""
+
+
+@dataclass(frozen=True)
+class Plan:
+    """One run, which can be played again."""
+
+    seed: int
+    deployment: Deployment
+    length_s: float
+    """Time in which callers submit."""
+    faults: tuple[Fault, ...]
+
+    def without(self, fault: Fault) -> Plan:
+        """Return the same plan with one fault less."""
+        return replace(self, faults=tuple(f for f in self.faults if f is not fault))
+
+
+def draw_plan(seed: int, length_s: float, deployment: Deployment) -> Plan:
+    """Draw series of faults that overlap."""
+    source = random.Random(seed)
+    faults: list[Fault] = []
+    for _ in range(source.randint(1, MAX_SERIES)):
+        faults += _draw_series(source, length_s)
+    faults.sort(key=lambda fault: fault.at_s)
+    return Plan(seed, deployment, length_s, tuple(faults))
+
+
+def _draw_series(source: random.Random, length_s: float) -> list[Fault]:
+    kind = source.choice(list(FaultKind))
+    at_s = source.uniform(FIRST_FAULT_S, length_s)
+    target = source.randrange(1000)
+    series = []
+    for _ in range(source.randint(1, MAX_REPEATS)):
+        for_s = source.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        series.append(Fault(kind, round(at_s, 3), round(for_s, 3), target, source.random()))
+        at_s += source.uniform(0.5, 2.0) * for_s
+        target += source.randint(0, 1)
+    return [fault for fault in series if fault.at_s <= length_s]
+
+
+def save_plan(plan: Plan, path: Path) -> None:
+    """Write a plan as JSON."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
+
+
+def load_plan(path: Path) -> Plan:
+    """Read a plan that was written by `save_plan`."""
+    return msgspec.json.decode(path.read_bytes(), type=Plan)
--- /dev/null
+++ b/soak/_world.py
@@ -0,0 +1,119 @@
+"""The stand-ins of the platform with a link in front of each that a fault can touch."""
+
+from __future__ import annotations
+
+import base64
+import json
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from soak._links import Link
+from standins.hosted import HostedWorker, World
+
+if TYPE_CHECKING:
+    from standins.hosted import Node, StoredRow
+
+MAINTENANCE_S = 0.6
+"""How long a move or maintenance takes; the nodes are told a sixth of it, as estimates are."""
+
+TASK_S = 0.25
+"""How long a short task takes: long enough to be met by faults."""
+
+INSTANCES_PER_RACK = 2
+
+
+@dataclass
+class NodeLinks:
+    """All links of one node; they outlive its processes."""
+
+    store: Link
+    callers: Link
+    workers: dict[str, Link] = field(default_factory=dict)
+    """By the worker's own address."""
+
+    def all(self) -> list[Link]:
+        """Return every link."""
+        return [self.store, self.callers, *self.workers.values()]
+
+
+class SoakWorld(World):
+    """A world in which each node reaches store and workers through links of its own."""
+
+    def __init__(self, node_module: str) -> None:
+        super().__init__()
+        self.node_module = node_module
+        self.task_s = TASK_S
+        self.fleet.busy_s = MAINTENANCE_S
+        self.links: dict[str, NodeLinks] = {}
+        self.lives: list[Node] = []
+        """Every process that was started."""
+        self.expected_ends: set[int] = set()
+        """Processes that the soak ended, by their ids."""
+
+    async def close(self) -> None:
+        """End all that was started, the links too."""
+        for links in self.links.values():
+            for link in links.all():
+                await link.close()
+        await super().close()
+
+    async def add_node(self, name: str) -> None:
+        """Give a node its links and start it."""
+        runner = web.AppRunner(
+            self.store.app(lambda row: self._show(name, row)),
+            access_log=None,
+            shutdown_timeout=0.05,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        links = NodeLinks(Link(lambda: f"{host}:{port}"), Link(lambda: self.caller_address(name)))
+        await links.store.listen()
+        await links.callers.listen()
+        self.links[name] = links
+        for worker in self.workers.values():
+            await self._link(links, worker)
+        self.start_node(name)
+
+    def start_node(self, name: str) -> Node:
+        """Start a process of a node that has its links."""
+        links = self.links[name]
+        node = self.nodes.start(
+            name, links.store.address, self.addresses["fleet"], self.node_module
+        )
+        self.lives.append(node)
+        return node
+
+    def caller_address(self, name: str) -> str:
+        """Return where a node's present process serves callers, empty while it does not."""
+        node = self.nodes.nodes[name]
+        return node.address("callers") if node.process.poll() is None else ""
+
+    async def publish(self, worker: HostedWorker) -> None:
+        """Link a new worker to every node, then let it write itself into the store."""
+        for links in self.links.values():
+            await self._link(links, worker)
+        await super().publish(worker)
+
+    async def _link(self, links: NodeLinks, worker: HostedWorker) -> None:
+        address = worker.address
+        link = Link(lambda: address)
+        await link.listen()
+        links.workers[address] = link
+
+    def _show(self, name: str, row: StoredRow) -> StoredRow:
+        """Show a node the address of its own link to a worker."""
+        if row.place[0] != "servers" or row.gone:
+            return row
+        entry = json.loads(base64.b64decode(row.value))
+        link = self.links[name].workers.get(entry["address"])
+        if link is not None:
+            entry["address"] = link.address
+        return replace(row, value=base64.b64encode(json.dumps(entry).encode()).decode())
+
+    def serving_workers(self) -> list[HostedWorker]:
+        """Return the workers of the pool, in the order of their instances."""
+        return [self.workers[name] for name in sorted(self.workers)]
--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -2,10 +2,23 @@
 
 from __future__ import annotations
 
-from standins.hosted._fleet import HostedFleet
-from standins.hosted._nodes import Nodes
-from standins.hosted._store import HostedStore
+from standins.hosted._fleet import FleetOrder, HostedFleet
+from standins.hosted._nodes import NODE_MODULE, Node, Nodes
+from standins.hosted._store import HostedStore, StoredRow
 from standins.hosted._workers import HostedWorker, Run
-from standins.hosted._world import World
+from standins.hosted._world import HOST, MAX_ATTEMPTS, World
 
-__all__ = ["HostedFleet", "HostedStore", "HostedWorker", "Nodes", "Run", "World"]
+__all__ = [
+    "HOST",
+    "MAX_ATTEMPTS",
+    "NODE_MODULE",
+    "FleetOrder",
+    "HostedFleet",
+    "HostedStore",
+    "HostedWorker",
+    "Node",
+    "Nodes",
+    "Run",
+    "StoredRow",
+    "World",
+]
--- a/standins/hosted/_nodes.py
+++ b/standins/hosted/_nodes.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 
 END_S = 10.0
+NODE_MODULE = "pumicespur.commands.node"
+"""Module that is run, with its arguments."""
 
 SETTINGS = """
 [process]
@@ -70,14 +72,14 @@
     folder: tempfile.TemporaryDirectory[str] = field(default_factory=tempfile.TemporaryDirectory)
     nodes: dict[str, Node] = field(default_factory=dict)
 
-    def start(self, name: str, store: str, fleet: str) -> Node:
+    def start(self, name: str, store: str, fleet: str, module: str = NODE_MODULE) -> Node:
         """Start a node with a settings file of its own; a name may be started again."""
         path = Path(self.folder.name) / f"{name}.ini"
         path.write_text(SETTINGS.format(name=name, store=store, fleet=fleet))
         log = Path(self.folder.name) / f"{name}.log"
         with log.open("ab") as output:
             process = subprocess.Popen(
-                [sys.executable, "-m", "pumicespur.commands.node"],
+                [sys.executable, "-m", *module.split()],
                 env={**os.environ, "PUMICESPUR_NODE_FILE": str(path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -6,6 +6,7 @@
 import base64
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -39,6 +40,16 @@
         return row | ({"gone": True} if self.gone else {})
 
 
+RowView = Callable[[StoredRow], StoredRow]
+"""What one caller is shown of a row."""
+
+VIEW: web.AppKey[RowView] = web.AppKey("view")
+
+
+def _unchanged(row: StoredRow) -> StoredRow:
+    return row
+
+
 @dataclass
 class StoreFaults:
     """What goes wrong; a test sets it while the store runs."""
@@ -69,9 +80,10 @@
         self.random = random.Random(seed)
         self.calls: dict[str, int] = {}
 
-    def app(self) -> web.Application:
-        """Return the application to serve."""
+    def app(self, view: RowView = _unchanged) -> web.Application:
+        """Return the application to serve; its callers see rows as `view` shows them."""
         app = web.Application()
+        app[VIEW] = view
         app.router.add_post("/pumicespur/rows-tx", self._transact)
         app.router.add_get("/pumicespur/rows-get", self._get)
         app.router.add_get("/pumicespur/rows-feed", self._feed)
@@ -162,7 +174,7 @@
             key=lambda row: row.place,
         )
         body = {
-            "rows": [row.wire() for row in found[:limit]],
+            "rows": [request.app[VIEW](row).wire() for row in found[:limit]],
             "more": len(found) > limit,
             "ver": self.version,
         }
@@ -185,9 +197,8 @@
             left = until - time.monotonic()
             if found or left <= 0:
                 found.sort(key=lambda row: row.version)
-                return web.json_response(
-                    {"rows": [row.wire() for row in found], "ver": self.version}
-                )
+                shown = [request.app[VIEW](row).wire() for row in found]
+                return web.json_response({"rows": shown, "ver": self.version})
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except TimeoutError:
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -29,6 +29,9 @@
     """Monotonic time, as for the end."""
     ended_at: float | None = None
     how: str = ""
+    acknowledged_at: float | None = None
+    """When the pool's owner confirmed the end; from then on it stands for good."""
+    stop_ordered_at: float | None = None
 
 
 @dataclass
@@ -63,12 +66,27 @@
     """The highest run of each task that was stopped or ended here."""
     count: int = 0
     alive: bool = True
+    clock_rate: float = 1.0
+    """Speed of the worker's own clock; it may run slow."""
+    clock_base_ms: float = 0.0
+    """What the clock showed when its speed last changed."""
+    clock_set_at: float = 0.0
+    """Monotonic time of that change, in seconds."""
+    ends: dict[int, Run] = field(default_factory=dict)
+    """Ends that nobody has confirmed yet, by their numbers."""
     news: asyncio.Event = field(default_factory=asyncio.Event)
     runner: web.AppRunner | None = None
 
     def clock_ms(self) -> float:
         """Return the worker's own clock."""
-        return time.monotonic() * 1000
+        since_ms = (time.monotonic() - self.clock_set_at) * 1000
+        return self.clock_base_ms + since_ms * self.clock_rate
+
+    def slow_clock(self, rate: float) -> None:
+        """Let the clock run at another speed from now on, without a step."""
+        self.clock_base_ms = self.clock_ms()
+        self.clock_set_at = time.monotonic()
+        self.clock_rate = rate
 
     async def serve(self) -> None:
         """Listen at a free port."""
@@ -118,6 +136,7 @@
         self.refused[run.task] = max(run.number, self.refused.get(run.task, 0))
         self.count += 1
         checkpoint = f"after-{run.number}" if how == "stopped" else ""
+        self.ends[self.count] = run
         self.ended.append([self.count, run.task, run.number, how, checkpoint])
         self.news.set()
         self.news = asyncio.Event()
@@ -127,6 +146,9 @@
         if body.get("fencingToken", 0) < self.highest_token:
             return self._refuse("fence")
         self.highest_token = body.get("fencingToken", 0)
+        if self.clock_ms() > self.deadline_ms:
+            # The lease lapsed, so the ends before it can't be confirmed any more.
+            self.ends.clear()
         self.deadline_ms = max(self.deadline_ms, body.get("deadlineMs") or 0)
         return None
 
@@ -201,6 +223,7 @@
             return refused
         run = self.running.get(body["task"])
         if run is not None and run.number == body["run"]:
+            run.stop_ordered_at = run.stop_ordered_at or time.monotonic()
             asyncio.get_running_loop().call_later(0.02, self._end, run, "stopped")
         elif run is None:
             known = self.refused.get(body["task"], 0)
@@ -211,12 +234,17 @@
         refused = await self._gate(request)
         return refused or web.json_response({"clockMs": self.clock_ms()})
 
+    def _acknowledge(self, number: int) -> None:
+        self.ended = [end for end in self.ended if end[0] > number]
+        for confirmed in [n for n in self.ends if n <= number]:
+            self.ends.pop(confirmed).acknowledged_at = time.monotonic()
+
     async def _hold(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
         refused = await self._gate(request) or self._note_order(body)
         if refused is not None:
             return refused
-        self.ended = [end for end in self.ended if end[0] > body["lastSeen"]]
+        self._acknowledge(body["lastSeen"])
         if not self.ended and body.get("waitMs"):
             # If nothing ends in the time asked for, the account is answered all the same.
             with contextlib.suppress(asyncio.TimeoutError):
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -24,6 +24,9 @@
 
 WAIT_S = 20.0
 CHECK_S = 0.02
+TASK_S = 0.05
+MAX_ATTEMPTS = 3
+"""Failed runs of one task after which its job has failed."""
 LOG_TAIL = 4000
 """Characters of each node's log that a failed wait shows."""
 HOST = "jobs.example"
@@ -34,12 +37,16 @@
 
     def __init__(self) -> None:
         self.store = HostedStore()
-        self.fleet = HostedFleet(self._rebuild)
+        self.fleet = HostedFleet(self._take_down, self._bring_up)
         self.nodes = Nodes()
         self.history: list[Run] = []
         self.workers: dict[str, HostedWorker] = {}
         """The present worker of each instance."""
+        self.version = 0
+        """Version of the newest configuration."""
         self.numbers = itertools.count(1)
+        self.task_s = TASK_S
+        """How long a short task of a new worker takes."""
         self.runners: list[web.AppRunner] = []
         self.session: aiohttp.ClientSession | None = None
         self.addresses: dict[str, str] = {}
@@ -59,15 +66,17 @@
     async def close(self) -> None:
         """End all that was started."""
         self.nodes.close()
+        self.fleet.close()
         if self.session is not None:
             await self.session.close()
-        for worker in self.workers.values():
+        for worker in list(self.workers.values()):
             await worker.crash()
         for runner in self.runners:
             await runner.cleanup()
 
     def configure(self, version: int, routes: tuple[str, ...] = ("quick",), **fields: Any) -> None:
         """Write the operators' configuration with routes to the pool `main`."""
+        self.version = version
         made = [
             {
                 "name": name,
@@ -76,7 +85,7 @@
                 "backend": "main",
                 "timeoutMs": 3000,
                 "targetLatencyMs": 500,
-                "maxAttempts": 3,
+                "maxAttempts": MAX_ATTEMPTS,
                 "stretch": 2.0,
                 **fields,
             }
@@ -94,11 +103,16 @@
         """Give an instance a new worker in a pool."""
         number = next(self.numbers)
         worker = HostedWorker(f"w-{number}", pool, instance, rack, self.history)
+        worker.task_s = self.task_s
         await worker.serve()
         self.workers[instance] = worker
         self.fleet.pools[instance] = pool
         self.fleet.racks[instance] = rack
         self.fleet.workers[instance] = worker.id
+        await self.publish(worker)
+
+    async def publish(self, worker: HostedWorker) -> None:
+        """Let a new worker write itself into the store."""
         self.store.put(("servers", "", worker.id), worker.description())
 
     async def crash_worker(self, instance: str) -> None:
@@ -107,9 +121,12 @@
         await worker.crash()
         self.store.remove(("servers", "", worker.id))
 
-    async def _rebuild(self, instance: str, pool: str) -> None:
+    async def _take_down(self, instance: str) -> None:
+        self.fleet.workers.pop(instance, None)
         if instance in self.workers:
             await self.crash_worker(instance)
+
+    async def _bring_up(self, instance: str, pool: str) -> None:
         if pool != "idle":
             await self.add_worker(instance, self.fleet.racks[instance], pool)
 
