--- a/pumicespur/commands/node.py
+++ b/pumicespur/commands/node.py
@@ -6,9 +6,14 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from pathlib import Path
 
+if __name__ == "__main__":
+    # A process that still loads has nothing to read again; unhandled, the signal would end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import anyio
 from logbook import set_datetime_format
 
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -99,6 +99,8 @@
         self.demand = DemandTracker()
         self.short = Demand()
         self.lasting = Demand()
+        self.told_workers = 0
+        """Workers that the last report asked for."""
         self.tell = tell
         """Asks for a heartbeat at once."""
         self.stopping = False
@@ -264,6 +266,20 @@
     def _note_demand(self) -> None:
         self.short, self.lasting = current_demand(self.pool, now_ms())
         self.demand.note(time.monotonic(), self.short)
+        wanted = self._wanted_workers()
+        if wanted > self.told_workers:
+            self.told_workers = wanted
+            self.tell()
+
+    def _wanted_workers(self) -> int:
+        """Return how many workers the pool's work takes; 0 while that is not known."""
+        if time.monotonic() - self.ownership.acquired_at <= SETTLE_S or not self.pool.loads:
+            return 0
+        rooms = [load.worker.capacity for load in self.pool.loads.values()]
+        rooms.sort(key=lambda room: room.cpu_millis)
+        return wanted_workers(
+            self.pool, self.demand.foreseen(), self.lasting, rooms[len(rooms) // 2]
+        )
 
     def _evacuate(self) -> None:
         """Keep new tasks off workers that are to be emptied, and move lasting ones away."""
@@ -358,10 +374,5 @@
         """Tell the other processes about the pool."""
         report = report_pool(self.pool, self.token)
         report.demand_cpu_millis = self.short.cpu_millis + self.lasting.cpu_millis
-        if time.monotonic() - self.ownership.acquired_at > SETTLE_S and self.pool.loads:
-            rooms = [load.worker.capacity for load in self.pool.loads.values()]
-            rooms.sort(key=lambda room: room.cpu_millis)
-            report.wanted_workers = wanted_workers(
-                self.pool, self.demand.foreseen(), self.lasting, rooms[len(rooms) // 2]
-            )
+        report.wanted_workers = self.told_workers = self._wanted_workers()
         return report
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -78,6 +78,8 @@
         """Number of the newest end that is recorded; the worker drops what it acknowledges."""
         self.unsettled: dict[Task, int] = {}
         """Starts without an answer, with their runs; the worker's account settles them."""
+        self.barred_at: dict[Task, float] = {}
+        """When unsettled runs that have not begun were known to be kept from it (monotonic)."""
         self.foreign_stops: dict[tuple[TaskName, int], float] = {}
         self.changed = anyio.Event()
         self.failures = 0
@@ -192,23 +194,33 @@
         task.job.begun = True
         if task.spec.long_running and task.away_since is None:
             task.away_since = task.progressed_at
-        self.unsettled.pop(task, None)
+        self._forget_unsettled(task)
 
     async def _settle(self, running: dict[tuple[TaskName, int], Running], sent_at: float) -> None:
         """Find out what became of starts that got no answer.
 
-        A stop keeps a run that has not arrived from starting later, so after an answered
-        stop the task may start elsewhere.
+        A stop keeps a run that has not arrived from starting later. The run may have ended
+        before the stop, so only an account asked for after the stop was answered tells that it
+        never began; then the task may start elsewhere.
         """
         for task, run in list(self.unsettled.items()):
             if task.run != run or task.worker != self.id or (task.name, run) in running:
-                self.unsettled.pop(task, None)
-                continue
-            stopped = await self.owner.orders.stop(
-                self.load.worker, self.owner.token, task.name, run
-            )
-            if stopped.is_ok() and self.unsettled.pop(task, None) == run:
+                self._forget_unsettled(task)
+            elif sent_at >= self.barred_at.get(task, float("inf")):
+                self._forget_unsettled(task)
                 self._free_if_same(task, run, "start did not arrive")
+            elif task not in self.barred_at:
+                await self._bar(task, run)
+
+    async def _bar(self, task: Task, run: int) -> None:
+        """Keep a run that may not have arrived yet from starting."""
+        stopped = await self.owner.orders.stop(self.load.worker, self.owner.token, task.name, run)
+        if stopped.is_ok() and self.unsettled.get(task) == run:
+            self.barred_at[task] = time.monotonic()
+
+    def _forget_unsettled(self, task: Task) -> None:
+        self.unsettled.pop(task, None)
+        self.barred_at.pop(task, None)
 
     def _free_if_same(self, task: Task, run: int, reason: str) -> None:
         if task.run != run or task.worker != self.id or task.state is TaskState.DONE:
@@ -320,7 +332,7 @@
             self.end("not listed and its lease is over")
             return
         for task in list(self.load.tasks):
-            self.unsettled.pop(task, None)
+            self._forget_unsettled(task)
             self.load.remove(task)
             if task.worker == self.id and not task.job.ended:
                 self._free_if_same(task, task.run, "the worker's lease is over")
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -37,9 +37,12 @@
 log = Logger(__name__)
 
 ROUND_S = 0.4
-"""Pause between rounds; each reads the list of instances once."""
+"""Longest pause between rounds; each reads the list of instances once."""
 
-GROWTH = 1.5
+LEAST_PAUSE_S = 0.15
+"""Least pause between rounds, however much there is to hear."""
+
+GROWTH = 3.0
 """How far a pool may grow beyond the instances it came with, by need."""
 
 LOST_S = 4.0
@@ -100,6 +103,11 @@
         self.ready = False
         self.stopping = False
         self.stopped = anyio.Event()
+        self.changed = anyio.Event()
+
+    def wake(self) -> None:
+        """Ask for a round, since owners have told something new."""
+        self.changed.set()
 
     async def run(self) -> None:
         """Hold the duty until it is lost or given up."""
@@ -109,8 +117,11 @@
             self.ready = True
             log.info("fleet duty taken", token=self.ownership.token)
             while not self.stopping:
+                self.changed = anyio.Event()
                 await self._round()
-                await anyio.sleep(ROUND_S)
+                await anyio.sleep(LEAST_PAUSE_S)
+                with anyio.move_on_after(ROUND_S - LEAST_PAUSE_S):
+                    await self.changed.wait()
             await self.journal.release(self.settings.process.id)
         except OwnershipLostError as lost:
             log.warning("fleet duty lost", token=self.ownership.token, reason=str(lost))
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -42,6 +42,9 @@
 HEARING_SHARE = 0.8
 """Share of the heartbeats' interval between two looks at them."""
 
+HOLDER_HEARING_S = 0.1
+"""The same pause in the process that holds the fleet's duty: pools that grow wait for it."""
+
 SLOW_ANSWERS = 3.0
 """Times that a slow answer of the store counts when a heartbeat is missed: it was written,
 waited for and read through the same store."""
@@ -79,6 +82,7 @@
         self.incarnation = incarnation
         self.me = ProcessId(settings.process.id)
         self.started_at = time.monotonic()
+        self.capacity = settings.process.cpu_share * settings.process.cpu_speed
         self.number = 0
         self.owned: dict[PoolId, PoolOwner | FleetHolder] = {}
         self.stopping = False
@@ -138,6 +142,7 @@
             process=self.me,
             incarnation=self.incarnation,
             data_hall=self.settings.process.data_hall,
+            capacity=self.capacity,
             number=self.number,
             unfit=self.stopping,
             configuration_version=max(0, self.view.configuration.version),
@@ -179,13 +184,19 @@
                     version = page.version
                     for row in page.rows:
                         self._see(row, now)
-                    await anyio.sleep(self.settings.store.heartbeat_s * HEARING_SHARE)
+                    await anyio.sleep(self._hearing_pause_s())
                 case Result(error=HistoryGone()):
                     version = None
                 case Result(error=fault):
                     log.info("heartbeats not heard", reason=str(fault))
                     await anyio.sleep(RETRY_S)
 
+    def _hearing_pause_s(self) -> float:
+        if self.fleet is None:
+            return self.settings.store.heartbeat_s * HEARING_SHARE
+        self.fleet.wake()
+        return HOLDER_HEARING_S
+
     def _see(self, row: Row, now: float) -> None:
         if not row.version:
             return
@@ -267,14 +278,19 @@
         return self._alive(holder, now)
 
     def _successor(self, pool: PoolId, now: float) -> ProcessId:
-        """Choose the live process that owns fewest pools; all processes choose alike."""
-        counts = {p: 0 for p, seen in self.view.processes.items() if self._alive(seen, now)}
-        counts.setdefault(self.me, 0)
+        """Choose the live process that would own least for its size; all choose alike."""
+        sizes = {
+            process: seen.heartbeat.capacity or 1.0
+            for process, seen in self.view.processes.items()
+            if self._alive(seen, now)
+        }
+        sizes.setdefault(self.me, self.capacity)
+        counts = dict.fromkeys(sizes, 0)
         for other, owner in self.view.owners.items():
             holder = ProcessId(owner.record.process)
             if other != pool and holder in counts and not owner.record.released:
                 counts[holder] += 1
-        return min(counts, key=lambda process: (counts[process], _rank(pool, process)))
+        return min(counts, key=lambda p: ((counts[p] + 1) / sizes[p], _rank(pool, p)))
 
     async def _take(self, pool: PoolId, owner: SeenOwner) -> None:
         record = OwnerRecord(process=self.me, incarnation=self.incarnation)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -143,7 +143,7 @@
 
     def _change_settings(self, node: Node) -> None:
         """Replace the settings file at once, so that no half of it is ever read."""
-        path = node.log.with_suffix(".ini")
+        path = node.settings
         fresh = path.with_suffix(".new")
         fresh.write_text(path.read_text().replace("watch_s = 0.2", "watch_s = 0.25"))
         os.replace(fresh, path)
--- a/standins/hosted/_nodes.py
+++ b/standins/hosted/_nodes.py
@@ -49,7 +49,8 @@
 
     name: str
     log: Path
-    process: subprocess.Popen[bytes]
+    settings: Path
+    process: subprocess.Popen[bytes] = field(init=False)
 
     def address(self, listener: str) -> str:
         """Return where a listener is bound, empty while the process has not started."""
@@ -74,19 +75,27 @@
 
     def start(self, name: str, store: str, fleet: str, module: str = NODE_MODULE) -> Node:
         """Start a node with a settings file of its own; a name may be started again."""
-        path = Path(self.folder.name) / f"{name}.ini"
-        path.write_text(SETTINGS.format(name=name, store=store, fleet=fleet))
-        log = Path(self.folder.name) / f"{name}.log"
-        with log.open("ab") as output:
-            process = subprocess.Popen(
+        node = self.prepare(name, store, fleet)
+        self.launch(node, module)
+        return node
+
+    def prepare(self, name: str, store: str, fleet: str) -> Node:
+        """Write a node's settings without starting it."""
+        folder = Path(self.folder.name)
+        node = Node(name, folder / f"{name}.log", folder / f"{name}.ini")
+        node.settings.write_text(SETTINGS.format(name=name, store=store, fleet=fleet))
+        return node
+
+    def launch(self, node: Node, module: str = NODE_MODULE) -> None:
+        """Start the process of a node that is prepared."""
+        with node.log.open("ab") as output:
+            node.process = subprocess.Popen(
                 [sys.executable, "-m", *module.split()],
-                env={**os.environ, "PUMICESPUR_NODE_FILE": str(path)},
+                env={**os.environ, "PUMICESPUR_NODE_FILE": str(node.settings)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
-        node = Node(name, log, process)
-        self.nodes[name] = node
-        return node
+        self.nodes[node.name] = node
 
     def close(self) -> None:
         """End every node that was started."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import unittest
 from typing import Any
@@ -401,6 +402,31 @@
         self.assertEqual({1}, {run.number for run in self.world.history})
 
 
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """A node that is still loading."""
+
+    async def test_sighup_before_the_settings_are_read_ends_nothing(self) -> None:
+        # Found by the soak (seed 134): a reload met a node that had just been started again.
+        quiet_loop()
+        world = World()
+        await world.open()
+        self.addAsyncCleanup(world.close)
+        node = world.nodes.prepare("node-0", world.addresses["store"], world.addresses["fleet"])
+        path = node.settings
+        content = path.read_text()
+        path.unlink()
+        os.mkfifo(path)
+        world.nodes.launch(node)
+        pipe = await asyncio.to_thread(path.open, "w")
+        node.send_signal(signal.SIGHUP)
+        fresh = path.with_suffix(".new")
+        fresh.write_text(content)
+        os.replace(fresh, path)
+        pipe.write(content)
+        pipe.close()
+        await world.wait_ready(node)
+
+
 class InspectionTest(NodeCase):
     """Metrics, the state dump and new settings while a node runs."""
 
