--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,8 +10,9 @@
 
 from cyclopts import App
 
-from soak._plan import Deployment, Plan, draw_plan, load_plan, save_plan
+from soak._plan import Deployment, FaultKind, Plan, draw_plan, load_plan, save_plan
 from soak._run import Outcome, play
+from soak.mutant import Mutant
 from standins.hosted import NODE_MODULE
 
 app = App(name="soak", help=__doc__)
@@ -91,5 +92,33 @@
     return 0
 
 
+DISTURBED_BY = {
+    Mutant.COMMITS_WITHOUT_CONDITIONS: (FaultKind.PAUSE_NODE, FaultKind.STORE_LINK_SILENT),
+    Mutant.ENDS_CONFIRMED_UNRECORDED: (FaultKind.KILL_ALL_NODES, FaultKind.STORE_SLOW),
+    Mutant.LEASES_NOT_WAITED_OUT: (FaultKind.WORKER_SILENT, FaultKind.WORKER_LINKS_NO_ANSWERS),
+    Mutant.LOST_ANSWERS_COUNT_AS_ACCEPTED: (FaultKind.STORE_SILENT,),
+    Mutant.UNANSWERED_STARTS_FORGOTTEN: (FaultKind.WORKER_STARTS_LATE,),
+    Mutant.BUDGETS_IGNORED: (FaultKind.WAVE, FaultKind.WORKER_DRAINS),
+}
+"""Faults that show what each mutant lacks."""
+
+
+@app.command
+def mutants(*, seed: int = 1, tries: int = 6, length_s: float = 12.0, keep: Path = KEEP) -> int:
+    """Play the product with one guard taken out at a time; each has to be found."""
+    missed = []
+    for mutant, kinds in DISTURBED_BY.items():
+        for number in range(seed, seed + tries):
+            plan = draw_plan(number, length_s, Deployment(), kinds)
+            outcome = asyncio.run(play(plan, keep / mutant.value, f"soak.mutant {mutant.value}"))
+            if outcome.findings:
+                print(f"{mutant.value}: found by seed {number}: {outcome.findings[0].promise}")
+                break
+        else:
+            missed.append(mutant.value)
+            print(f"{mutant.value}: not found by {tries} seeds", flush=True)
+    return 1 if missed else 0
+
+
 if __name__ == "__main__":
     sys.exit(app())
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -31,12 +31,13 @@
         self.passage = Passage.BOTH_WAYS
         self.changed = asyncio.Event()
         self.writers: set[asyncio.StreamWriter] = set()
+        self.connections: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
         self.address = ""
 
     async def listen(self) -> None:
         """Start to carry connections."""
-        self.server = await asyncio.start_server(self._connect, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -45,7 +46,9 @@
         self.let_pass(Passage.BOTH_WAYS)
         if self.server is not None:
             self.server.close()
-        self.reset()
+        for task in self.connections:
+            task.cancel()
+        await asyncio.gather(*self.connections, return_exceptions=True)
 
     def let_pass(self, passage: Passage) -> None:
         """Change what the link carries."""
@@ -58,6 +61,11 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(self._connect(reader, writer))
+        self.connections.add(task)
+        task.add_done_callback(self.connections.discard)
+
     async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         onward: asyncio.StreamWriter | None = None
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -10,6 +10,7 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from pathlib import Path
 
 FIRST_FAULT_S = 1.0
@@ -101,18 +102,23 @@
         return replace(self, faults=tuple(f for f in self.faults if f is not fault))
 
 
-def draw_plan(seed: int, length_s: float, deployment: Deployment) -> Plan:
-    """Draw series of faults that overlap."""
+def draw_plan(
+    seed: int,
+    length_s: float,
+    deployment: Deployment,
+    kinds: Sequence[FaultKind] = tuple(FaultKind),
+) -> Plan:
+    """Draw series of faults that overlap, of some kinds or of all."""
     source = random.Random(seed)
     faults: list[Fault] = []
     for _ in range(source.randint(1, MAX_SERIES)):
-        faults += _draw_series(source, length_s)
+        faults += _draw_series(source, length_s, kinds)
     faults.sort(key=lambda fault: fault.at_s)
     return Plan(seed, deployment, length_s, tuple(faults))
 
 
-def _draw_series(source: random.Random, length_s: float) -> list[Fault]:
-    kind = source.choice(list(FaultKind))
+def _draw_series(source: random.Random, length_s: float, kinds: Sequence[FaultKind]) -> list[Fault]:
+    kind = source.choice(kinds)
     at_s = source.uniform(FIRST_FAULT_S, length_s)
     target = source.randrange(1000)
     series = []
--- /dev/null
+++ b/soak/mutant.py
@@ -0,0 +1,77 @@
+"""The role `node` with one guard taken out, to prove that the soak would notice.
+
+Run as `python -m soak.mutant NAME`; the settings come from the environment, as for the real one.
+"""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+from typing import Any
+
+from pumicespur.commands import node
+from pumicespur.jobs import _availability, _journal, _lease, _service, _watch
+from pumicespur.store import Transaction
+
+
+class Mutant(Enum):
+    """What is taken out."""
+
+    COMMITS_WITHOUT_CONDITIONS = "commits-without-conditions"
+    ENDS_CONFIRMED_UNRECORDED = "ends-confirmed-unrecorded"
+    LEASES_NOT_WAITED_OUT = "leases-not-waited-out"
+    LOST_ANSWERS_COUNT_AS_ACCEPTED = "lost-answers-count-as-accepted"
+    UNANSWERED_STARTS_FORGOTTEN = "unanswered-starts-forgotten"
+    BUDGETS_IGNORED = "budgets-ignored"
+
+
+TRANSACTION = _journal.Journal._transaction
+TAKE_IN = _watch.WorkerWatch._take_in
+SUBMIT = _service.JobService.submit
+
+
+def _commit_without_conditions(self: _journal.Journal, writes: list[Any]) -> Any:
+    transaction, record = TRANSACTION(self, writes)
+    return Transaction([], transaction.writes), record
+
+
+async def _confirm_unrecorded(self: _watch.WorkerWatch, *arguments: Any) -> None:
+    await TAKE_IN(self, *arguments)
+    self.recorded = self.seen
+
+
+async def _accept_whatever(self: _service.JobService, *arguments: Any) -> Any:
+    outcome = await SUBMIT(self, *arguments)
+    unknown = outcome is _service.Submission.UNKNOWN
+    return _service.Submission.ACCEPTED if unknown else outcome
+
+
+async def _forget_start(self: _watch.WorkerWatch, task: Any, run: int) -> None:
+    self._forget_unsettled(task)
+    self._free_if_same(task, run, "start did not arrive")
+
+
+def take_out(mutant: Mutant) -> None:
+    """Replace one guard of the product in this process."""
+    match mutant:
+        case Mutant.COMMITS_WITHOUT_CONDITIONS:
+            _replace(_journal.Journal, "_transaction", _commit_without_conditions)
+        case Mutant.ENDS_CONFIRMED_UNRECORDED:
+            _replace(_watch.WorkerWatch, "_take_in", _confirm_unrecorded)
+        case Mutant.LEASES_NOT_WAITED_OUT:
+            _replace(_lease.WorkerLease, "over_at", lambda self: 0.0)
+        case Mutant.LOST_ANSWERS_COUNT_AS_ACCEPTED:
+            _replace(_service.JobService, "submit", _accept_whatever)
+        case Mutant.UNANSWERED_STARTS_FORGOTTEN:
+            _replace(_watch.WorkerWatch, "_bar", _forget_start)
+        case Mutant.BUDGETS_IGNORED:
+            _replace(_availability, "away_beside", lambda *arguments: 0)
+
+
+def _replace(owner: object, name: str, value: object) -> None:
+    setattr(owner, name, value)
+
+
+if __name__ == "__main__":
+    take_out(Mutant(sys.argv[1]))
+    sys.exit(node.main())
