Give a thin link the time for a large configuration; stop no start that an older account lacks

Now once for each version. Test: tests/test_watch.py. - Idle pools lend up to half of their instances to those that are short; processes that own nothing look at the list of workers every 2 s instead of 0.3.

--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -19,7 +19,7 @@
 from pumicespur.jobs._pace import choose_paces
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
-from pumicespur.jobs._watch import WorkerWatch
+from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
 from pumicespur.model import WorkerId, WorkerState
 from pumicespur.store import Write
 from pumicespur.utils import METRICS, now_ms
@@ -192,7 +192,7 @@
             for task in job.tasks:
                 if task.worker == worker.id and not job.ended:
                     watch.load.add(task)
-                    watch.unsettled[task] = task.run
+                    watch.unsettled[task] = UnansweredStart(task.run, self.ownership.acquired_at)
         self.watches[worker.id] = watch
         self.spawn(watch.run)
 
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -64,6 +65,17 @@
     return now - task.progressed_at > patience_s
 
 
+@dataclass
+class UnansweredStart:
+    """A start of which it is not known whether the worker took it."""
+
+    run: int
+    since: float
+    """When its call was given up (monotonic seconds); only accounts asked for later tell."""
+    barred_at: float | None = None
+    """When a run that had not begun was known to be kept from it (monotonic seconds)."""
+
+
 class WorkerWatch:
     """The owner's dealings with one life of a worker."""
 
@@ -76,10 +88,8 @@
         """Number of the newest end that was taken in."""
         self.recorded = 0
         """Number of the newest end that is recorded; the worker drops what it acknowledges."""
-        self.unsettled: dict[Task, int] = {}
-        """Starts without an answer, with their runs; the worker's account settles them."""
-        self.barred_at: dict[Task, float] = {}
-        """When unsettled runs that have not begun were known to be kept from it (monotonic)."""
+        self.unsettled: dict[Task, UnansweredStart] = {}
+        """Starts without an answer; the worker's account settles them."""
         self.foreign_stops: dict[tuple[TaskName, int], float] = {}
         self.changed = anyio.Event()
         self.failures = 0
@@ -194,7 +204,7 @@
         task.job.begun = True
         if task.spec.long_running and task.away_since is None:
             task.away_since = task.progressed_at
-        self._forget_unsettled(task)
+        self.unsettled.pop(task, None)
 
     async def _settle(self, running: dict[tuple[TaskName, int], Running], sent_at: float) -> None:
         """Find out what became of starts that got no answer.
@@ -203,24 +213,22 @@
         before the stop, so only an account asked for after the stop was answered tells that it
         never began; then the task may start elsewhere.
         """
-        for task, run in list(self.unsettled.items()):
-            if task.run != run or task.worker != self.id or (task.name, run) in running:
-                self._forget_unsettled(task)
-            elif sent_at >= self.barred_at.get(task, float("inf")):
-                self._forget_unsettled(task)
-                self._free_if_same(task, run, "start did not arrive")
-            elif task not in self.barred_at:
-                await self._bar(task, run)
-
-    async def _bar(self, task: Task, run: int) -> None:
+        for task, start in list(self.unsettled.items()):
+            if task.run != start.run or task.worker != self.id or (task.name, start.run) in running:
+                self.unsettled.pop(task, None)
+            elif start.barred_at is None and sent_at >= start.since:
+                await self._bar(task, start)
+            elif start.barred_at is not None and sent_at >= start.barred_at:
+                self.unsettled.pop(task, None)
+                self._free_if_same(task, start.run, "start did not arrive")
+
+    async def _bar(self, task: Task, start: UnansweredStart) -> None:
         """Keep a run that may not have arrived yet from starting."""
-        stopped = await self.owner.orders.stop(self.load.worker, self.owner.token, task.name, run)
-        if stopped.is_ok() and self.unsettled.get(task) == run:
-            self.barred_at[task] = time.monotonic()
-
-    def _forget_unsettled(self, task: Task) -> None:
-        self.unsettled.pop(task, None)
-        self.barred_at.pop(task, None)
+        stopped = await self.owner.orders.stop(
+            self.load.worker, self.owner.token, task.name, start.run
+        )
+        if stopped.is_ok():
+            start.barred_at = time.monotonic()
 
     def _free_if_same(self, task: Task, run: int, reason: str) -> None:
         if task.run != run or task.worker != self.id or task.state is TaskState.DONE:
@@ -301,7 +309,7 @@
                 self._note_failure(reason)
                 self._free_if_same(task, run, reason)
             case Result(error=AnswerLost()):
-                self.unsettled[task] = run
+                self.unsettled[task] = UnansweredStart(run, time.monotonic())
 
     async def pace(self, task: Task, percent: int) -> None:
         """Let a filling task work at a share of its speed."""
@@ -332,7 +340,7 @@
             self.end("not listed and its lease is over")
             return
         for task in list(self.load.tasks):
-            self._forget_unsettled(task)
+            self.unsettled.pop(task, None)
             self.load.remove(task)
             if task.worker == self.id and not task.job.ended:
                 self._free_if_same(task, task.run, "the worker's lease is over")
--- a/pumicespur/maintenance/_sizing.py
+++ b/pumicespur/maintenance/_sizing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -17,6 +18,10 @@
 """Time for which a pool must have had too many instances before one is parked; a move costs
 about as much as an instance in a pool for one second, on the users' sheets."""
 
+LENT_SHARE = 0.5
+"""Share of the instances a pool came with that it lends at most while others are short; their
+peaks come in turn, and what is kept carries the first seconds of the next one."""
+
 MAX_MOVING = 12
 """Instances that change pool at once; about a third of a small fleet."""
 
@@ -76,16 +81,33 @@
 
     def _givers(self, state: FleetState) -> dict[PoolId, list[Instance]]:
         """Return for each pool the instances beyond what it wants, the easiest to move first."""
-        givers: dict[PoolId, list[Instance]] = {}
+        return {
+            pool: found
+            for pool, declared in state.declared.items()
+            if (found := self._beyond(state, pool, max(declared, state.needed.get(pool, 0))))
+        }
+
+    def _lenders(self, state: FleetState) -> dict[PoolId, list[Instance]]:
+        """Return for each pool what it can do without while its own work is small.
+
+        Instances whose tasks an availability budget protects stay.
+        """
+        lenders: dict[PoolId, list[Instance]] = {}
         for pool, declared in state.declared.items():
-            members = [i for i in _members(state, pool) if i.id in state.reachable]
-            wanted = max(declared, state.needed.get(pool, 0))
-            extra = len(members) + _arriving(state, pool) - wanted
-            if extra > 0:
-                racks = Counter(i.rack for i in members)
-                members.sort(key=lambda i: self._effort(state, i, racks))
-                givers[pool] = members[:extra]
-        return givers
+            kept = max(math.ceil(LENT_SHARE * declared), state.needed.get(pool, 0))
+            found = self._beyond(state, pool, kept)
+            lenders[pool] = [i for i in found if i.id not in state.held]
+        return lenders
+
+    def _beyond(self, state: FleetState, pool: PoolId, kept: int) -> list[Instance]:
+        """Return a pool's instances beyond a number, the easiest to move first."""
+        members = [i for i in _members(state, pool) if i.id in state.reachable]
+        extra = len(members) + _arriving(state, pool) - kept
+        if extra <= 0:
+            return []
+        racks = Counter(i.rack for i in members)
+        members.sort(key=lambda i: self._effort(state, i, racks))
+        return members[:extra]
 
     def _effort(
         self, state: FleetState, instance: Instance, racks: Counter[Rack]
@@ -104,12 +126,16 @@
     ) -> None:
         """Send instances to pools that have too few, out of the spare pool first."""
         parked = [i for pool in sorted(state.spare) for i in _members(state, pool)]
+        lenders = self._lenders(state)
         missing = {pool: _missing(state, pool) for pool in state.declared}
         for pool in sorted(missing, key=lambda pool: -missing[pool]):
-            for _ in range(max(0, missing[pool])):
+            by_need = state.needed.get(pool, 0) - _present(state, pool)
+            for number in range(max(0, missing[pool])):
                 if len(state.moving) + len(plan.moves) >= MAX_MOVING:
                     return
-                found = self._pick(state, pool, parked, givers)
+                found = self._pick(state, pool, parked, givers, plan)
+                if found is None and number < by_need:
+                    found = self._pick(state, pool, [], lenders, plan)
                 if found is None:
                     break
                 if found.id in state.empty:
@@ -123,6 +149,7 @@
         pool: PoolId,
         parked: list[Instance],
         givers: dict[PoolId, list[Instance]],
+        plan: MovePlan,
     ) -> Instance | None:
         for instance in parked:
             if (instance.id, pool) not in state.refused:
@@ -132,6 +159,8 @@
             for instance in instances:
                 if giver == pool or (instance.id, pool) in state.refused:
                     continue
+                if instance.id in plan.emptying or instance.id in dict(plan.moves):
+                    continue
                 instances.remove(instance)
                 return instance
         return None
@@ -186,7 +215,7 @@
     that waits, and not the number that the pool came with, asks for others in their place. So
     do those that are still starting.
     """
-    present = _arriving(state, pool) + _serving(state, pool)
+    present = _present(state, pool)
     away = sum(
         1
         for name in state.taken | state.unproved
@@ -196,6 +225,10 @@
     return max(by_number, state.needed.get(pool, 0) - present)
 
 
+def _present(state: FleetState, pool: PoolId) -> int:
+    return _arriving(state, pool) + _serving(state, pool)
+
+
 def _serving(state: FleetState, pool: PoolId) -> int:
     return sum(1 for i in _members(state, pool) if i.id in state.reachable)
 
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -32,15 +32,20 @@
         settings: StoreSettings,
         name: str,
         on_rows: Callable[[Sequence[Row], bool], None],
-        pause_s: float = 0.0,
+        pause_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.table = table
         self.settings = settings
         self.name = name
         self.on_rows = on_rows
         self.pause_s = pause_s
-        """Pause after each answer, for tables that change often, in seconds."""
+        """Returns the pause after each answer, for tables that change often, in seconds."""
         self.connected = True
+        self.hurried = anyio.Event()
+
+    def hurry(self) -> None:
+        """End the present pause, since somebody waits for the newest rows."""
+        self.hurried.set()
 
     async def run(self) -> None:
         """Follow for ever; after an outage go on where it left off."""
@@ -55,7 +60,9 @@
                     self._note_connected(True, "")
                     self.on_rows(page.rows, version is None)
                     version = page.version
-                    await anyio.sleep(self.pause_s)
+                    self.hurried = anyio.Event()
+                    with anyio.move_on_after(self.pause_s()):
+                        await self.hurried.wait()
                 case Result(error=HistoryGone()):
                     log.warning("table read anew", table=self.name, reason="history gone")
                     version = None
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -24,7 +24,7 @@
 from pumicespur.store import Condition, HistoryGone, Transaction, Write
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from anyio.abc import TaskGroup
 
@@ -45,6 +45,10 @@
 HOLDER_HEARING_S = 0.1
 """The same pause in the process that holds the fleet's duty: pools that grow wait for it."""
 
+RENEW_AGAIN_S = 3.0
+"""Pause before watches are given up again for the same configuration: what a megabyte takes
+over the thinnest link of the users' sheets (5 Mbit/s), and as much again."""
+
 SLOW_ANSWERS = 3.0
 """Times that a slow answer of the store counts when a heartbeat is missed: it was written,
 waited for and read through the same store."""
@@ -92,8 +96,13 @@
         """When the store last told of heartbeats (monotonic seconds)."""
         self.failing = False
         """Whether the last heartbeat failed."""
+        self.renewed_version = 0
+        """Newest configuration for which watches were given up."""
+        self.renewed_at = float("-inf")
         self.changed = anyio.Event()
         self.tasks: TaskGroup | None = None
+        self.on_taken: Callable[[], None] = lambda: None
+        """Called when a pool is taken, whose workers have to be known at once."""
 
     async def run(self) -> None:
         """Keep beating and deciding until cancelled."""
@@ -206,14 +215,25 @@
         if known is None:
             self.view.processes[process] = SeenProcess(heartbeat, now)
             return
-        if heartbeat.configuration_version > max(0, self.view.configuration.version):
-            # Another process has heard of a change that this one has not.
-            log.info("configuration behind", newest=heartbeat.configuration_version)
-            self.table.renew_watches()
+        self._note_version(heartbeat.configuration_version, now)
         before = (known.heartbeat.incarnation, known.heartbeat.number)
         if before != (heartbeat.incarnation, heartbeat.number):
             self.view.processes[process] = SeenProcess(heartbeat, now)
 
+    def _note_version(self, newest: int, now: float) -> None:
+        """Watch anew if another process has heard of a change that this one has not.
+
+        The connection may be dead. It may also be a thin one that still carries a large
+        configuration, so it is given up once for each version, and again only after a while.
+        """
+        if newest <= max(0, self.view.configuration.version):
+            return
+        if newest <= self.renewed_version and now - self.renewed_at < RENEW_AGAIN_S:
+            return
+        self.renewed_version, self.renewed_at = newest, now
+        log.info("configuration behind", newest=newest)
+        self.table.renew_watches()
+
     def _see_owners(self, rows: Sequence[Row], whole: bool) -> None:
         """Hear of takeovers and releases as they happen.
 
@@ -336,6 +356,7 @@
                 self.hurry,
             )
         self.owned[pool] = owner
+        self.on_taken()
         assert self.tasks is not None
         self.tasks.start_soon(self._own, pool, owner)
 
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -79,6 +79,9 @@
 WORKERS_PAUSE_S = 0.3
 """Workers write often; a worker that drains is known well within the two seconds allowed."""
 
+IDLE_WORKERS_PAUSE_S = 2.0
+"""The same pause in a process that owns no pool; it looks at once when it takes one."""
+
 
 class NodeProcess:
     """All parts of one process."""
@@ -108,12 +111,19 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(self._listen_to_signals)
             bound = await self.server.listen(settings.listen.callers, settings.listen.readiness)
-            for name, handler, pause_s in (
-                (OPERATORS_TABLE, self._on_operators_rows, 0.0),
-                (WORKERS_TABLE, self._on_worker_rows, WORKERS_PAUSE_S),
-            ):
-                follower = TableFollower(self.table, settings.store, name, handler, pause_s)
-                tasks.start_soon(follower.run)
+            operators = TableFollower(
+                self.table, settings.store, OPERATORS_TABLE, self._on_operators_rows
+            )
+            workers = TableFollower(
+                self.table,
+                settings.store,
+                WORKERS_TABLE,
+                self._on_worker_rows,
+                self._workers_pause_s,
+            )
+            self.keeper.on_taken = workers.hurry
+            tasks.start_soon(operators.run)
+            tasks.start_soon(workers.run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self.describe)
                 self.server.runners.append(inspection)
@@ -209,6 +219,9 @@
             case Result(error=reason):
                 log.error("wave not understood", reason=reason)
 
+    def _workers_pause_s(self) -> float:
+        return WORKERS_PAUSE_S if self.keeper.pool_owners() else IDLE_WORKERS_PAUSE_S
+
     def _on_worker_rows(self, rows: Sequence[Row], whole: bool) -> None:
         if whole:
             self.view.workers.clear()
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -46,9 +46,9 @@
     return _service.Submission.ACCEPTED if unknown else outcome
 
 
-async def _forget_start(self: _watch.WorkerWatch, task: Any, run: int) -> None:
-    self._forget_unsettled(task)
-    self._free_if_same(task, run, "start did not arrive")
+async def _forget_start(self: _watch.WorkerWatch, task: Any, start: Any) -> None:
+    self.unsettled.pop(task, None)
+    self._free_if_same(task, start.run, "start did not arrive")
 
 
 def take_out(mutant: Mutant) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -12,7 +12,7 @@
 from pumicespur.config import NodeSettings
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._placement import put
-from pumicespur.jobs._watch import WorkerWatch
+from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
 from pumicespur.model import Account, RunEnd, TaskEnd
 from pumicespur.schema.jobs_pb import StepRecord
 from pumicespur.schema.node_pb import WorkerSettings
@@ -91,7 +91,7 @@
         self.task: Task = job.tasks[0]
         put(self.task, self.watch.load)
         self.task.state = TaskState.STARTING
-        self.watch.unsettled[self.task] = self.task.run
+        self.watch.unsettled[self.task] = UnansweredStart(self.task.run, time.monotonic())
 
     def name(self) -> TaskName:
         return self.task.name
@@ -114,7 +114,13 @@
         self.assertIs(TaskState.WAITING, self.task.state)
         self.assertEqual(1, self.holder.orders.stops)
         self.assertEqual({}, self.watch.unsettled)
-        self.assertEqual({}, self.watch.barred_at)
+
+    async def test_account_asked_for_before_the_call_was_given_up_tells_nothing(self) -> None:
+        # Found on the bench (grown Sofia, trouble-1): a lasting task that had just begun was
+        # stopped because an older account did not list it.
+        self.watch.unsettled[self.task].since = time.monotonic() + 60
+        await self.look()
+        self.assertEqual(0, self.holder.orders.stops)
 
 
 if __name__ == "__main__":
