Run speculative tasks once more where they are slow or out of sight

A copy is started only while nothing else waits; the first good end counts, a failed run costs an attempt, and the earlier run's worker is not chosen again.

--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -13,7 +13,6 @@
     from pumicespur.jobs._job import StepGroup
     from pumicespur.jobs._pool import PoolState
     from pumicespur.model import Capacity
-    from pumicespur.schema.jobs_pb import StepRecord
 
 REMEMBER_S = 3.0
 """Time for which a peak keeps its workers: two moves of an instance."""
@@ -91,7 +90,7 @@
             continue
         for group in job.ready_groups(now_ms):
             spec = group.spec
-            if not _fits_anywhere(pool, spec):
+            if not pool.fits_anywhere(spec):
                 # No number of workers helps a task that is larger than each of them.
                 continue
             share = 1.0 if spec.long_running else WAITING_SHARE
@@ -102,13 +101,6 @@
     return Demand(cpu[False], memory[False]), Demand(cpu[True], memory[True])
 
 
-def _fits_anywhere(pool: PoolState, spec: StepRecord) -> bool:
-    rooms = [load.worker.capacity for load in pool.loads.values()]
-    return not rooms or any(
-        spec.cpu_millis <= room.cpu_millis and spec.memory_mb <= room.memory_mb for room in rooms
-    )
-
-
 def wanted_workers(pool: PoolState, short: Demand, lasting: Demand, room: Capacity) -> int:
     """Return how many workers of a size the pool's present work takes."""
     cpu = (short.cpu_millis + lasting.cpu_millis) / max(1, room.cpu_millis)
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -19,6 +19,7 @@
 from pumicespur.jobs._pace import choose_paces
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
+from pumicespur.jobs._speculation import copy, tasks_to_copy
 from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
 from pumicespur.model import WorkerId, WorkerState
 from pumicespur.store import Write
@@ -57,6 +58,9 @@
 SETTLE_S = 1.5
 """Time after a takeover before tasks are moved: stops that the owner before gave take effect."""
 
+COPY_PAUSE_S = 0.2
+"""Pause between looks for tasks to run once more; they last about a second."""
+
 LOAD_LINE_S = 1.0
 """Pause between log lines about a busy pool's load."""
 
@@ -102,6 +106,7 @@
         self.demand = DemandTracker()
         self.short = Demand()
         self.lasting = Demand()
+        self.copied_at = float("-inf")
         self.told_load_at = float("-inf")
         self.told_workers = 0
         """Workers that the last report asked for."""
@@ -248,6 +253,7 @@
             self.changed = anyio.Event()
             if not self.stopping:
                 self._evacuate()
+                self._copy_slow_tasks()
                 self.pool.place(time.monotonic(), now_ms())
                 self._note_demand()
                 self._pace()
@@ -267,6 +273,23 @@
             if watch is not None:
                 self.spawn(watch.pace, task, percent)
 
+    def _copy_slow_tasks(self) -> None:
+        """Run speculative tasks once more where that is likely to end sooner."""
+        now = time.monotonic()
+        if now - self.copied_at < COPY_PAUSE_S:
+            return
+        self.copied_at = now
+        for task in tasks_to_copy(self.pool, now):
+            log.info(
+                "task copied",
+                job=task.job.id,
+                task=task.name,
+                run=task.run,
+                worker=task.worker,
+                percent=task.percent,
+            )
+            copy(self.pool, task)
+
     def _note_demand(self) -> None:
         now = time.monotonic()
         self.short, self.lasting = current_demand(self.pool, now_ms())
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -51,7 +51,10 @@
     if group.spec.gang and len(group.waiting()) < len(group.tasks):
         return []
     for task in group.waiting():
-        load = choose_worker(group, loads, now)
+        able = loads
+        if task.copies:
+            able = [load for load in loads if load.worker.id not in task.copies]
+        load = choose_worker(group, able, now)
         if load is None:
             break
         put(task, load)
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -18,8 +18,16 @@
 
 if TYPE_CHECKING:
     from pumicespur.jobs._job import Job, Task
-    from pumicespur.model import Configuration, PoolId, TaskEnd, TaskName, Worker, WorkerId
-    from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
+    from pumicespur.model import (
+        Capacity,
+        Configuration,
+        PoolId,
+        TaskEnd,
+        TaskName,
+        Worker,
+        WorkerId,
+    )
+    from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord, StepRecord
 
 log = Logger(__name__)
 
@@ -35,6 +43,8 @@
     fresh: list[Task] = field(default_factory=list)
     """Tasks placed since the last commit."""
     estimates: Estimates = field(default_factory=Estimates)
+    rooms: set[Capacity] | None = None
+    """The different capacities of the workers; None after a change until they are asked for."""
 
     def add_job(
         self, record: JobRecord, configuration: Configuration, progress: ProgressRecord | None
@@ -66,6 +76,9 @@
         if load is None:
             load = WorkerLoad(worker)
             self.loads[worker.id] = load
+            self.rooms = None
+        if load.worker.capacity != worker.capacity:
+            self.rooms = None
         load.worker = worker
         load.listed = True
         if worker.leaves_in_s is not None and load.leaves_at is None:
@@ -79,13 +92,11 @@
     def drop_worker(self, worker: WorkerId) -> list[Task]:
         """Forget a worker whose tasks are known to be over; return the tasks that wait again."""
         load = self.loads.pop(worker, None)
-        lost = [
-            task
-            for job in self.jobs.values()
-            if not job.ended
-            for task in job.tasks
-            if task.worker == worker
-        ]
+        self.rooms = None
+        tasks = [task for job in self.jobs.values() if not job.ended for task in job.tasks]
+        for task in tasks:
+            task.copies.pop(worker, None)
+        lost = [task for task in tasks if task.worker == worker]
         for task in lost:
             task.release()
             self.dirty.add(task.job)
@@ -117,6 +128,10 @@
             self._finish(task)
         elif newest:
             self._fail(task, end)
+        elif task.copies.get(worker) == end.run:
+            del task.copies[worker]
+            if end.how is RunEnd.FAILED:
+                self._count_failure(task, end.run)
         load = self.loads.get(worker)
         if load is None or end.how not in (RunEnd.DONE, RunEnd.FAILED):
             return
@@ -138,16 +153,18 @@
         if task.spec.gang and end.checkpoint:
             task.group.gang_checkpoint = end.checkpoint
         self.free(task, end.checkpoint)
-        if task.failures >= task.job.max_attempts:
-            task.job.phase = JobPhase.FAILED
 
     def _count_failure(self, task: Task, run: int) -> None:
+        """Count a failed run; the job fails with the last attempt."""
         if not task.spec.gang:
             task.failures += 1
         elif task.group.failed_run != run:
             task.group.failed_run = run
             for member in task.group.tasks:
                 member.failures += 1
+        self.dirty.add(task.job)
+        if task.failures >= task.job.max_attempts:
+            task.job.phase = JobPhase.FAILED
 
     def place(self, now: float, now_ms: float) -> list[Task]:
         """Choose workers for waiting tasks whose turn has come."""
@@ -166,12 +183,21 @@
         """Count the jobs of which no task has begun."""
         return Counter(j.route for j in self.jobs.values() if not j.begun and not j.ended)
 
+    def fits_anywhere(self, spec: StepRecord) -> bool:
+        """Whether some worker, were it empty, could carry a task; true while none is known."""
+        if self.rooms is None:
+            self.rooms = {load.worker.capacity for load in self.loads.values()}
+        return not self.rooms or any(
+            spec.cpu_millis <= room.cpu_millis and spec.memory_mb <= room.memory_mb
+            for room in self.rooms
+        )
+
     def waiting_tasks(self) -> int:
-        """Count the tasks that wait for a start, of jobs that have not ended."""
+        """Count the tasks that wait for a start and that some worker could carry."""
         return sum(
-            1
+            len(group.waiting())
             for job in self.jobs.values()
             if not job.ended
-            for task in job.tasks
-            if task.state is TaskState.WAITING
+            for group in job.groups
+            if self.fits_anywhere(group.spec)
         )
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -92,7 +92,6 @@
         """Starts without an answer; the worker's account settles them."""
         self.foreign_stops: dict[tuple[TaskName, int], float] = {}
         self.changed = anyio.Event()
-        self.failures = 0
         self.gone = False
 
     async def run(self) -> None:
@@ -123,17 +122,17 @@
         """Extend the lease and read the account; return whether to look again at once."""
         settings = self.owner.settings.workers
         wait_s = settings.watch_s if self.lease.clock_ms is not None else 0.0
-        if self.seen > self.recorded or self.unsettled or self.failures:
+        if self.seen > self.recorded or self.unsettled or self.load.silent_calls:
             wait_s = 0.0
         # A worker that did not answer is promised nothing more, so that its lease does end.
-        silent = self.failures > 0
+        silent = self.load.silent_calls > 0
         deadline = self.lease.granted() if silent else self.lease.grant(now, settings.lease_s)
         answer = await self.owner.orders.hold(
             self.load.worker, self.owner.token, self.recorded, deadline, wait_s
         )
         match answer:
             case Result(tag="ok", ok=account):
-                self.failures = 0
+                self.load.silent_calls = 0
                 self.lease.note(account.clock_ms, time.monotonic())
                 await self._take_in(account, now)
                 return not self.unsettled
@@ -147,8 +146,8 @@
                 return False
 
     def _note_failure(self, reason: str) -> None:
-        self.failures += 1
-        if self.load.reachable or self.failures == 1:
+        self.load.silent_calls += 1
+        if self.load.reachable or self.load.silent_calls == 1:
             log.warning("worker lost", pool=self.owner.pool.pool, worker=self.id, reason=reason)
         self.load.reachable = False
 
@@ -170,7 +169,7 @@
 
     def _note_running(self, running: dict[tuple[TaskName, int], Running], now: float) -> None:
         for task in list(self.load.tasks):
-            found = running.get((task.name, task.run))
+            found = running.get((task.name, task.copies.get(self.id, task.run)))
             if task.job.ended or task.worker != self.id:
                 if found is None:
                     self.load.remove(task)
@@ -251,8 +250,7 @@
         """Stop what runs here and should not: cancelled, failed or replaced runs."""
         for name, run in running:
             task = self.owner.pool.task(name)
-            wanted = task is not None and not task.job.ended
-            if wanted and task is not None and task.run == run and task.worker == self.id:
+            if task is not None and task.wants(self.id, run):
                 continue
             if now - self.foreign_stops.get((name, run), float("-inf")) < STOP_AGAIN_S:
                 continue
@@ -333,7 +331,7 @@
 
     def _check_lapse(self) -> None:
         """Let tasks wait again once the worker's lease is surely over."""
-        if self.gone or self.load.reachable or self.failures == 0:
+        if self.gone or self.load.reachable or self.load.silent_calls == 0:
             return
         if time.monotonic() < self.lease.over_at() + LAPSE_SLACK_S:
             return
@@ -343,6 +341,7 @@
         for task in list(self.load.tasks):
             self.unsettled.pop(task, None)
             self.load.remove(task)
+            task.copies.pop(self.id, None)
             if task.worker == self.id and not task.job.ended:
                 self._free_if_same(task, task.run, "the worker's lease is over")
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -36,6 +36,9 @@
 ASK_SHARE = 0.35
 """Shares of a caller's actions; the rest submits short jobs."""
 
+SPECULATIVE_SHARE = 0.3
+"""Share of short jobs whose tasks may run beside themselves (users' sheets)."""
+
 MAX_LASTING = 3
 """Lasting jobs that one caller keeps open; each takes a few workers."""
 
@@ -176,6 +179,8 @@
 
     def _short_steps(self) -> list[dict[str, Any]]:
         first = {"count": self.random.randint(1, 4), "cpu": 500, "memMb": 100, "estimatedMs": 250}
+        if self.random.random() < SPECULATIVE_SHARE:
+            first["speculative"] = True
         if self.random.random() < 0.5:
             return [first]
         return [first, {**first, "count": self.random.randint(1, 3), "dependsOn": [0]}]
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -87,6 +87,8 @@
 
     def _once(self, runs: dict[str, list[Run]]) -> Iterator[Finding]:
         for task, found in runs.items():
+            if self._may_run_beside_itself(task):
+                continue
             for before, after in zip(found, found[1:], strict=False):
                 ended_at = before.ended_at if before.ended_at is not None else float("inf")
                 if after.started_at < ended_at:
@@ -95,6 +97,10 @@
             if done is not None and found[-1].started_at > done.started_at:
                 yield Finding("a task that is done does not run again", f"{task} {found[-1]}")
 
+    def _may_run_beside_itself(self, task: str) -> bool:
+        job = self.jobs.get(task.partition(".")[0])
+        return job is not None and bool(job.steps[int(task.split(".")[2])].get("speculative"))
+
     def _attempts(self, runs: dict[str, list[Run]]) -> Iterator[Finding]:
         for task, found in runs.items():
             failed = [r for r in found if r.how == "failed" and r.acknowledged_at]
