--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -11,7 +11,6 @@
 
 from pumicespur.jobs._advice import AdviceDesk
 from pumicespur.jobs._availability import tasks_to_move
-from pumicespur.jobs._demand import Demand, DemandTracker, current_demand, wanted_workers
 from pumicespur.jobs._intake import JobIntake
 from pumicespur.jobs._job import Job, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
@@ -19,6 +18,7 @@
 from pumicespur.jobs._pace import choose_paces
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
+from pumicespur.jobs._size import PoolSize
 from pumicespur.jobs._speculation import copy, tasks_to_copy
 from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
 from pumicespur.model import WorkerId, WorkerState
@@ -61,9 +61,6 @@
 COPY_PAUSE_S = 0.2
 """Pause between looks for tasks to run once more; they last about a second."""
 
-LOAD_LINE_S = 1.0
-"""Pause between log lines about a busy pool's load."""
-
 RETENTION_MS = 180_000
 """How long the state of an ended job is kept; callers may ask for it for 120 s."""
 
@@ -103,15 +100,10 @@
         self.journal = Journal(table, ownership)
         self.watches: dict[WorkerId, WorkerWatch] = {}
         self.intake = JobIntake(self.pool, table, view, settings.store.watch_s, self.wake)
-        self.demand = DemandTracker()
-        self.short = Demand()
-        self.lasting = Demand()
         self.copied_at = float("-inf")
-        self.told_load_at = float("-inf")
-        self.told_workers = 0
-        """Workers that the last report asked for."""
         self.tell = tell
         """Asks for a heartbeat at once."""
+        self.size = PoolSize(self.pool, ownership.acquired_at + SETTLE_S, tell)
         self.stopping = False
         self.stopped = anyio.Event()
         self.ready = False
@@ -255,7 +247,7 @@
                 self._evacuate()
                 self._copy_slow_tasks()
                 self.pool.place(time.monotonic(), now_ms())
-                self._note_demand()
+                self.size.note(time.monotonic())
                 self._pace()
             batch = self._collect()
             idle_s = time.monotonic() - self.journal.confirmed_at
@@ -290,43 +282,6 @@
             )
             copy(self.pool, task)
 
-    def _note_demand(self) -> None:
-        now = time.monotonic()
-        self.short, self.lasting = current_demand(self.pool, now_ms())
-        self.demand.note(now, self.short)
-        if now - self.told_load_at >= LOAD_LINE_S:
-            self.told_load_at = now
-            self._tell_load(now)
-        wanted = self._wanted_workers(self.demand.foreseen())
-        if wanted > self.told_workers:
-            self.told_workers = wanted
-            self.tell()
-
-    def _tell_load(self, now: float) -> None:
-        """Log what the pool's size is decided by, unless there is nothing to do."""
-        waiting = self.pool.waiting_tasks()
-        if not waiting and not self.short.cpu_millis:
-            return
-        log.info(
-            "pool load",
-            pool=self.pool.pool,
-            workers=len(self.pool.loads),
-            open_workers=sum(1 for load in self.pool.loads.values() if load.open(now)),
-            wanted_workers=self.told_workers,
-            waiting_tasks=waiting,
-            short_cpu_millis=self.short.cpu_millis,
-            lasting_cpu_millis=self.lasting.cpu_millis,
-            used_cpu_millis=sum(load.cpu_millis for load in self.pool.loads.values()),
-        )
-
-    def _wanted_workers(self, short: Demand) -> int:
-        """Return how many workers the pool's work takes; 0 while that is not known."""
-        if time.monotonic() - self.ownership.acquired_at <= SETTLE_S or not self.pool.loads:
-            return 0
-        rooms = [load.worker.capacity for load in self.pool.loads.values()]
-        rooms.sort(key=lambda room: room.cpu_millis)
-        return wanted_workers(self.pool, short, self.lasting, rooms[len(rooms) // 2])
-
     def _evacuate(self) -> None:
         """Keep new tasks off workers that are to be emptied, and move lasting ones away."""
         wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
@@ -419,7 +374,5 @@
     def report(self) -> PoolReport:
         """Tell the other processes about the pool."""
         report = report_pool(self.pool, self.token)
-        report.demand_cpu_millis = self.short.cpu_millis + self.lasting.cpu_millis
-        report.wanted_workers = self.told_workers = self._wanted_workers(self.demand.foreseen())
-        report.busy_workers = self._wanted_workers(self.demand.rising())
+        self.size.report(report)
         return report
--- /dev/null
+++ b/pumicespur/jobs/_size.py
@@ -0,0 +1,82 @@
+"""How many workers a pool asks the fleet's holder for, and the log lines that tell why."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from pumicespur.jobs._demand import Demand, DemandTracker, current_demand, wanted_workers
+from pumicespur.utils import now_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pumicespur.jobs._pool import PoolState
+    from pumicespur.schema.jobs_pb import PoolReport
+
+log = Logger(__name__)
+
+LOAD_LINE_S = 1.0
+"""Pause between log lines about a busy pool's load."""
+
+
+class PoolSize:
+    """Follows what a pool's work asks for."""
+
+    def __init__(self, pool: PoolState, known_from: float, tell: Callable[[], None]) -> None:
+        self.pool = pool
+        self.known_from = known_from
+        """Monotonic time from which the load is known; a new owner has to hear of it first."""
+        self.tell = tell
+        """Asks for a heartbeat at once."""
+        self.demand = DemandTracker()
+        self.short = Demand()
+        self.lasting = Demand()
+        self.told_load_at = float("-inf")
+        self.told_workers = 0
+        """Workers that the last report asked for."""
+
+    def note(self, now: float) -> None:
+        """Take a look at the pool's work; a need that grows is told at once."""
+        self.short, self.lasting = current_demand(self.pool, now_ms())
+        self.demand.note(now, self.short)
+        if now - self.told_load_at >= LOAD_LINE_S:
+            self.told_load_at = now
+            self._log_load(now)
+        wanted = self._workers_for(self.demand.foreseen())
+        if wanted > self.told_workers:
+            self.told_workers = wanted
+            self.tell()
+
+    def report(self, report: PoolReport) -> None:
+        """Fill in what the other processes hear of the pool's size."""
+        report.demand_cpu_millis = self.short.cpu_millis + self.lasting.cpu_millis
+        report.wanted_workers = self.told_workers = self._workers_for(self.demand.foreseen())
+        report.busy_workers = self._workers_for(self.demand.rising())
+
+    def _workers_for(self, short: Demand) -> int:
+        """Return how many workers the pool's work takes; 0 while that is not known."""
+        if time.monotonic() <= self.known_from or not self.pool.loads:
+            return 0
+        rooms = [load.worker.capacity for load in self.pool.loads.values()]
+        rooms.sort(key=lambda room: room.cpu_millis)
+        return wanted_workers(self.pool, short, self.lasting, rooms[len(rooms) // 2])
+
+    def _log_load(self, now: float) -> None:
+        """Log what the pool's size is decided by, unless there is nothing to do."""
+        waiting = self.pool.waiting_tasks()
+        if not waiting and not self.short.cpu_millis:
+            return
+        log.info(
+            "pool load",
+            pool=self.pool.pool,
+            workers=len(self.pool.loads),
+            open_workers=sum(1 for load in self.pool.loads.values() if load.open(now)),
+            wanted_workers=self.told_workers,
+            waiting_tasks=waiting,
+            short_cpu_millis=self.short.cpu_millis,
+            lasting_cpu_millis=self.lasting.cpu_millis,
+            used_cpu_millis=sum(load.cpu_millis for load in self.pool.loads.values()),
+        )
--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from standins.hosted._advice import VALID_MS
 from standins.hosted._fleet import FleetOrder, HostedFleet
 from standins.hosted._nodes import NODE_MODULE, Node, Nodes
 from standins.hosted._store import HostedStore, StoredRow
@@ -12,6 +13,7 @@
     "HOST",
     "MAX_ATTEMPTS",
     "NODE_MODULE",
+    "VALID_MS",
     "FleetOrder",
     "HostedFleet",
     "HostedStore",
--- a/standins/hosted/_nodes.py
+++ b/standins/hosted/_nodes.py
@@ -61,6 +61,11 @@
                     return str(fields[listener])
         return ""
 
+    def add_setting(self, section: str, line: str) -> None:
+        """Add a line to a section of the settings file."""
+        text = self.settings.read_text()
+        self.settings.write_text(text.replace(f"[{section}]", f"[{section}]\n{line}"))
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this process, which the tests started."""
         self.process.send_signal(number)
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -32,6 +32,12 @@
     acknowledged_at: float | None = None
     """When the pool's owner confirmed the end; from then on it stands for good."""
     stop_ordered_at: float | None = None
+    ticket: str = ""
+    """The advising service's permission that the start brought."""
+    figure: float = 0.0
+    """What the worker tells of the run: latency in ms or processor use."""
+    pace: int = 100
+    """Share of its speed at which the run may work, in percent."""
 
 
 @dataclass
@@ -197,6 +203,7 @@
             body.get("checkpoint", ""),
             body["fencingToken"],
             time.monotonic(),
+            ticket=body.get("ticket", ""),
         )
         self.running[run.task] = run
         self.history.append(run)
@@ -231,8 +238,14 @@
         return web.json_response({"clockMs": self.clock_ms()})
 
     async def _pace(self, request: web.Request) -> web.StreamResponse:
-        refused = await self._gate(request)
-        return refused or web.json_response({"clockMs": self.clock_ms()})
+        body = await request.json()
+        refused = await self._gate(request) or self._note_order(body)
+        if refused is not None:
+            return refused
+        run = self.running.get(body["task"])
+        if run is not None and run.number == body["run"]:
+            run.pace = body["percent"]
+        return web.json_response({"clockMs": self.clock_ms()})
 
     def _acknowledge(self, number: int) -> None:
         self.ended = [end for end in self.ended if end[0] > number]
@@ -249,7 +262,7 @@
             # If nothing ends in the time asked for, the account is answered all the same.
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self.news.wait(), body["waitMs"] / 1000)
-        running = [[r.task, r.number, "", 100] for r in self.running.values()]
+        running = [[r.task, r.number, "", 100, r.figure] for r in self.running.values()]
         return web.json_response(
             {"clockMs": self.clock_ms(), "running": running, "endedAt": self.ended}
         )
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from pumicespur.schema.jobs_pb import OwnerRecord
+from standins.hosted._advice import HostedAdvice
 from standins.hosted._fleet import HostedFleet
 from standins.hosted._nodes import Nodes
 from standins.hosted._store import HostedStore
@@ -38,6 +39,7 @@
     def __init__(self) -> None:
         self.store = HostedStore()
         self.fleet = HostedFleet(self._take_down, self._bring_up)
+        self.advice = HostedAdvice()
         self.nodes = Nodes()
         self.history: list[Run] = []
         self.workers: dict[str, HostedWorker] = {}
@@ -54,7 +56,11 @@
     async def open(self) -> None:
         """Serve the store and the list of instances."""
         self.session = aiohttp.ClientSession()
-        for name, app in (("store", self.store.app()), ("fleet", self.fleet.app())):
+        for name, app in (
+            ("store", self.store.app()),
+            ("fleet", self.fleet.app()),
+            ("advice", self.advice.app()),
+        ):
             runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
             await runner.setup()
             await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -132,7 +138,10 @@
 
     def start_node(self, name: str) -> Node:
         """Start a node against this platform."""
-        return self.nodes.start(name, self.addresses["store"], self.addresses["fleet"])
+        node = self.nodes.prepare(name, self.addresses["store"], self.addresses["fleet"])
+        node.add_setting("workers", f"advice = {self.addresses['advice']}")
+        self.nodes.launch(node)
+        return node
 
     async def call(self, node: Node, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         """Send one caller's request; return status and body."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,7 @@
 import unittest
 from typing import Any
 
-from standins.hosted import World
+from standins.hosted import VALID_MS, World
 from tests.base import quiet_loop
 
 STEP = {"count": 3, "cpu": 500, "memMb": 100, "estimatedMs": 50}
@@ -402,6 +402,44 @@
         self.assertEqual({1}, {run.number for run in self.world.history})
 
 
+class AdviceTest(NodeCase):
+    """A route whose steps run only where the advising service permits it."""
+
+    async def test_each_start_brings_a_ticket_for_its_step_and_worker(self) -> None:
+        advice = {"decide_ms": 1, "each_ms": 0, "valid_ms": VALID_MS}
+        ruled_out = self.world.workers["m-0"].id
+        self.world.advice.ruled_out.add(ruled_out)
+        self.world.configure(2, advice=advice)
+        await self.world.wait_for(
+            lambda: '"version":2' in self.node.log.read_text(), "the change is in force"
+        )
+        steps: list[dict[str, Any]] = [STEP, {**STEP, "dependsOn": [0]}]
+        await self.world.submit(self.node, job_id(1), steps)
+        await self.world.wait_state(self.node, job_id(1), "completed")
+        for run in self.world.history:
+            step = run.task.rpartition(".")[0]
+            self.assertEqual((step, run.worker), self.world.advice.tickets[run.ticket])
+            self.assertNotEqual(ruled_out, run.worker)
+
+
+class PaceTest(NodeCase):
+    """Tasks that fill, beside one that serves users."""
+
+    workers = 1
+
+    async def test_filling_task_is_slowed_while_the_other_suffers(self) -> None:
+        serving = {**LASTING, "count": 1, "target_ms": 100}
+        filling = {**LASTING, "count": 1, "fills": True}
+        await self.world.submit(self.node, job_id(1), [serving], payload="lasts")
+        await self.world.submit(self.node, job_id(2), [filling], payload="lasts")
+        await self.world.wait_for(lambda: len(self.world.history) == 2, "both tasks run")
+        runs = {run.task.partition(".")[0]: run for run in self.world.history}
+        runs[job_id(1)].figure = 300.0
+        await self.world.wait_for(lambda: runs[job_id(2)].pace == 0, "it stands still")
+        runs[job_id(1)].figure = 10.0
+        await self.world.wait_for(lambda: runs[job_id(2)].pace == 100, "it is let loose")
+
+
 class StartTest(unittest.IsolatedAsyncioTestCase):
     """A node that is still loading."""
 
