--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -271,7 +271,7 @@
         if now - self.copied_at < COPY_PAUSE_S:
             return
         self.copied_at = now
-        for task in tasks_to_copy(self.pool, now):
+        for task in tasks_to_copy(self.pool, now, now_ms()):
             log.info(
                 "task copied",
                 job=task.job.id,
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -192,12 +192,12 @@
             for room in self.rooms
         )
 
-    def waiting_tasks(self) -> int:
-        """Count the tasks that wait for a start and that some worker could carry."""
+    def waiting_tasks(self, now_ms: float) -> int:
+        """Count the tasks whose turn has come, that wait and that some worker could carry."""
         return sum(
             len(group.waiting())
             for job in self.jobs.values()
             if not job.ended
-            for group in job.groups
+            for group in job.ready_groups(now_ms)
             if self.fits_anywhere(group.spec)
         )
--- a/pumicespur/jobs/_size.py
+++ b/pumicespur/jobs/_size.py
@@ -66,7 +66,7 @@
 
     def _log_load(self, now: float) -> None:
         """Log what the pool's size is decided by, unless there is nothing to do."""
-        waiting = self.pool.waiting_tasks()
+        waiting = self.pool.waiting_tasks(now_ms())
         if not waiting and not self.short.cpu_millis:
             return
         log.info(
--- a/pumicespur/jobs/_speculation.py
+++ b/pumicespur/jobs/_speculation.py
@@ -24,7 +24,7 @@
 """Progress from which the rest of a run is estimated."""
 
 
-def tasks_to_copy(pool: PoolState, now: float) -> list[Task]:
+def tasks_to_copy(pool: PoolState, now: float, now_ms: float) -> list[Task]:
     """Choose tasks to run once more; none while others wait for their first run."""
     found = [
         task
@@ -32,7 +32,7 @@
         for task in load.tasks
         if _may_copy(load, task) and (_is_out_of_sight(load) or _is_slow(pool, task, now))
     ]
-    return found if found and not pool.waiting_tasks() else []
+    return found if found and not pool.waiting_tasks(now_ms) else []
 
 
 def _may_copy(load: WorkerLoad, task: Task) -> bool:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -93,13 +93,29 @@
                 await self._signal_node(fault)
             case FaultKind.CONFIGURE | FaultKind.WAVE:
                 self._operate(fault)
-            case _ if fault.kind.name.startswith("STORE_LINK"):
+            case (
+                FaultKind.STORE_LINK_SILENT
+                | FaultKind.STORE_LINK_NO_ANSWERS
+                | FaultKind.STORE_LINK_SLOW
+                | FaultKind.STORE_LINK_RESET
+            ):
                 await self._disturb([self._links(fault).store], fault)
-            case _ if fault.kind.name.startswith("WORKER_LINKS"):
+            case (
+                FaultKind.WORKER_LINKS_SILENT
+                | FaultKind.WORKER_LINKS_NO_ANSWERS
+                | FaultKind.WORKER_LINKS_RESET
+            ):
                 await self._disturb(list(self._links(fault).workers.values()), fault)
             case FaultKind.CALLER_LINK_RESET:
                 await self._disturb([self._links(fault).callers], fault)
-            case _ if fault.kind.name.startswith("STORE"):
+            case (
+                FaultKind.STORE_SILENT
+                | FaultKind.STORE_REFUSES
+                | FaultKind.STORE_SLOW
+                | FaultKind.STORE_LOSES_ANSWERS
+                | FaultKind.STORE_WRITES_LATE
+                | FaultKind.STORE_FORGETS
+            ):
                 await self._disturb_store(fault)
             case _:
                 await self._disturb_worker(fault)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -345,12 +345,12 @@
         self.first = self.pool.load_of(self.task)
 
     def copy_one(self) -> None:
-        (found,) = tasks_to_copy(self.pool, 20.0)
+        (found,) = tasks_to_copy(self.pool, 20.0, 0)
         copy(self.pool, found)
         run_all(self.pool)
 
     def test_task_in_time_is_not_copied(self) -> None:
-        self.assertEqual([], tasks_to_copy(self.pool, 10.5))
+        self.assertEqual([], tasks_to_copy(self.pool, 10.5, 0))
 
     def test_slow_task_runs_beside_itself_on_another_worker(self) -> None:
         assert self.first is not None
@@ -358,7 +358,7 @@
         self.assertNotEqual(self.first.worker.id, self.task.worker)
         self.assertTrue(self.task.wants(self.first.worker.id, 1))
         self.assertEqual(2, self.task.run)
-        self.assertEqual([], tasks_to_copy(self.pool, 30.0))
+        self.assertEqual([], tasks_to_copy(self.pool, 30.0, 0))
 
     def test_first_end_counts(self) -> None:
         assert self.first is not None
@@ -379,17 +379,32 @@
     def test_task_on_a_silent_worker_is_copied(self) -> None:
         assert self.first is not None
         self.first.silent_calls = 2
-        self.assertEqual([self.task], tasks_to_copy(self.pool, 10.1))
+        self.assertEqual([self.task], tasks_to_copy(self.pool, 10.1, 0))
 
     def test_nothing_is_copied_while_others_wait(self) -> None:
         step = StepRecord(count=1, cpu_millis=100, estimated_ms=1000)
         submit(self.pool, make_record(step, job="1" * 16))
-        self.assertEqual([], tasks_to_copy(self.pool, 20.0))
+        self.assertEqual([], tasks_to_copy(self.pool, 20.0, 0))
+
+    def test_steps_whose_turn_has_not_come_hold_no_copy_back(self) -> None:
+        step = StepRecord(count=1, cpu_millis=100, estimated_ms=1000)
+        later = StepRecord(count=5, cpu_millis=100, estimated_ms=1000, depends_on=[0])
+        submit(self.pool, make_record(step, later, job="1" * 16))
+        run_all(self.pool)
+        self.assertEqual([self.task], tasks_to_copy(self.pool, 20.0, 0))
+
+    def test_copy_is_not_stopped_for_the_sake_of_its_first_worker(self) -> None:
+        assert self.first is not None
+        self.task.spec.checkpoints = True
+        self.copy_one()
+        self.first.evacuating = True
+        self.first.leaves_at = 20.1
+        self.assertEqual([], tasks_to_move(self.pool, 20.0))
 
     def test_tasks_that_fit_nowhere_hold_no_copy_back(self) -> None:
         huge = StepRecord(count=1, cpu_millis=100_000, estimated_ms=1000)
         submit(self.pool, make_record(huge, job="1" * 16))
-        self.assertEqual([self.task], tasks_to_copy(self.pool, 20.0))
+        self.assertEqual([self.task], tasks_to_copy(self.pool, 20.0, 0))
 
 
 class EstimatesTest(unittest.TestCase):
