Order only tasks that are still placed

The start then overwrote the end in memory, the next commit left it out, and the next owner ran the task again. Ruled out: an acknowledgement before the commit (the first commit held the end). The same could meet a task whose earlier run ended late. Test: tests/test_watch.py, StartTest (fails before).

--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -269,6 +269,9 @@
 
     async def start(self, task: Task, run: int) -> None:
         """Order a placed task to start, now that its place is recorded."""
+        if (task.state, task.worker, task.run) != (TaskState.PLACED, self.id, run):
+            # While its place was recorded, an earlier run ended well or the worker was lost.
+            return
         now = time.monotonic()
         deadline = self.lease.grant(now, self.owner.settings.workers.lease_s)
         if task.job.ended or deadline is None or self.gone or not self.owner.may_extend(now):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -34,6 +34,12 @@
     ended_before_stop: TaskEnd | None = None
     """A run that has begun and ended when the first stop arrives."""
     stops: int = 0
+    starts: int = 0
+
+    async def start(self, *arguments: Any) -> Result[None, Any]:
+        """Take a start."""
+        self.starts += 1
+        return Ok(None)
 
     async def hold(self, *arguments: Any) -> Result[Account, Any]:
         """Tell what has ended; nothing runs."""
@@ -123,5 +129,33 @@
         self.assertEqual(0, self.holder.orders.stops)
 
 
-if __name__ == "__main__":
-    unittest.main()
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """A start whose task changed while its place was recorded."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.holder = ScriptedHolder()
+        self.watch = WorkerWatch(self.holder, make_worker("w"), 0.0)
+        self.watch.lease.note(0.0, time.monotonic())
+        record = make_record(StepRecord(count=2, cpu_millis=100))
+        self.job = submit(self.holder.pool, record)
+        self.task = self.job.tasks[0]
+
+    async def test_task_that_an_earlier_run_finished_stays_done(self) -> None:
+        # Found on a hunted day (Coulee, trouble-2, seed 422724837697): an earlier run ended
+        # while the place of its copy was recorded; the next owner ran the task once more.
+        put(self.task, self.watch.load)
+        self.task.release()
+        put(self.task, self.watch.load)
+        earlier = TaskEnd(1, self.task.name, 1, RunEnd.DONE, "")
+        self.holder.pool.note_end(self.watch.id, earlier, time.monotonic())
+        await self.watch.start(self.task, 2)
+        self.assertIs(TaskState.DONE, self.task.state)
+        self.assertEqual(0, self.holder.orders.starts)
+        self.assertEqual(b"\x01", self.job.progress(0).done)
+
+    async def test_placed_task_is_ordered(self) -> None:
+        put(self.task, self.watch.load)
+        await self.watch.start(self.task, 1)
+        self.assertEqual(1, self.holder.orders.starts)
+        self.assertIs(TaskState.RUNNING, self.task.state)
