--- a/pumicespur/jobs/_availability.py
+++ b/pumicespur/jobs/_availability.py
@@ -29,9 +29,6 @@
     chosen: list[Task] = []
     for load in leaving:
         for task in sorted(load.tasks, key=lambda task: task.name):
-            if task.worker != load.worker.id:
-                # An earlier run of a task that runs once more elsewhere.
-                continue
             if (
                 _may_stop(pool, task, now, chosen)
                 and has_place(pool, task, now)
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -59,8 +59,6 @@
     """Permission of the advising service for the present worker."""
     figure: float = 0.0
     """Measured latency (ms) or processor use, see `Running`."""
-    copies: dict[WorkerId, int] = field(default_factory=dict)
-    """Earlier runs of a speculative task that go on beside the newest one, by worker."""
     away_since: float | None = None
     """Monotonic time since which a long-running task has not been at work."""
 
@@ -75,10 +73,8 @@
         return self.group.spec
 
     def wants(self, worker: WorkerId, run: int) -> bool:
-        """Whether a run on a worker may go on: the newest one, or one that it is a copy of."""
-        if self.job.ended or self.state is TaskState.DONE:
-            return False
-        return (self.worker, self.run) == (worker, run) or self.copies.get(worker) == run
+        """Whether a run on a worker may go on, which only the newest one may."""
+        return not self.job.ended and (self.worker, self.run) == (worker, run)
 
     def release(self, checkpoint: str = "") -> None:
         """Let the task wait for its next start."""
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -19,7 +19,6 @@
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
 from pumicespur.jobs._size import PoolSize
-from pumicespur.jobs._speculation import copy, tasks_to_copy
 from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
 from pumicespur.model import WorkerId, WorkerState
 from pumicespur.store import Write
@@ -58,9 +57,6 @@
 SETTLE_S = 1.5
 """Time after a takeover before tasks are moved: stops that the owner before gave take effect."""
 
-COPY_PAUSE_S = 0.2
-"""Pause between looks for tasks to run once more; they last about a second."""
-
 RETENTION_MS = 180_000
 """How long the state of an ended job is kept; callers may ask for it for 120 s."""
 
@@ -100,7 +96,6 @@
         self.journal = Journal(table, ownership)
         self.watches: dict[WorkerId, WorkerWatch] = {}
         self.intake = JobIntake(self.pool, table, view, settings.store.watch_s, self.wake)
-        self.copied_at = float("-inf")
         self.tell = tell
         """Asks for a heartbeat at once."""
         self.size = PoolSize(self.pool, ownership.acquired_at + SETTLE_S, tell)
@@ -245,7 +240,6 @@
             self.changed = anyio.Event()
             if not self.stopping:
                 self._evacuate()
-                self._copy_slow_tasks()
                 self.pool.place(time.monotonic(), now_ms())
                 self.size.note(time.monotonic())
                 self._pace()
@@ -265,23 +259,6 @@
             if watch is not None:
                 self.spawn(watch.pace, task, percent)
 
-    def _copy_slow_tasks(self) -> None:
-        """Run speculative tasks once more where that is likely to end sooner."""
-        now = time.monotonic()
-        if now - self.copied_at < COPY_PAUSE_S:
-            return
-        self.copied_at = now
-        for task in tasks_to_copy(self.pool, now, now_ms()):
-            log.info(
-                "task copied",
-                job=task.job.id,
-                task=task.name,
-                run=task.run,
-                worker=task.worker,
-                percent=task.percent,
-            )
-            copy(self.pool, task)
-
     def _evacuate(self) -> None:
         """Keep new tasks off workers that are to be emptied, and move lasting ones away."""
         wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -56,10 +56,7 @@
     if group.spec.gang and len(group.waiting()) < len(group.tasks):
         return []
     for task in group.waiting():
-        able = loads
-        if task.copies:
-            able = [load for load in loads if load.worker.id not in task.copies]
-        load = choose_worker(group, able, now)
+        load = choose_worker(group, loads, now)
         if load is None:
             break
         put(task, load)
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -94,8 +94,6 @@
         load = self.loads.pop(worker, None)
         self.rooms = None
         tasks = [task for job in self.jobs.values() if not job.ended for task in job.tasks]
-        for task in tasks:
-            task.copies.pop(worker, None)
         lost = [task for task in tasks if task.worker == worker]
         for task in lost:
             task.release()
@@ -125,24 +123,21 @@
             if newest and task.state is TaskState.RUNNING and task.started_at:
                 taken_ms = (now - task.started_at) * 1000
                 self.estimates.note(task.job.route, task.spec.estimated_ms, taken_ms)
-            self._finish(task)
+            self._finish(task, worker)
         elif newest:
             self._fail(task, end)
-        elif task.copies.get(worker) == end.run:
-            del task.copies[worker]
-            if end.how is RunEnd.FAILED:
-                self._count_failure(task, end.run)
         load = self.loads.get(worker)
         if load is None or end.how not in (RunEnd.DONE, RunEnd.FAILED):
             return
         if load.note_result(end.how is RunEnd.DONE, now):
             log.warning("worker left out", pool=self.pool, worker=worker, reason="failures")
 
-    def _finish(self, task: Task) -> None:
+    def _finish(self, task: Task, worker: WorkerId) -> None:
+        """Note a good end; runs elsewhere stay counted until their workers list them no more."""
         members = task.group.tasks if task.spec.gang else [task]
         for member in members:
             load = self.load_of(member)
-            if load is not None:
+            if load is not None and load.worker.id == worker:
                 load.remove(member)
             member.job.finish_task(member)
         self.dirty.add(task.job)
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -169,7 +169,7 @@
 
     def _note_running(self, running: dict[tuple[TaskName, int], Running], now: float) -> None:
         for task in list(self.load.tasks):
-            found = running.get((task.name, task.copies.get(self.id, task.run)))
+            found = running.get((task.name, task.run))
             if task.job.ended or task.worker != self.id:
                 if found is None:
                     self.load.remove(task)
@@ -344,7 +344,6 @@
         for task in list(self.load.tasks):
             self.unsettled.pop(task, None)
             self.load.remove(task)
-            task.copies.pop(self.id, None)
             if task.worker == self.id and not task.job.ended:
                 self._free_if_same(task, task.run, "the worker's lease is over")
 
