--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -35,8 +35,6 @@
     """Whether the store lists the worker."""
     reachable: bool = False
     """Whether it answered the last call."""
-    silent_calls: int = 0
-    """Calls in a row that it did not answer."""
     evacuating: bool = False
     """The fleet's holder wants it emptied."""
     told_tasks: int = 0
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -89,18 +89,19 @@
         """Return the worker that a task's newest start was meant for, if it is counted."""
         return self.loads.get(task.worker) if task.worker else None
 
-    def drop_worker(self, worker: WorkerId) -> list[Task]:
-        """Forget a worker whose tasks are known to be over; return the tasks that wait again."""
+    def drop_worker(self, worker: WorkerId) -> None:
+        """Forget a worker whose tasks are known to be over; they wait again."""
         load = self.loads.pop(worker, None)
         self.rooms = None
-        tasks = [task for job in self.jobs.values() if not job.ended for task in job.tasks]
-        lost = [task for task in tasks if task.worker == worker]
-        for task in lost:
-            task.release()
-            self.dirty.add(task.job)
+        for job in self.jobs.values():
+            lost = [task for task in job.tasks if task.worker == worker]
+            if not lost or job.ended:
+                continue
+            for task in lost:
+                task.release()
+            self.dirty.add(job)
         if load is not None:
             load.tasks.clear()
-        return lost
 
     def free(self, task: Task, checkpoint: str = "") -> None:
         """Let a task wait again after its run is known to be over."""
--- a/pumicespur/jobs/_size.py
+++ b/pumicespur/jobs/_size.py
@@ -52,7 +52,6 @@
 
     def report(self, report: PoolReport) -> None:
         """Fill in what the other processes hear of the pool's size."""
-        report.demand_cpu_millis = self.short.cpu_millis + self.lasting.cpu_millis
         report.wanted_workers = self.told_workers = self._workers_for(self.demand.foreseen())
         report.busy_workers = self._workers_for(self.demand.rising())
 
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -92,6 +92,8 @@
         """Starts without an answer; the worker's account settles them."""
         self.foreign_stops: dict[tuple[TaskName, int], float] = {}
         self.changed = anyio.Event()
+        self.failures = 0
+        """Looks in a row that got no answer."""
         self.gone = False
 
     async def run(self) -> None:
@@ -122,17 +124,17 @@
         """Extend the lease and read the account; return whether to look again at once."""
         settings = self.owner.settings.workers
         wait_s = settings.watch_s if self.lease.clock_ms is not None else 0.0
-        if self.seen > self.recorded or self.unsettled or self.load.silent_calls:
+        if self.seen > self.recorded or self.unsettled or self.failures:
             wait_s = 0.0
         # A worker that did not answer is promised nothing more, so that its lease does end.
-        silent = self.load.silent_calls > 0
+        silent = self.failures > 0
         deadline = self.lease.granted() if silent else self.lease.grant(now, settings.lease_s)
         answer = await self.owner.orders.hold(
             self.load.worker, self.owner.token, self.recorded, deadline, wait_s
         )
         match answer:
             case Result(tag="ok", ok=account):
-                self.load.silent_calls = 0
+                self.failures = 0
                 self.lease.note(account.clock_ms, time.monotonic())
                 await self._take_in(account, now)
                 return not self.unsettled
@@ -146,8 +148,8 @@
                 return False
 
     def _note_failure(self, reason: str) -> None:
-        self.load.silent_calls += 1
-        if self.load.reachable or self.load.silent_calls == 1:
+        self.failures += 1
+        if self.load.reachable or self.failures == 1:
             log.warning("worker lost", pool=self.owner.pool.pool, worker=self.id, reason=reason)
         self.load.reachable = False
 
@@ -334,7 +336,7 @@
 
     def _check_lapse(self) -> None:
         """Let tasks wait again once the worker's lease is surely over."""
-        if self.gone or self.load.reachable or self.load.silent_calls == 0:
+        if self.gone or self.load.reachable or self.failures == 0:
             return
         if time.monotonic() < self.lease.over_at() + LAPSE_SLACK_S:
             return
--- a/pumicespur/listeners/_listeners.py
+++ b/pumicespur/listeners/_listeners.py
@@ -27,7 +27,7 @@
     return runner
 
 
-def bound_to(runner: web.ServerRunner) -> str:
+def bound_to(runner: web.BaseRunner) -> str:
     """Return the IP number and port at which a runner serves."""
     host, port = runner.addresses[0][:2]
     return f"{host}:{port}"
--- a/pumicespur/maintenance/_sizing.py
+++ b/pumicespur/maintenance/_sizing.py
@@ -163,11 +163,10 @@
             if (instance.id, pool) not in state.refused:
                 parked.remove(instance)
                 return instance
+        used = plan.emptying | {name for name, _ in plan.moves}
         for giver, instances in givers.items():
             for instance in instances:
-                if giver == pool or (instance.id, pool) in state.refused:
-                    continue
-                if instance.id in plan.emptying or instance.id in dict(plan.moves):
+                if giver == pool or instance.id in used or (instance.id, pool) in state.refused:
                     continue
                 instances.remove(instance)
                 return instance
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -193,6 +193,8 @@
                     version = page.version
                     for row in page.rows:
                         self._see(row, now)
+                    if self.fleet is not None:
+                        self.fleet.wake()
                     await anyio.sleep(self._hearing_pause_s())
                 case Result(error=HistoryGone()):
                     version = None
@@ -201,8 +203,6 @@
                     await anyio.sleep(RETRY_S)
 
     def _hearing_pause_s(self) -> float:
-        if self.fleet is not None:
-            self.fleet.wake()
         return OWNER_HEARING_S if self.owned else self.settings.store.heartbeat_s * HEARING_SHARE
 
     def _see(self, row: Row, now: float) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,7 +5,6 @@
 import asyncio
 import sys
 import time
-from dataclasses import replace
 from pathlib import Path
 
 from cyclopts import App
@@ -46,7 +45,7 @@
 ) -> int:
     """Play seeds one after the other, some beside each other; fresh ones if none is named."""
     first = int(time.time()) % 10_000_000 if seed is None else seed
-    deployment = replace(Deployment(), nodes=nodes, workers=workers)
+    deployment = Deployment(nodes=nodes, workers=workers)
     plans = [draw_plan(first + n, length_s, deployment) for n in range(count)]
     outcomes = asyncio.run(_play_all(plans, at_once, keep, module))
     failed = [outcome.plan.seed for outcome in outcomes if outcome.findings]
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -263,10 +263,7 @@
         name = worker.instance
         if self.world.workers.get(name) is not worker:
             return
-        self.world.fleet.workers.pop(name, None)
-        await self.world.crash_worker(name)
+        await self.world.take_down(name)
         await asyncio.sleep(for_s)
         if name not in self.world.workers and name not in self.world.fleet.busy:
-            await self.world.add_worker(
-                name, self.world.fleet.racks[name], self.world.fleet.pools[name]
-            )
+            await self.world.bring_up(name, self.world.fleet.pools[name])
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from aiohttp import web
-
 from soak._links import Link
 from standins.hosted import HostedWorker, World
 
@@ -61,16 +59,8 @@
 
     async def add_node(self, name: str) -> None:
         """Give a node its links and start it."""
-        runner = web.AppRunner(
-            self.store.app(lambda row: self._show(name, row)),
-            access_log=None,
-            shutdown_timeout=0.05,
-        )
-        await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", 0).start()
-        self.runners.append(runner)
-        host, port = runner.addresses[0][:2]
-        links = NodeLinks(Link(lambda: f"{host}:{port}"), Link(lambda: self.caller_address(name)))
+        store = await self.serve(self.store.app(lambda row: self._show(name, row)))
+        links = NodeLinks(Link(lambda: store), Link(lambda: self.caller_address(name)))
         await links.store.listen()
         await links.callers.listen()
         self.links[name] = links
@@ -80,10 +70,8 @@
 
     def start_node(self, name: str) -> Node:
         """Start a process of a node that has its links."""
-        links = self.links[name]
-        node = self.nodes.start(
-            name, links.store.address, self.addresses["fleet"], self.node_module
-        )
+        addresses = self.addresses | {"store": self.links[name].store.address}
+        node = self.nodes.start(name, addresses, self.node_module)
         self.lives.append(node)
         return node
 
--- a/standins/hosted/_nodes.py
+++ b/standins/hosted/_nodes.py
@@ -35,6 +35,7 @@
 call_timeout_s = 0.3
 watch_s = 0.2
 owner_silence_s = 1.5
+advice = {advice}
 [fleet]
 address = {fleet}
 lease_ms = 300
@@ -61,11 +62,6 @@
                     return str(fields[listener])
         return ""
 
-    def add_setting(self, section: str, line: str) -> None:
-        """Add a line to a section of the settings file."""
-        text = self.settings.read_text()
-        self.settings.write_text(text.replace(f"[{section}]", f"[{section}]\n{line}"))
-
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this process, which the tests started."""
         self.process.send_signal(number)
@@ -78,17 +74,17 @@
     folder: tempfile.TemporaryDirectory[str] = field(default_factory=tempfile.TemporaryDirectory)
     nodes: dict[str, Node] = field(default_factory=dict)
 
-    def start(self, name: str, store: str, fleet: str, module: str = NODE_MODULE) -> Node:
+    def start(self, name: str, addresses: dict[str, str], module: str = NODE_MODULE) -> Node:
         """Start a node with a settings file of its own; a name may be started again."""
-        node = self.prepare(name, store, fleet)
+        node = self.prepare(name, addresses)
         self.launch(node, module)
         return node
 
-    def prepare(self, name: str, store: str, fleet: str) -> Node:
-        """Write a node's settings without starting it."""
+    def prepare(self, name: str, addresses: dict[str, str]) -> Node:
+        """Write a node's settings, with the stand-ins' addresses by name, without starting it."""
         folder = Path(self.folder.name)
         node = Node(name, folder / f"{name}.log", folder / f"{name}.ini")
-        node.settings.write_text(SETTINGS.format(name=name, store=store, fleet=fleet))
+        node.settings.write_text(SETTINGS.format(name=name, **addresses))
         return node
 
     def launch(self, node: Node, module: str = NODE_MODULE) -> None:
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from standins.hosted._serving import Served
+
 LAST = 10**9
 """A duration that no test outlives, in seconds."""
 
@@ -81,7 +83,7 @@
     ends: dict[int, Run] = field(default_factory=dict)
     """Ends that nobody has confirmed yet, by their numbers."""
     news: asyncio.Event = field(default_factory=asyncio.Event)
-    runner: web.AppRunner | None = None
+    served: Served | None = None
 
     def clock_ms(self) -> float:
         """Return the worker's own clock."""
@@ -101,12 +103,9 @@
         app.router.add_post("/pumicespur/run-stop", self._stop)
         app.router.add_post("/pumicespur/hold", self._hold)
         app.router.add_post("/pumicespur/pace", self._pace)
-        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
-        await site.start()
-        host, port = self.runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
+        self.served = Served(app)
+        await self.served.open()
+        self.address = self.served.address
 
     def description(self, state: str = "ready") -> bytes:
         """Return what the worker keeps in the store about itself."""
@@ -130,8 +129,8 @@
             run.ended_at = time.monotonic()
             run.how = "gone"
         self.running.clear()
-        if self.runner is not None:
-            await self.runner.cleanup()
+        if self.served is not None:
+            await self.served.close()
 
     def _end(self, run: Run, how: str) -> None:
         if self.running.get(run.task) is not run:
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -15,6 +15,7 @@
 from standins.hosted._advice import HostedAdvice
 from standins.hosted._fleet import HostedFleet
 from standins.hosted._nodes import Nodes
+from standins.hosted._serving import Served
 from standins.hosted._store import HostedStore
 from standins.hosted._workers import HostedWorker, Run
 
@@ -38,7 +39,7 @@
 
     def __init__(self) -> None:
         self.store = HostedStore()
-        self.fleet = HostedFleet(self._take_down, self._bring_up)
+        self.fleet = HostedFleet(self.take_down, self.bring_up)
         self.advice = HostedAdvice()
         self.nodes = Nodes()
         self.history: list[Run] = []
@@ -49,7 +50,7 @@
         self.numbers = itertools.count(1)
         self.task_s = TASK_S
         """How long a short task of a new worker takes."""
-        self.runners: list[web.AppRunner] = []
+        self.served: list[Served] = []
         self.session: aiohttp.ClientSession | None = None
         self.addresses: dict[str, str] = {}
 
@@ -61,14 +62,16 @@
             ("fleet", self.fleet.app()),
             ("advice", self.advice.app()),
         ):
-            runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
-            await runner.setup()
-            await web.TCPSite(runner, "127.0.0.1", 0).start()
-            host, port = runner.addresses[0][:2]
-            self.addresses[name] = f"{host}:{port}"
-            self.runners.append(runner)
+            self.addresses[name] = await self.serve(app)
         self.configure(1)
 
+    async def serve(self, app: web.Application) -> str:
+        """Serve a stand-in until the world closes; return its address."""
+        served = Served(app)
+        await served.open()
+        self.served.append(served)
+        return served.address
+
     async def close(self) -> None:
         """End all that was started."""
         self.nodes.close()
@@ -77,8 +80,8 @@
             await self.session.close()
         for worker in list(self.workers.values()):
             await worker.crash()
-        for runner in self.runners:
-            await runner.cleanup()
+        for served in self.served:
+            await served.close()
 
     def configure(self, version: int, routes: tuple[str, ...] = ("quick",), **fields: Any) -> None:
         """Write the operators' configuration with routes to the pool `main`."""
@@ -127,21 +130,20 @@
         await worker.crash()
         self.store.remove(("servers", "", worker.id))
 
-    async def _take_down(self, instance: str) -> None:
+    async def take_down(self, instance: str) -> None:
+        """End the worker of an instance, if it has one."""
         self.fleet.workers.pop(instance, None)
         if instance in self.workers:
             await self.crash_worker(instance)
 
-    async def _bring_up(self, instance: str, pool: str) -> None:
+    async def bring_up(self, instance: str, pool: str) -> None:
+        """Give an instance a new worker, unless it is spare."""
         if pool != "idle":
             await self.add_worker(instance, self.fleet.racks[instance], pool)
 
     def start_node(self, name: str) -> Node:
         """Start a node against this platform."""
-        node = self.nodes.prepare(name, self.addresses["store"], self.addresses["fleet"])
-        node.add_setting("workers", f"advice = {self.addresses['advice']}")
-        self.nodes.launch(node)
-        return node
+        return self.nodes.start(name, self.addresses)
 
     async def call(self, node: Node, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         """Send one caller's request; return status and body."""
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -6,7 +6,7 @@
 from typing import Any, cast
 
 from pumicespur.config import NodeSettings
-from pumicespur.model import PoolId
+from pumicespur.model import PoolId, ProcessId
 from pumicespur.node._keeper import RENEW_AGAIN_S, OwnershipKeeper
 from pumicespur.node._view import NodeView
 from pumicespur.schema.jobs_pb import HeartbeatRecord
@@ -81,6 +81,6 @@
             self.hear(name, capacity=0.5)
         pools = [PoolId(f"pool-{number}") for number in range(20)]
         here = [self.keeper._successor(pool, NOW) for pool in pools]
-        self.keeper.me = self.keeper.me.__class__("second")
+        self.keeper.me = ProcessId("second")
         self.assertEqual(here, [self.keeper._successor(pool, NOW) for pool in pools])
         self.assertGreater(len(set(here)), 1)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -449,7 +449,7 @@
         world = World()
         await world.open()
         self.addAsyncCleanup(world.close)
-        node = world.nodes.prepare("node-0", world.addresses["store"], world.addresses["fleet"])
+        node = world.nodes.prepare("node-0", world.addresses)
         path = node.settings
         content = path.read_text()
         path.unlink()
