Record the sizes that pools came with, so that a successor does not take a peak for them

Cause: a holder of the fleet's duty counted the declared sizes from the list when it began.

Ruled out: the spare pool being held back (it was empty), refused moves (none).

Change: the first holder records the sizes in a row of its own under its fencing token; later ones read it. The rest that a holder learns anew (who is reachable, what is emptying, moves on their way, intents, waves) was looked through: it is either read from the store or proved anew within a second.

--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import time
-from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -18,6 +17,7 @@
 
 from pumicespur.jobs import Journal, OwnershipLostError
 from pumicespur.maintenance._intents import FLEET, IntentLog, intent_age_s
+from pumicespur.maintenance._memory import HolderMemory
 from pumicespur.maintenance._sizing import FleetState, Sizer
 from pumicespur.maintenance._waves import WaveProgress, choose_emptying
 from pumicespur.model import Instance, InstanceId, InstanceState, PoolId, WorkerId
@@ -87,8 +87,7 @@
         self.instances: dict[InstanceId, Instance] = {}
         self.listed_at = 0.0
         """Monotonic time at which the list in use was asked for."""
-        self.declared: Counter[PoolId] = Counter()
-        """Instances of each pool when this holder first saw the list."""
+        self.memory = HolderMemory(self.journal)
         self.reached_at: dict[InstanceId, float] = {}
         """When a worker on each instance last answered its owner (monotonic seconds)."""
         self.needs: Mapping[PoolId, int] = {}
@@ -114,6 +113,7 @@
         try:
             await self.journal.load()
             await self.intents.load()
+            await self.memory.load()
             self.ready = True
             log.info("fleet duty taken", token=self.ownership.token)
             while not self.stopping:
@@ -147,8 +147,7 @@
             case Result(tag="ok", ok=instances):
                 self.instances = {instance.id: instance for instance in instances}
                 self.listed_at = asked_at
-                if not self.declared:
-                    self.declared = Counter(instance.pool for instance in instances)
+                self.memory.see(instances)
             case Result(error=fault):
                 log.warning("instances not listed", reason=str(fault))
                 return
@@ -175,6 +174,7 @@
         if set(self.evacuations()) != self.told:
             self.told = set(self.evacuations())
             self.tell()
+        await self.memory.record()
         moves = [(name, pool) for name, pool in plan.moves if self.intents.may_order(name)]
         await self.intents.announce({name for name, _ in moves})
         async with anyio.create_task_group() as tasks:
@@ -204,7 +204,7 @@
                     pool=pool,
                     before=before,
                     token=self.ownership.token,
-                    declared=self.declared.get(pool, 0),
+                    declared=self.memory.declared.get(pool, 0),
                     needed=self.needs.get(pool, 0),
                     list_age_s=round(time.monotonic() - self.listed_at, 3),
                 )
@@ -220,7 +220,7 @@
 
     def _bounded(self, pool: PoolId, workers: int) -> int:
         """Return the workers that a pool's work asks for, within what a pool may grow to."""
-        return min(workers, int(self.declared.get(pool, 0) * GROWTH))
+        return min(workers, int(self.memory.declared.get(pool, 0) * GROWTH))
 
     def _reachable(self, found: Mapping[InstanceId, WorkerReport]) -> frozenset[InstanceId]:
         """Return the instances whose workers answer, or did so a moment ago."""
@@ -243,7 +243,7 @@
         taken = {n for p in self.waves.values() for n in (*p.emptying, *p.ordered)}
         return FleetState(
             instances=self.instances,
-            declared={p: self.declared.get(p, 0) for p in reports},
+            declared={p: self.memory.declared.get(p, 0) for p in reports},
             needed={p: self._bounded(p, r.wanted_workers) for p, r in reports.items()},
             busy={p: self._bounded(p, r.busy_workers) for p, r in reports.items()},
             spare=frozenset(p.id for p in self.view.configuration.pools.values() if p.spare),
--- /dev/null
+++ b/pumicespur/maintenance/_peaks.py
@@ -0,0 +1,122 @@
+"""When pools have their peaks, and which pool's peak is expected next.
+
+Demand often goes round the pools: each asks for several times its mean for a while and for
+little in between. What is learnt is the time from one pool's onset to the next one's, and that
+the pool whose last peak lies furthest back comes next. Pools without any peak so far come
+before those that had one.
+"""
+
+from __future__ import annotations
+
+import statistics
+from typing import TYPE_CHECKING
+
+from pumicespur.schema.jobs_pb import PeakRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from pumicespur.model import PoolId
+
+BEGIN_SHARE = 0.35
+"""Share of a pool's highest demand so far at which a peak begins; demand that asks for five times
+its mean crosses it in its first second, the twentieth in between stays far below."""
+
+END_SHARE = 0.15
+"""Share of the present peak's highest demand below which it is over."""
+
+REOPEN_MS = 3_000
+"""Pause after which the same pool's demand is a new peak: while its callers are refused for the
+seconds of an outage, their demand only seems to be over."""
+
+REMEMBERED = 24
+"""Peaks that are remembered; some rounds over the busy pools, in a row of a few kilobytes."""
+
+STEADY_SHARE = 0.25
+"""Most that the times between onsets may vary, as a share of their median, to be relied on."""
+
+LEAST_INTERVALS = 2
+"""Times between onsets that have to be known before the next one is expected."""
+
+
+class PeakHistory:
+    """The peaks of all pools; times are times of day in milliseconds."""
+
+    def __init__(self) -> None:
+        self.peaks: list[PeakRecord] = []
+        """Oldest first."""
+        self.changed = False
+        """Whether a peak began or ended since the history was last recorded."""
+
+    def note(self, pool: PoolId, cpu_millis: int, least_cpu_millis: int, now_ms: int) -> None:
+        """Take in what a pool's callers ask for; less than `least_cpu_millis` is no peak."""
+        peak = self.current(pool)
+        if peak is not None:
+            peak.cpu_millis = max(peak.cpu_millis, cpu_millis)
+            if cpu_millis < END_SHARE * peak.cpu_millis:
+                peak.ended_ms = now_ms
+                self.changed = True
+            return
+        highest = max((p.cpu_millis for p in self.peaks if p.pool == pool), default=0)
+        if cpu_millis >= max(least_cpu_millis, BEGIN_SHARE * highest):
+            self._begin(pool, cpu_millis, now_ms)
+
+    def _begin(self, pool: PoolId, cpu_millis: int, now_ms: int) -> None:
+        self.changed = True
+        last = self._last(pool)
+        if last is not None and now_ms - last.ended_ms < REOPEN_MS:
+            last.ended_ms = 0
+            return
+        self.peaks.append(PeakRecord(pool=pool, began_ms=now_ms, cpu_millis=cpu_millis))
+        del self.peaks[:-REMEMBERED]
+
+    def current(self, pool: PoolId) -> PeakRecord | None:
+        """Return the peak that a pool has now."""
+        last = self._last(pool)
+        return None if last is None or last.ended_ms else last
+
+    def _last(self, pool: PoolId) -> PeakRecord | None:
+        return next((peak for peak in reversed(self.peaks) if peak.pool == pool), None)
+
+    def next_pools(self, pools: Iterable[PoolId]) -> set[PoolId]:
+        """Return the pools of which one is expected to have the next peak."""
+        quiet = [pool for pool in pools if self.current(pool) is None]
+        began = {pool: last.began_ms if (last := self._last(pool)) else 0 for pool in quiet}
+        first = min(began.values(), default=0)
+        return {pool for pool in quiet if began[pool] == first}
+
+    def next_onset_ms(self) -> float | None:
+        """Return when the next peak is expected to begin, or None if that can't be told."""
+        onsets = [peak.began_ms for peak in self.peaks]
+        intervals = [after - before for before, after in zip(onsets, onsets[1:], strict=False)]
+        if len(intervals) < LEAST_INTERVALS:
+            return None
+        usual = statistics.median(intervals)
+        if any(abs(interval - usual) > STEADY_SHARE * usual for interval in intervals[-3:]):
+            return None
+        return onsets[-1] + usual
+
+    def usual_cpu_millis(self, pool: PoolId) -> int:
+        """Return what a pool's peak asks for: as its last one, or as the others' on average."""
+        last = self._last(pool)
+        if last is not None:
+            return last.cpu_millis
+        known = [peak.cpu_millis for peak in self.peaks]
+        return int(statistics.fmean(known)) if known else 0
+
+    def restore(self, peaks: Iterable[PeakRecord]) -> None:
+        """Go on from what an earlier holder recorded."""
+        self.peaks = list(peaks)
+
+
+def reserved_sizes(
+    history: PeakHistory, declared: Mapping[PoolId, int], pools: Iterable[PoolId]
+) -> dict[PoolId, int]:
+    """Return for each pool the instances that it keeps whatever its present work.
+
+    A pool that may have the next peak keeps what it came with, which serves its first seconds;
+    the others keep nothing beyond their work.
+    """
+    known = list(pools)
+    coming = history.next_pools(known)
+    return {pool: declared.get(pool, 0) if pool in coming else 0 for pool in known}
--- /dev/null
+++ b/tests/test_holder_memory.py
@@ -0,0 +1,163 @@
+"""Tests of what a holder of the fleet's duty finds of its predecessors, and of pools' peaks."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any, cast
+
+from expression import Ok, Result
+
+from pumicespur.maintenance._memory import HolderMemory
+from pumicespur.maintenance._peaks import PeakHistory, reserved_sizes
+from pumicespur.model import (
+    Capacity,
+    DataHall,
+    Instance,
+    InstanceId,
+    InstanceState,
+    PoolId,
+    Rack,
+    WorkerId,
+)
+from pumicespur.store import Row, Write
+
+MAIN = PoolId("main")
+OTHER = PoolId("other")
+THIRD = PoolId("third")
+
+
+class KeptRows:
+    """A journal whose rows a next holder finds."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, bytes] = {}
+        self.commits = 0
+        self.table = self
+
+    async def read(self, key: str) -> Result[Row, Any]:
+        """Return a row, empty with version 0 if it is not there."""
+        value = self.rows.get(key)
+        return Ok(Row(key, value or b"", 0 if value is None else 1))
+
+    async def commit(self, writes: list[Write]) -> None:
+        """Keep rows."""
+        self.commits += 1
+        for write in writes:
+            self.rows[write.key] = write.value or b""
+
+
+def make_instances(pool: PoolId, count: int) -> list[Instance]:
+    """Make instances of a pool."""
+    return [
+        Instance(
+            InstanceId(f"{pool}-{number}"),
+            pool,
+            InstanceState.UP,
+            DataHall("hall"),
+            Rack("r1-1"),
+            frozenset(),
+            Capacity(16_000, 32_768),
+            WorkerId(f"w-{pool}-{number}"),
+        )
+        for number in range(count)
+    ]
+
+
+class HolderMemoryTest(unittest.IsolatedAsyncioTestCase):
+    """Two holders, one after the other."""
+
+    def setUp(self) -> None:
+        self.rows = KeptRows()
+
+    async def hold(self, main: int, other: int) -> HolderMemory:
+        """Begin as a holder that sees so many instances in two pools."""
+        memory = HolderMemory(cast("Any", self.rows))
+        await memory.load()
+        memory.see(make_instances(MAIN, main) + make_instances(OTHER, other))
+        await memory.record()
+        return memory
+
+    async def test_successor_does_not_take_a_peak_for_the_size(self) -> None:
+        # Found on the bench (Skorstofa, trouble-2): after a takeover a pool at its peak counted
+        # as one of 11 instead of 6 and kept them for the rest of the day.
+        await self.hold(6, 6)
+        successor = await self.hold(11, 4)
+        self.assertEqual({MAIN: 6, OTHER: 6}, dict(successor.declared))
+
+    async def test_nothing_is_written_without_news(self) -> None:
+        memory = await self.hold(6, 6)
+        await memory.record()
+        self.assertEqual(1, self.rows.commits)
+        memory.peaks.note(MAIN, 90_000, 16_000, 5_000)
+        await memory.record()
+        self.assertEqual(2, self.rows.commits)
+
+    async def test_successor_knows_the_peaks(self) -> None:
+        memory = await self.hold(6, 6)
+        memory.peaks.note(MAIN, 90_000, 16_000, 5_000)
+        await memory.record()
+        successor = await self.hold(6, 6)
+        self.assertIsNotNone(successor.peaks.current(MAIN))
+
+
+ROOM = 16_000
+PEAK = 90_000
+
+
+class PeakHistoryTest(unittest.TestCase):
+    """What is learnt from pools' peaks."""
+
+    def setUp(self) -> None:
+        self.history = PeakHistory()
+
+    def turn(self, pool: PoolId, at_s: float, length_s: float = 8.0) -> None:
+        """Let a pool have a peak."""
+        self.history.note(pool, PEAK, ROOM, int(at_s * 1000))
+        self.history.note(pool, 100, ROOM, int((at_s + length_s) * 1000))
+
+    def test_little_demand_is_no_peak(self) -> None:
+        self.history.note(MAIN, ROOM - 1, ROOM, 1_000)
+        self.assertIsNone(self.history.current(MAIN))
+
+    def test_demand_that_falls_a_little_goes_on(self) -> None:
+        self.history.note(MAIN, PEAK, ROOM, 1_000)
+        self.history.note(MAIN, PEAK // 3, ROOM, 2_000)
+        self.assertIsNotNone(self.history.current(MAIN))
+
+    def test_pools_without_a_peak_come_first_then_the_oldest(self) -> None:
+        pools = [MAIN, OTHER, THIRD]
+        self.assertEqual(set(pools), self.history.next_pools(pools))
+        self.turn(MAIN, 10)
+        self.assertEqual({OTHER, THIRD}, self.history.next_pools(pools))
+        self.turn(OTHER, 20)
+        self.turn(THIRD, 30)
+        self.assertEqual({MAIN}, self.history.next_pools(pools))
+
+    def test_outage_does_not_make_two_peaks(self) -> None:
+        self.turn(MAIN, 10, 1.0)
+        self.history.note(MAIN, PEAK, ROOM, 12_500)
+        self.assertEqual(1, len(self.history.peaks))
+        self.assertIsNotNone(self.history.current(MAIN))
+
+    def test_onset_is_expected_after_steady_turns(self) -> None:
+        self.turn(MAIN, 10)
+        self.turn(OTHER, 19)
+        self.assertIsNone(self.history.next_onset_ms())
+        self.turn(THIRD, 28)
+        self.assertEqual(37_000, self.history.next_onset_ms())
+
+    def test_nothing_is_expected_of_irregular_demand(self) -> None:
+        for pool, at_s in ((MAIN, 10), (OTHER, 12), (THIRD, 28), (MAIN, 30)):
+            self.turn(pool, at_s, 1.0)
+        self.assertIsNone(self.history.next_onset_ms())
+
+    def test_unseen_peak_is_expected_as_the_others(self) -> None:
+        self.turn(MAIN, 10)
+        self.assertEqual(PEAK, self.history.usual_cpu_millis(OTHER))
+
+    def test_pool_keeps_what_it_came_with_until_its_turn(self) -> None:
+        declared = {MAIN: 6, OTHER: 5}
+        self.assertEqual(declared, reserved_sizes(self.history, declared, [MAIN, OTHER]))
+        self.turn(MAIN, 10)
+        expected = {MAIN: 0, OTHER: 5}
+        self.assertEqual(expected, reserved_sizes(self.history, declared, [MAIN, OTHER]))
