Move instances ahead of the onset of the only pool whose turn is left

Hypothesis: where the times between onsets are steady and one pool alone can be next, its instances can be there when its callers come, instead of four seconds later.

Where onsets are irregular or the order changes, nothing is foreseen.

--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,7 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.jobs import Journal, OwnershipLostError
+from pumicespur.jobs import FILL_SHARE, Journal, OwnershipLostError
 from pumicespur.maintenance._intents import FLEET, IntentLog, intent_age_s
 from pumicespur.maintenance._memory import HolderMemory
 from pumicespur.maintenance._peaks import reserved_sizes
@@ -28,7 +29,7 @@
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from pumicespur.config import NodeSettings
     from pumicespur.jobs import Ownership
@@ -59,6 +60,9 @@
 EMPTY_S = 5.0
 """Time after which an instance goes down although short tasks are left; some of their lengths."""
 
+EMPTYING_S = 1.0
+"""Time that an instance takes to run out of short tasks before it moves; their mean length."""
+
 REPORT_MAX_AGE_S = 3.0
 """Oldest report of an owner from which a worker is known to be empty."""
 
@@ -192,6 +196,16 @@
                 peaks = self.memory.peaks
                 peaks.note(pool, report.arriving_cpu_millis, max(rooms), now_ms())
 
+    def _foreseen(self, pools: Iterable[PoolId]) -> dict[PoolId, int]:
+        """Return the workers that an expected peak will take, early enough to move them there."""
+        lead_ms = (self.settings.fleet.move_s + EMPTYING_S) * 1000
+        pool = self.memory.peaks.due_pool(pools, now_ms(), lead_ms)
+        if pool is None or not self.instances:
+            return {}
+        room = max(instance.capacity.cpu_millis for instance in self.instances.values())
+        cpu_millis = self.memory.peaks.usual_cpu_millis(pool)
+        return {pool: self._bounded(pool, math.ceil(cpu_millis / max(1, room) / FILL_SHARE))}
+
     def _has_arrived(self, name: InstanceId, pool: PoolId, since_s: float) -> bool:
         """Whether a move is over, or its order surely had no effect."""
         instance = self.instances.get(name)
@@ -252,11 +266,14 @@
         workers = {w.worker: w for report in reports.values() for w in report.workers}
         found = {i.id: workers[i.worker] for i in self.instances.values() if i.worker in workers}
         taken = {n for p in self.waves.values() for n in (*p.emptying, *p.ordered)}
+        foreseen = self._foreseen(reports)
+        needed = {p: r.wanted_workers for p, r in reports.items()}
+        busy = {p: r.busy_workers for p, r in reports.items()}
         return FleetState(
             instances=self.instances,
             declared=reserved_sizes(self.memory.peaks, self.memory.declared, reports),
-            needed={p: self._bounded(p, r.wanted_workers) for p, r in reports.items()},
-            busy={p: self._bounded(p, r.busy_workers) for p, r in reports.items()},
+            needed={p: max(self._bounded(p, n), foreseen.get(p, 0)) for p, n in needed.items()},
+            busy={p: max(self._bounded(p, n), foreseen.get(p, 0)) for p, n in busy.items()},
             spare=frozenset(p.id for p in self.view.configuration.pools.values() if p.spare),
             reachable=self._reachable(found),
             unproved=frozenset(n for n in self.instances if n not in self.reached_at),
--- a/pumicespur/maintenance/_peaks.py
+++ b/pumicespur/maintenance/_peaks.py
@@ -29,6 +29,10 @@
 """Pause after which the same pool's demand is a new peak: while its callers are refused for the
 seconds of an outage, their demand only seems to be over."""
 
+HOLD_MS = 2_000
+"""Time after an expected onset for which instances are kept ready; onsets are noted a second
+late, and a peak that has not come by then may not come at all."""
+
 REMEMBERED = 24
 """Peaks that are remembered; some rounds over the busy pools, in a row of a few kilobytes."""
 
@@ -96,6 +100,23 @@
             return None
         return onsets[-1] + usual
 
+    def _order_holds(self) -> bool:
+        """Whether the newest peak came after the same pool's as the time before."""
+        order = [peak.pool for peak in self.peaks]
+        newest = order[-1]
+        earlier = [place for place in range(1, len(order) - 1) if order[place] == newest]
+        return not earlier or order[earlier[-1] - 1] == order[-2]
+
+    def due_pool(self, pools: Iterable[PoolId], now_ms: int, lead_ms: float) -> PoolId | None:
+        """Return the pool whose peak begins within a time or a moment ago, if that can be told."""
+        onset_ms = self.next_onset_ms()
+        coming = self.next_pools(pools)
+        if onset_ms is None or len(coming) != 1 or not self._order_holds():
+            return None
+        if not onset_ms - lead_ms <= now_ms < onset_ms + HOLD_MS:
+            return None
+        return next(iter(coming))
+
     def usual_cpu_millis(self, pool: PoolId) -> int:
         """Return what a pool's peak asks for: as its last one, or as the others' on average."""
         last = self._last(pool)
--- a/tests/test_holder_memory.py
+++ b/tests/test_holder_memory.py
@@ -161,3 +161,17 @@
         self.turn(MAIN, 10)
         expected = {MAIN: 0, OTHER: 5}
         self.assertEqual(expected, reserved_sizes(self.history, declared, [MAIN, OTHER]))
+
+    def test_only_pool_left_is_due_shortly_before_its_onset(self) -> None:
+        pools = [MAIN, OTHER, THIRD]
+        for pool, at_s in ((MAIN, 10), (OTHER, 19), (THIRD, 28)):
+            self.turn(pool, at_s)
+        self.assertIsNone(self.history.due_pool(pools, 34_000, 2_500))
+        self.assertEqual(MAIN, self.history.due_pool(pools, 35_000, 2_500))
+        self.assertIsNone(self.history.due_pool(pools, 39_100, 2_500))
+
+    def test_nothing_is_due_where_the_order_changed(self) -> None:
+        pools = [MAIN, OTHER, THIRD]
+        for pool, at_s in ((MAIN, 10), (OTHER, 19), (THIRD, 28), (OTHER, 37)):
+            self.turn(pool, at_s)
+        self.assertIsNone(self.history.due_pool(pools, 45_000, 2_500))
