Foresee growth of what runs while arrivals do not fall; log when peaks begin, end and are foreseen

Change: while arrivals are not below half of the last three seconds' highest, the trend of what runs counts too.

--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -34,6 +34,10 @@
 """Workers kept in an idle pool: one may be lost and one down while a third takes work."""
 
 
+FALLING_SHARE = 0.5
+"""Share of the highest arrivals of the last seconds below which a peak is taken to end; arrivals
+of a steady peak vary by a third."""
+
 ARRIVAL_S = 1.5
 """Time over which arriving work is averaged; a few jobs of a slow route."""
 
@@ -93,6 +97,8 @@
     entries: deque[tuple[int, float]] = field(default_factory=deque)
     """Times of day of acceptance and processor time, in milliseconds and thousandths of a core
     times milliseconds, oldest first."""
+    figures: deque[tuple[int, int]] = field(default_factory=deque)
+    """What `falling` was asked about, by time of day, oldest first."""
 
     def note(self, job: Job, estimates: Estimates) -> None:
         """Count a job; long-running and timed work does not come in peaks."""
@@ -113,6 +119,13 @@
             self.entries.popleft()
         return int(sum(work for _, work in self.entries) / window_ms)
 
+    def falling(self, cpu_millis: int, now_ms: int) -> bool:
+        """Whether less than a share of what arrived a moment ago arrives now."""
+        self.figures.append((now_ms, cpu_millis))
+        while now_ms - self.figures[0][0] > REMEMBER_S * 1000:
+            self.figures.popleft()
+        return cpu_millis < FALLING_SHARE * max(figure for _, figure in self.figures)
+
 
 def waiting_demand(pool: PoolState, now_ms: float) -> Demand:
     """Return what short tasks ask for whose turn has come and that have no worker yet."""
--- a/pumicespur/jobs/_size.py
+++ b/pumicespur/jobs/_size.py
@@ -65,13 +65,18 @@
     def _busy_workers(self) -> int:
         """Return how many workers what arrives and what waits will take.
 
-        What runs is left out: it ends where it is. So a pool asks for its peak while that still
-        grows, and gives what it took as soon as less arrives.
+        Once less arrives, what runs is left out: it ends where it is. So a pool gives what it
+        took as soon as its callers turn away.
         """
         arriving = self.arrivals.cpu_millis(now_ms())
         waiting = waiting_demand(self.pool, now_ms())
         cpu_millis = max(arriving, waiting.cpu_millis)
-        return self._workers_for(Demand(cpu_millis, waiting.memory_mb))
+        memory_mb = waiting.memory_mb
+        if not self.arrivals.falling(arriving, now_ms()):
+            rising = self.demand.rising()
+            cpu_millis = max(cpu_millis, rising.cpu_millis)
+            memory_mb = max(memory_mb, rising.memory_mb)
+        return self._workers_for(Demand(cpu_millis, memory_mb))
 
     def _workers_for(self, short: Demand) -> int:
         """Return how many workers the pool's work takes; 0 while that is not known."""
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -99,6 +99,8 @@
         self.needs: Mapping[PoolId, int] = {}
         """Workers that each pool's owner asked for in the present round, within bounds."""
         self.sizer = Sizer()
+        self.foreseen: PoolId | None = None
+        """The pool whose peak is expected now."""
         self.moving: dict[InstanceId, tuple[PoolId, float]] = {}
         """Instances on their way to a pool, by the monotonic time of the order."""
         self.refused: set[tuple[InstanceId, PoolId]] = set()
@@ -201,9 +203,13 @@
         lead_ms = (self.settings.fleet.move_s + EMPTYING_S) * 1000
         pool = self.memory.peaks.due_pool(pools, now_ms(), lead_ms)
         if pool is None or not self.instances:
+            self.foreseen = None
             return {}
         room = max(instance.capacity.cpu_millis for instance in self.instances.values())
         cpu_millis = self.memory.peaks.usual_cpu_millis(pool)
+        if pool != self.foreseen:
+            log.info("peak foreseen", pool=pool, cpu_millis=cpu_millis)
+        self.foreseen = pool
         return {pool: self._bounded(pool, math.ceil(cpu_millis / max(1, room) / FILL_SHARE))}
 
     def _has_arrived(self, name: InstanceId, pool: PoolId, since_s: float) -> bool:
--- a/pumicespur/maintenance/_peaks.py
+++ b/pumicespur/maintenance/_peaks.py
@@ -11,6 +11,8 @@
 import statistics
 from typing import TYPE_CHECKING
 
+from logbook import Logger
+
 from pumicespur.schema.jobs_pb import PeakRecord
 
 if TYPE_CHECKING:
@@ -18,6 +20,8 @@
 
     from pumicespur.model import PoolId
 
+log = Logger(__name__)
+
 BEGIN_SHARE = 0.35
 """Share of a pool's highest demand so far at which a peak begins; demand that asks for five times
 its mean crosses it in its first second, the twentieth in between stays far below."""
@@ -60,6 +64,7 @@
             if cpu_millis < END_SHARE * peak.cpu_millis:
                 peak.ended_ms = now_ms
                 self.changed = True
+                log.info("peak over", pool=pool, cpu_millis=cpu_millis, most=peak.cpu_millis)
             return
         highest = max((p.cpu_millis for p in self.peaks if p.pool == pool), default=0)
         if cpu_millis >= max(least_cpu_millis, BEGIN_SHARE * highest):
@@ -67,6 +72,7 @@
 
     def _begin(self, pool: PoolId, cpu_millis: int, now_ms: int) -> None:
         self.changed = True
+        log.info("peak begins", pool=pool, cpu_millis=cpu_millis, foreseen_ms=self.next_onset_ms())
         last = self._last(pool)
         if last is not None and now_ms - last.ended_ms < REOPEN_MS:
             last.ended_ms = 0
