--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -17,11 +17,12 @@
 from logbook import Logger
 
 from pumicespur.jobs import FILL_SHARE, Journal, OwnershipLostError
-from pumicespur.maintenance._intents import FLEET, IntentLog, intent_age_s
+from pumicespur.maintenance._intents import IntentLog, intent_age_s
 from pumicespur.maintenance._memory import HolderMemory
 from pumicespur.maintenance._peaks import reserved_sizes
+from pumicespur.maintenance._reports import FleetReports
 from pumicespur.maintenance._sizing import FleetState, Sizer
-from pumicespur.maintenance._waves import WaveProgress, choose_emptying
+from pumicespur.maintenance._wave_work import WaveWork
 from pumicespur.model import (
     Instance,
     InstanceId,
@@ -30,9 +31,7 @@
     ProcessId,
     WorkerId,
 )
-from pumicespur.platform import encode_wave_state, wave_state_key
-from pumicespur.schema.jobs_pb import WaveRecord
-from pumicespur.store import NeverDone, Transaction, Unavailable, Write
+from pumicespur.store import NeverDone, Unavailable
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
@@ -42,7 +41,6 @@
     from pumicespur.jobs import Ownership
     from pumicespur.node import NodeView
     from pumicespur.platform import FleetOrders, PlatformTable
-    from pumicespur.schema.jobs_pb import WorkerReport
 
 log = Logger(__name__)
 
@@ -58,21 +56,9 @@
 LOST_S = 4.0
 """Time beyond a move's own after which an order without effect counts as not done."""
 
-UNREACHED_S = 1.2
-"""Time without an answer after which a worker is replaced; a lost call is repeated by then."""
-
-LIST_LAG_S = 0.2
-"""Age that an entry of the list may have when it is read."""
-
-EMPTY_S = 5.0
-"""Time after which an instance goes down although short tasks are left; some of their lengths."""
-
 EMPTYING_S = 1.0
 """Time that an instance takes to run out of short tasks before it moves; their mean length."""
 
-REPORT_MAX_AGE_S = 3.0
-"""Oldest report of an owner from which a worker is known to be empty."""
-
 
 class FleetHolder:
     """Holds the duty for as long as this process owns it."""
@@ -99,13 +85,14 @@
             ownership.acquired_at + wait_s,
             intent_age_s(settings.fleet),
         )
-        self.waves: dict[int, WaveProgress] = {}
+        self.reports = FleetReports(view)
+        self.wave_work = WaveWork(
+            settings, view, table, orders, self.journal, self.intents, self.reports
+        )
         self.instances: dict[InstanceId, Instance] = {}
         self.listed_at = 0.0
         """Monotonic time at which the list in use was asked for."""
         self.memory = HolderMemory(self.journal)
-        self.reached_at: dict[InstanceId, float] = {}
-        """When a worker on each instance last answered its owner (monotonic seconds)."""
         self.needs: Mapping[PoolId, int] = {}
         """Workers that each pool's owner asked for in the present round, within bounds."""
         self.sizer = Sizer()
@@ -153,8 +140,7 @@
 
     def evacuations(self) -> list[WorkerId]:
         """Return the workers that their owners shall empty."""
-        names = [name for progress in self.waves.values() for name in progress.emptying]
-        names += self.sizer.emptying
+        names = [*self.wave_work.emptying(), *self.sizer.emptying]
         found = [self.instances[name].worker for name in names if name in self.instances]
         return [worker for worker in found if worker is not None]
 
@@ -169,15 +155,7 @@
             case Result(error=fault):
                 log.warning("instances not listed", reason=str(fault))
                 return
-        for wave in list(self.view.waves.values()):
-            progress = self.waves.get(wave.number)
-            if progress is None:
-                progress = await self._open_wave(wave.number)
-            if progress is None:
-                continue
-            self._note_returned(progress)
-            if not progress.completed:
-                await self._work_on(progress)
+        await self.wave_work.run_round(self.instances, self.listed_at, self._fleet_state)
         await self._resize()
 
     async def _resize(self) -> None:
@@ -202,11 +180,10 @@
 
     def _note_peaks(self) -> None:
         rooms = [instance.capacity.cpu_millis for instance in self.instances.values()]
-        for pool in self.view.pools():
-            report = self.view.fresh_report(pool, REPORT_MAX_AGE_S)
-            if report is not None and rooms:
-                peaks = self.memory.peaks
-                peaks.note(pool, report.arriving_cpu_millis, max(rooms), now_ms())
+        if not rooms:
+            return
+        for pool, report in self.reports.pools().items():
+            self.memory.peaks.note(pool, report.arriving_cpu_millis, max(rooms), now_ms())
 
     def _foreseen(self, pools: Iterable[PoolId]) -> dict[PoolId, int]:
         """Return the workers that an expected peak will take, early enough to move them there."""
@@ -263,25 +240,9 @@
         """Return the workers that a pool's work asks for, within what a pool may grow to."""
         return min(workers, int(self.memory.declared.get(pool, 0) * GROWTH))
 
-    def _reachable(self, found: Mapping[InstanceId, WorkerReport]) -> frozenset[InstanceId]:
-        """Return the instances whose workers answer, or did so a moment ago."""
-        now = time.monotonic()
-        for name, report in found.items():
-            if report.reachable:
-                self.reached_at[name] = now
-        return frozenset(
-            name for name in found if now - self.reached_at.get(name, 0.0) < UNREACHED_S
-        )
-
     def _fleet_state(self) -> FleetState:
-        reports = {
-            pool: report
-            for pool in self.view.pools()
-            if (report := self.view.fresh_report(pool, REPORT_MAX_AGE_S)) is not None
-        }
-        workers = {w.worker: w for report in reports.values() for w in report.workers}
-        found = {i.id: workers[i.worker] for i in self.instances.values() if i.worker in workers}
-        taken = {n for p in self.waves.values() for n in (*p.emptying, *p.ordered)}
+        reports = self.reports.pools()
+        found = self.reports.workers(reports, self.instances.values())
         foreseen = self._foreseen(reports)
         needed = {p: r.wanted_workers for p, r in reports.items()}
         busy = {p: r.busy_workers for p, r in reports.items()}
@@ -291,125 +252,12 @@
             needed={p: max(self._bounded(p, n), foreseen.get(p, 0)) for p, n in needed.items()},
             busy={p: max(self._bounded(p, n), foreseen.get(p, 0)) for p, n in busy.items()},
             spare=frozenset(p.id for p in self.view.configuration.pools.values() if p.spare),
-            reachable=self._reachable(found),
-            unproved=frozenset(n for n in self.instances if n not in self.reached_at),
+            reachable=self.reports.reachable(found),
+            unproved=frozenset(n for n in self.instances if n not in self.reports.reached_at),
             tasks={name: w.tasks for name, w in found.items()},
-            empty=frozenset(i.id for i in self.instances.values() if self._is_idle(i)),
+            empty=frozenset(i.id for i in self.instances.values() if self.reports.is_idle(i)),
             held=frozenset(name for name, w in found.items() if w.held_tasks),
-            taken=frozenset(taken),
+            taken=self.wave_work.taken(),
             moving={name: pool for name, (pool, _) in self.moving.items()},
             refused=frozenset(self.refused),
         )
-
-    async def _open_wave(self, number: int) -> WaveProgress | None:
-        """Read what an earlier holder recorded of a wave."""
-        found = await self.table.read(_wave_key(number))
-        match found:
-            case Result(tag="ok", ok=row):
-                record = WaveRecord.from_binary(row.value)
-            case Result(error=fault):
-                log.warning("wave not read", wave=number, reason=str(fault))
-                return None
-        progress = WaveProgress(self.view.waves[number])
-        progress.begun = {InstanceId(name) for name in record.ordered}
-        progress.completed = record.completed
-        progress.suspected = set(self.intents.reserved) & set(progress.wave.instances)
-        progress.suspected_until = self.intents.orders_from + self.settings.fleet.maintenance_s
-        self.waves[number] = progress
-        if not progress.completed:
-            await self._tell(progress)
-        return progress
-
-    async def _work_on(self, progress: WaveProgress) -> None:
-        now = time.monotonic()
-        state = self._fleet_state()
-        wanted = {p: max(n, state.needed.get(p, 0)) for p, n in state.declared.items()}
-        for name in choose_emptying(progress, self.instances, state.empty, wanted, now):
-            progress.emptying[name] = now
-            log.info("instance to be emptied", wave=progress.wave.number, instance=name)
-        due: set[InstanceId] = set()
-        for name, since in list(progress.emptying.items()):
-            if name not in self.instances:
-                del progress.emptying[name]
-            elif name in state.empty or (now - since > EMPTY_S and self._is_released(name)):
-                due.add(name)
-        due = {name for name in due if self.intents.may_order(name)}
-        if due:
-            await self.intents.announce(due)
-            for name in sorted(due):
-                await self._take_down(progress, name)
-            await self._record(progress)
-        if not progress.left(self.instances) and not progress.emptying:
-            progress.completed = True
-            await self._record(progress)
-            await self._tell(progress)
-
-    def _note_returned(self, progress: WaveProgress) -> None:
-        """Count instances as up again; an order without an answer may still take effect."""
-        for name, ordered_at in list(progress.ordered.items()):
-            instance = self.instances.get(name)
-            over = self.listed_at - ordered_at > self.settings.fleet.maintenance_s + LIST_LAG_S
-            back = instance is not None and instance.state is InstanceState.UP
-            if instance is None or (over and back and name in progress.begun):
-                del progress.ordered[name]
-
-    def _is_idle(self, instance: Instance) -> bool:
-        """Whether an instance surely carries no task, nor will be given one."""
-        if instance.worker is None:
-            return True
-        settings = self.view.configuration.pools.get(instance.pool)
-        if settings is not None and settings.spare:
-            return True
-        report = self._worker_report(instance)
-        if report is None:
-            return False
-        return report.reachable and report.evacuating and not report.tasks
-
-    def _is_released(self, name: InstanceId) -> bool:
-        """Whether an instance surely carries no task that an availability budget protects."""
-        report = self._worker_report(self.instances[name])
-        return report is not None and report.evacuating and not report.held_tasks
-
-    def _worker_report(self, instance: Instance) -> WorkerReport | None:
-        report = self.view.fresh_report(instance.pool, REPORT_MAX_AGE_S)
-        workers = [] if report is None else report.workers
-        return next((w for w in workers if w.worker == instance.worker), None)
-
-    async def _take_down(self, progress: WaveProgress, name: InstanceId) -> None:
-        if not self.intents.proved():
-            return
-        down = progress.down(self.instances, time.monotonic())
-        if len(down) >= progress.wave.max_parallel and name not in down:
-            return
-        number = progress.wave.number
-        progress.ordered.setdefault(name, time.monotonic())
-        answer = await self.orders.maintain(self.ownership.token, name, number)
-        match answer:
-            case Result(tag="ok"):
-                progress.ordered[name] = time.monotonic()
-                progress.emptying.pop(name, None)
-                progress.begun.add(name)
-                log.info("instance down", wave=number, instance=name, token=self.ownership.token)
-            case Result(error=fault):
-                log.warning(
-                    "instance not taken down", wave=number, instance=name, reason=str(fault)
-                )
-
-    async def _record(self, progress: WaveProgress) -> None:
-        record = WaveRecord(ordered=sorted(progress.begun), completed=progress.completed)
-        await self.journal.commit([Write(_wave_key(progress.wave.number), record.to_binary())])
-
-    async def _tell(self, progress: WaveProgress) -> None:
-        """Write the wave's state where operators look for it."""
-        write = Write(wave_state_key(progress.wave.number), encode_wave_state(progress.completed))
-        answer = await self.table.transact(Transaction([], [write]))
-        log.info(
-            "wave told",
-            wave=progress.wave.number,
-            completed=progress.completed,
-            confirmed=answer.is_ok(),
-        )
-
-
-def _wave_key(number: int) -> str:
-    return f"waves/{FLEET}/{number}"
