--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -39,7 +39,7 @@
 
 STALL_S = 2.0
 """Time without a percent of progress after which a short task stands still: two looks and a
-half, while sound tasks of the users' sheets gain a percent in a twentieth of a second."""
+half, while sound tasks of a second or two gain a percent in a fiftieth of a second."""
 
 STALL_SHARE = 0.1
 """Share of a task's estimate that it may take for one percent; estimates are far off."""
--- a/pumicespur/listeners/_listeners.py
+++ b/pumicespur/listeners/_listeners.py
@@ -10,7 +10,7 @@
     from collections.abc import Awaitable, Callable
 
 BACKLOG = 512
-"""Connections that may wait to be taken; some times what comes at once on the users' sheets."""
+"""Connections that may wait to be taken; some times what comes at once in a peak."""
 
 KEEP_ALIVE_S = 75.0
 """Idle time after which a connection is closed; longer than callers keep theirs."""
--- a/pumicespur/maintenance/_sizing.py
+++ b/pumicespur/maintenance/_sizing.py
@@ -16,7 +16,7 @@
 
 PARK_AFTER_S = 1.0
 """Time for which a pool must have had too many instances before one is parked; a move costs
-about as much as an instance in a pool for one second, on the users' sheets."""
+about as much as an instance in a pool for one second."""
 
 LENT_SHARE = 0.5
 """Share of the instances a pool came with that it keeps for its own next peak while others are
@@ -35,12 +35,13 @@
     """What the holder knows when it decides on moves."""
 
     instances: Mapping[InstanceId, Instance]
-    declared: Mapping[PoolId, int]
-    """Instances that each pool came with; pools without word of their owner are left out."""
+    reserved: Mapping[PoolId, int]
+    """Instances that each pool keeps whatever its work asks for now; pools without word of their
+    owner are left out."""
     needed: Mapping[PoolId, int]
     """Workers that each pool's owner asks for, within bounds."""
     busy: Mapping[PoolId, int]
-    """Workers that the present work and its growth take; less than `needed` after a peak."""
+    """Workers that what arrives, waits and grows will take; less than `needed` after a peak."""
     spare: frozenset[PoolId]
     reachable: frozenset[InstanceId]
     """Instances whose worker answers its owner."""
@@ -89,8 +90,8 @@
         """Return for each pool the instances beyond what it wants, the easiest to move first."""
         return {
             pool: found
-            for pool, declared in state.declared.items()
-            if (found := self._beyond(state, pool, max(declared, state.needed.get(pool, 0))))
+            for pool, reserved in state.reserved.items()
+            if (found := self._beyond(state, pool, max(reserved, state.needed.get(pool, 0))))
         }
 
     def _lenders(self, state: FleetState) -> dict[PoolId, list[Instance]]:
@@ -99,8 +100,8 @@
         Instances whose tasks an availability budget protects stay.
         """
         lenders: dict[PoolId, list[Instance]] = {}
-        for pool, declared in state.declared.items():
-            own = max(math.ceil(LENT_SHARE * declared), min(declared, LENT_LEAST))
+        for pool, reserved in state.reserved.items():
+            own = max(math.ceil(LENT_SHARE * reserved), min(reserved, LENT_LEAST))
             kept = max(own, _busy(state, pool))
             found = self._beyond(state, pool, kept)
             lenders[pool] = [i for i in found if i.id not in state.held]
@@ -135,7 +136,7 @@
         parked = [i for pool in sorted(state.spare) for i in _members(state, pool)]
         lenders = self._lenders(state)
         most = _most_moving(state)
-        missing = {pool: _missing(state, pool) for pool in state.declared}
+        missing = {pool: _missing(state, pool) for pool in state.reserved}
         for pool in sorted(missing, key=lambda pool: -missing[pool]):
             by_need = _busy(state, pool) - _present(state, pool)
             for number in range(max(0, missing[pool])):
@@ -232,7 +233,7 @@
         for name in state.taken | state.unproved
         if name in state.instances and state.instances[name].pool == pool
     )
-    by_number = state.declared[pool] - present - away
+    by_number = state.reserved[pool] - present - away
     return max(by_number, _busy(state, pool) - present)
 
 
--- a/pumicespur/maintenance/_wave_work.py
+++ b/pumicespur/maintenance/_wave_work.py
@@ -109,7 +109,7 @@
 
     async def _work_on(self, progress: WaveProgress, state: FleetState) -> None:
         now = time.monotonic()
-        wanted = {p: max(n, state.needed.get(p, 0)) for p, n in state.declared.items()}
+        wanted = {p: max(n, state.needed.get(p, 0)) for p, n in state.reserved.items()}
         for name in choose_emptying(progress, self.instances, state.empty, wanted, now):
             progress.emptying[name] = now
             log.info("instance to be emptied", wave=progress.wave.number, instance=name)
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -48,7 +48,7 @@
 
 RENEW_AGAIN_S = 3.0
 """Pause before watches are given up again for the same configuration: what a megabyte takes
-over the thinnest link of the users' sheets (5 Mbit/s), and as much again."""
+over a link of 5 Mbit/s, and as much again."""
 
 SLOW_ANSWERS = 3.0
 """Times that a slow answer of the store counts when a heartbeat is missed: it was written,
--- a/pumicespur/platform/_orders.py
+++ b/pumicespur/platform/_orders.py
@@ -28,7 +28,7 @@
 PACE_PATH = "/pumicespur/pace"
 ADVISE_PATH = "/pumicespur/advise"
 ADVICE_TIMEOUT_S = 2.0
-"""Some times what one call with 100 workers takes on the users' sheets."""
+"""Some times what one call with 100 workers takes."""
 
 
 class _Start(msgspec.Struct, omit_defaults=True):
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -32,7 +32,7 @@
     from pumicespur.store import Condition, Fault, Transaction
 
 PAGE_ROWS = 500
-"""Rows that the service hands out at once (users' protocol page)."""
+"""Rows that the service hands out at once (its protocol)."""
 
 TRANSACT_PATH = "/pumicespur/rows-tx"
 READ_PATH = "/pumicespur/rows-get"
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -96,12 +96,12 @@
 
 
 def make_state(
-    instances: dict[InstanceId, Instance], declared: dict[PoolId, int], **fields: object
+    instances: dict[InstanceId, Instance], reserved: dict[PoolId, int], **fields: object
 ) -> FleetState:
     """Make what the holder knows; every worker is reachable and busy unless told."""
     values: dict[str, object] = {
         "instances": instances,
-        "declared": declared,
+        "reserved": reserved,
         "needed": {},
         "busy": {},
         "spare": frozenset({SPARE}),
@@ -170,15 +170,15 @@
         # Found on the bench (grown Coulee, quiet-1): a pool kept for six seconds what its peak
         # had taken, while another one waited for it.
         instances = index(*(make_instance(f"m-{n}") for n in range(6)), make_instance("o-0", OTHER))
-        declared = {MAIN: 2, OTHER: 1}
+        reserved = {MAIN: 2, OTHER: 1}
         needed = {MAIN: 6, OTHER: 3}
         empty = frozenset(instances)
         state = make_state(
-            instances, declared, needed=needed, busy={MAIN: 6, OTHER: 3}, empty=empty
+            instances, reserved, needed=needed, busy={MAIN: 6, OTHER: 3}, empty=empty
         )
         self.assertEqual([], Sizer().plan(state, 0.0).moves)
         state = make_state(
-            instances, declared, needed=needed, busy={MAIN: 3, OTHER: 3}, empty=empty
+            instances, reserved, needed=needed, busy={MAIN: 3, OTHER: 3}, empty=empty
         )
         moves = Sizer().plan(state, 0.0).moves
         self.assertEqual({OTHER}, {pool for _, pool in moves})
