Walk a pool's jobs once a round; one loop for rows that holders leave; a pending removal stays

An owner's round walked all ready tasks twice, for what they ask and for what waits: one walk gives both. Two copies of reading a row until the store answers are one (read_kept). The check which arrivals count, and the estimates it needs, stand where arrivals are counted and no longer in the intake.

One fault mended: an emptying that came after a removal displaced it, so that the job was not forgotten while its owner lived. test_removal_that_is_pending_stays fails before and passes after. Else no behaviour changes.

--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -14,6 +14,7 @@
     from pumicespur.jobs._job import Job, StepGroup
     from pumicespur.jobs._pool import PoolState
     from pumicespur.model import Capacity
+    from pumicespur.schema.jobs_pb import StepRecord
 
 REMEMBER_S = 3.0
 """Time for which a peak keeps its workers: two moves of an instance."""
@@ -33,7 +34,6 @@
 LEAST_WORKERS = 4
 """Workers kept in an idle pool: one may be lost and one down while a third takes work."""
 
-
 FALLING_SHARE = 0.5
 """Share of the highest arrivals of the last seconds below which a peak is taken to end; arrivals
 of a steady peak vary by a third."""
@@ -50,6 +50,33 @@
     memory_mb: int = 0
 
 
+@dataclass(frozen=True)
+class PoolDemand:
+    """What the tasks of a pool ask for whose turn has come."""
+
+    short: Demand = Demand()
+    lasting: Demand = Demand()
+    waiting: Demand = Demand()
+    """The part of `short` that has no worker yet, at its full weight."""
+
+
+@dataclass
+class DemandSum:
+    """A demand that is being added up."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+
+    def add(self, spec: StepRecord, count: float) -> None:
+        """Count tasks of a step; those that fill ask for no processor time."""
+        self.cpu_millis += 0 if spec.fills else int(count * spec.cpu_millis)
+        self.memory_mb += int(count * spec.memory_mb)
+
+    def total(self) -> Demand:
+        """Return the sum."""
+        return Demand(self.cpu_millis, self.memory_mb)
+
+
 @dataclass
 class DemandTracker:
     """The demand of short tasks over the last seconds."""
@@ -134,25 +161,11 @@
         return self.figures[-1][1] < FALLING_SHARE * max(figure for _, figure in self.figures)
 
 
-def waiting_demand(pool: PoolState, now_ms: float) -> Demand:
-    """Return what short tasks ask for whose turn has come and that have no worker yet."""
-    cpu = memory = 0
-    for job in pool.jobs.values():
-        if job.ended:
-            continue
-        for group in job.ready_groups(now_ms):
-            if group.spec.long_running or not pool.fits_anywhere(group.spec):
-                continue
-            waiting = len(group.waiting())
-            cpu += 0 if group.spec.fills else waiting * group.spec.cpu_millis
-            memory += waiting * group.spec.memory_mb
-    return Demand(cpu, memory)
-
-
-def current_demand(pool: PoolState, now_ms: float) -> tuple[Demand, Demand]:
-    """Return what short and what long-running tasks ask for whose turn has come."""
-    cpu = {False: 0, True: 0}
-    memory = {False: 0, True: 0}
+def current_demand(pool: PoolState, now_ms: float) -> PoolDemand:
+    """Return what tasks ask for whose turn has come."""
+    short = DemandSum()
+    lasting = DemandSum()
+    waiting = DemandSum()
     for job in pool.jobs.values():
         if job.ended:
             continue
@@ -161,12 +174,13 @@
             if not pool.fits_anywhere(spec):
                 # No number of workers helps a task that is larger than each of them.
                 continue
+            idle = len(group.waiting())
             share = 1.0 if spec.long_running else WAITING_SHARE
-            waiting = len(group.waiting())
-            count = len(group.tasks) - group.done - waiting + share * waiting
-            cpu[spec.long_running] += 0 if spec.fills else int(count * spec.cpu_millis)
-            memory[spec.long_running] += int(count * spec.memory_mb)
-    return Demand(cpu[False], memory[False]), Demand(cpu[True], memory[True])
+            count = len(group.tasks) - group.done - idle + share * idle
+            (lasting if spec.long_running else short).add(spec, count)
+            if not spec.long_running:
+                waiting.add(spec, idle)
+    return PoolDemand(short.total(), lasting.total(), waiting.total())
 
 
 def wanted_workers(pool: PoolState, short: Demand, lasting: Demand, room: Capacity) -> int:
--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -18,7 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from pumicespur.jobs._estimates import Estimates
     from pumicespur.jobs._job import Job
     from pumicespur.jobs._pool import PoolState
     from pumicespur.node import NodeView
@@ -44,7 +43,7 @@
         view: NodeView,
         watch_s: float,
         wake: Callable[[], None],
-        note_arrival: Callable[[Job, Estimates], None],
+        note_arrival: Callable[[Job], None],
     ) -> None:
         self.pool = pool
         self.table = table
@@ -107,8 +106,7 @@
             return
         job = self.pool.add_job(record, self.view.configuration, progress.get(record.id))
         if job is not None:
-            if all(self.pool.fits_anywhere(spec) for spec in record.steps):
-                self.note_arrival(job, self.pool.estimates)
+            self.note_arrival(job)
             log.info(
                 "job known",
                 job=job.id,
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -99,7 +99,7 @@
         """Asks for a heartbeat at once."""
         self.size = PoolSize(self.pool, tell)
         self.intake = JobIntake(
-            self.pool, table, view, settings.store.watch_s, self.wake, self.size.arrivals.note
+            self.pool, table, view, settings.store.watch_s, self.wake, self.size.note_arrival
         )
         self.stopping = False
         self.stopped = anyio.Event()
--- a/pumicespur/jobs/_size.py
+++ b/pumicespur/jobs/_size.py
@@ -10,8 +10,8 @@
     Arrivals,
     Demand,
     DemandTracker,
+    PoolDemand,
     current_demand,
-    waiting_demand,
     wanted_workers,
 )
 from pumicespur.utils import now_ms
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pumicespur.jobs._job import Job
     from pumicespur.jobs._pool import PoolState
     from pumicespur.schema.jobs_pb import PoolReport
 
@@ -37,39 +38,42 @@
         """Asks for a heartbeat at once."""
         self.demand = DemandTracker()
         self.arrivals = Arrivals()
-        self.short = Demand()
-        self.lasting = Demand()
+        self.current = PoolDemand()
         self.told_load_at = float("-inf")
         self.told_workers = 0
         """Workers that the last report asked for."""
 
     def note(self, now: float) -> None:
         """Take a look at the pool's work; a need that grows is told at once."""
-        self.short, self.lasting = current_demand(self.pool, now_ms())
-        self.demand.note(now, self.short)
+        self.current = current_demand(self.pool, now_ms())
+        self.demand.note(now, self.current.short)
         if now - self.told_load_at >= LOAD_LINE_S:
             self.told_load_at = now
             self._log_load(now)
-        busy = self._busy_workers()
+        busy = self._busy_workers(self.current.waiting)
         if busy > self.told_workers:
             self.told_workers = busy
             self.tell()
 
     def report(self, report: PoolReport) -> None:
         """Fill in what the other processes hear of the pool's size."""
-        report.busy_workers = self._busy_workers()
+        report.busy_workers = self._busy_workers(current_demand(self.pool, now_ms()).waiting)
         report.wanted_workers = max(report.busy_workers, self._workers_for(self.demand.foreseen()))
         self.told_workers = report.busy_workers
         report.arriving_cpu_millis = self.arrivals.cpu_millis(now_ms())
 
-    def _busy_workers(self) -> int:
+    def note_arrival(self, job: Job) -> None:
+        """Count a job that was handed in, unless no worker could carry it."""
+        if all(self.pool.fits_anywhere(spec) for spec in job.record.steps):
+            self.arrivals.note(job, self.pool.estimates)
+
+    def _busy_workers(self, waiting: Demand) -> int:
         """Return how many workers what arrives and what waits will take.
 
         Once less arrives, what runs is left out: it ends where it is. So a pool gives what it
         took as soon as its callers turn away.
         """
         arriving = self.arrivals.measure(now_ms())
-        waiting = waiting_demand(self.pool, now_ms())
         cpu_millis = max(arriving, waiting.cpu_millis)
         memory_mb = waiting.memory_mb
         if not self.arrivals.falling():
@@ -84,12 +88,12 @@
             return 0
         rooms = [load.worker.capacity for load in self.pool.loads.values()]
         rooms.sort(key=lambda room: room.cpu_millis)
-        return wanted_workers(self.pool, short, self.lasting, rooms[len(rooms) // 2])
+        return wanted_workers(self.pool, short, self.current.lasting, rooms[len(rooms) // 2])
 
     def _log_load(self, now: float) -> None:
         """Log what the pool's size is decided by, unless there is nothing to do."""
         waiting = self.pool.waiting_tasks(now_ms())
-        if not waiting and not self.short.cpu_millis:
+        if not waiting and not self.current.short.cpu_millis:
             return
         log.info(
             "pool load",
@@ -100,7 +104,7 @@
             busy_workers=self.told_workers,
             arriving_cpu_millis=self.arrivals.cpu_millis(now_ms()),
             waiting_tasks=waiting,
-            short_cpu_millis=self.short.cpu_millis,
-            lasting_cpu_millis=self.lasting.cpu_millis,
+            short_cpu_millis=self.current.short.cpu_millis,
+            lasting_cpu_millis=self.current.lasting.cpu_millis,
             used_cpu_millis=sum(load.cpu_millis for load in self.pool.loads.values()),
         )
--- a/pumicespur/jobs/_sweep.py
+++ b/pumicespur/jobs/_sweep.py
@@ -46,9 +46,13 @@
         which alone tells a successor that the job has ended."""
 
     def empty(self, job: JobId) -> None:
-        """Drop what is no longer needed of a job whose end is recorded; its id stays taken."""
+        """Drop what is no longer needed of a job whose end is recorded; its id stays taken.
+
+        A removal that is pending stays.
+        """
         record = JobRecord(id=job, ended=True)
-        self.pending[job] = Write(submission_key(self.pool, job), record.to_binary())
+        write = Write(submission_key(self.pool, job), record.to_binary())
+        self.pending.setdefault(job, write)
 
     def remove(self, job: JobId) -> None:
         """Forget a job that ended long ago."""
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -179,11 +179,15 @@
                 tasks.start_soon(self._move, name, pool)
 
     def _note_peaks(self) -> None:
-        rooms = [instance.capacity.cpu_millis for instance in self.instances.values()]
-        if not rooms:
+        if not self.instances:
             return
+        least = self._largest_room()
         for pool, report in self.reports.pools().items():
-            self.memory.peaks.note(pool, report.arriving_cpu_millis, max(rooms), now_ms())
+            self.memory.peaks.note(pool, report.arriving_cpu_millis, least, now_ms())
+
+    def _largest_room(self) -> int:
+        """Return the processor time of the largest instance, in thousandths of a core."""
+        return max(instance.capacity.cpu_millis for instance in self.instances.values())
 
     def _foreseen(self, pools: Iterable[PoolId]) -> dict[PoolId, int]:
         """Return the workers that an expected peak will take, early enough to move them there."""
@@ -192,12 +196,15 @@
         if pool is None or not self.instances:
             self.foreseen = None
             return {}
-        room = max(instance.capacity.cpu_millis for instance in self.instances.values())
         cpu_millis = self.memory.peaks.usual_cpu_millis(pool)
         if pool != self.foreseen:
             log.info("peak foreseen", pool=pool, cpu_millis=cpu_millis)
         self.foreseen = pool
-        return {pool: self._bounded(pool, math.ceil(cpu_millis / max(1, room) / FILL_SHARE))}
+        return {
+            pool: self._bounded(
+                pool, math.ceil(cpu_millis / max(1, self._largest_room()) / FILL_SHARE)
+            )
+        }
 
     def _has_arrived(self, name: InstanceId, pool: PoolId, since_s: float) -> bool:
         """Whether a move is over, or its order surely had no effect."""
--- a/pumicespur/maintenance/_intents.py
+++ b/pumicespur/maintenance/_intents.py
@@ -6,10 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-import anyio
-from expression import Result
-from logbook import Logger
-
+from pumicespur.maintenance._kept_rows import read_kept
 from pumicespur.model import InstanceId, PoolId, ProcessId
 from pumicespur.schema.jobs_pb import OrderIntent, OrderIntents
 from pumicespur.store import Write
@@ -18,8 +15,6 @@
     from pumicespur.jobs import Journal
     from pumicespur.schema.node_pb import FleetSettings
 
-log = Logger(__name__)
-
 FLEET = PoolId("~fleet")
 """Stands for the duty where pools stand otherwise; no pool has this name."""
 
@@ -31,9 +26,6 @@
 SLACK_S = 0.5
 """Added to the wait of a new holder, for orders that travel slowly."""
 
-RETRY_S = 0.4
-"""Pause after the intents could not be read."""
-
 
 def intent_age_s(settings: FleetSettings) -> float:
     """Return how long an intent matters to a next holder, in seconds."""
@@ -61,15 +53,8 @@
 
     async def load(self) -> None:
         """Learn for which instances the holder before may have given orders just now."""
-        while True:
-            found = await self.journal.table.read(INTENTS_KEY)
-            match found:
-                case Result(tag="ok", ok=row):
-                    self._take(OrderIntents.from_binary(row.value), time.monotonic())
-                    return
-                case Result(error=fault):
-                    log.warning("intents not read", reason=str(fault))
-                    await anyio.sleep(RETRY_S)
+        row = await read_kept(self.journal, INTENTS_KEY, "intents")
+        self._take(OrderIntents.from_binary(row.value), time.monotonic())
 
     def _take(self, record: OrderIntents, now: float) -> None:
         for intent in record.intents:
--- a/pumicespur/maintenance/_memory.py
+++ b/pumicespur/maintenance/_memory.py
@@ -5,11 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import anyio
-from expression import Result
-from logbook import Logger
-
 from pumicespur.maintenance._intents import FLEET
+from pumicespur.maintenance._kept_rows import read_kept
 from pumicespur.maintenance._peaks import PeakHistory
 from pumicespur.model import PoolId
 from pumicespur.schema.jobs_pb import FleetMemory, PoolSize
@@ -21,13 +18,8 @@
     from pumicespur.jobs import Journal
     from pumicespur.model import Instance
 
-log = Logger(__name__)
-
 MEMORY_KEY = f"waves/{FLEET}/memory"
 
-RETRY_S = 0.4
-"""Pause after the row could not be read."""
-
 
 class HolderMemory:
     """The sizes that pools came with, and their peaks; recorded when they change.
@@ -46,15 +38,8 @@
 
     async def load(self) -> None:
         """Read what earlier holders recorded."""
-        while True:
-            found = await self.journal.table.read(MEMORY_KEY)
-            match found:
-                case Result(tag="ok", ok=row):
-                    self._take(FleetMemory.from_binary(row.value))
-                    return
-                case Result(error=fault):
-                    log.warning("pool sizes not read", reason=str(fault))
-                    await anyio.sleep(RETRY_S)
+        row = await read_kept(self.journal, MEMORY_KEY, "pool sizes")
+        self._take(FleetMemory.from_binary(row.value))
 
     def _take(self, record: FleetMemory) -> None:
         self.declared = Counter({PoolId(size.pool): size.instances for size in record.sizes})
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -490,7 +490,7 @@
 
         pool = make_pool()
         intake = JobIntake(
-            pool, cast("Any", Table()), cast("Any", None), 5.0, lambda: None, Arrivals().note
+            pool, cast("Any", Table()), cast("Any", None), 5.0, lambda: None, lambda job: None
         )
         with self.assertRaises(EOFError):
             await intake.follow()
@@ -552,6 +552,13 @@
         await self.sweep.sweep()
         self.assertEqual([None], [write.value for write in self.calls[0].writes])
 
+    async def test_removal_that_is_pending_stays(self) -> None:
+        # An owner that reads all submissions anew finds those that are to be removed again.
+        self.sweep.remove(JobId("job"))
+        self.sweep.empty(JobId("job"))
+        await self.sweep.sweep()
+        self.assertEqual(["job"], self.sweep.take_removed())
+
     async def test_progress_goes_only_after_the_submission(self) -> None:
         # A job whose submission outlived its progress would run again under a successor.
         self.sweep.remove(JobId("job"))
