Sight: log and count readings of the store that are broken off, with the bytes that had come

The logs could not tell a transfer that was broken off from a dead connection. No decision changes: bodies are read in chunks and counted; gauges show the configuration in force and the newest one heard of.

--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -176,6 +176,8 @@
         """Keep the gauges in line."""
         while True:
             METRICS.store.set({}, self.table.calls)
+            METRICS.configuration.set({"which": "in force"}, self.view.configuration.version)
+            METRICS.configuration.set({"which": "newest heard"}, self.view.newest_heard())
             for owner in self.keeper.pool_owners():
                 METRICS.owned.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
             await anyio.sleep(GAUGES_S)
--- a/pumicespur/node/_view.py
+++ b/pumicespur/node/_view.py
@@ -68,6 +68,11 @@
         self.configuration = configuration
         return True
 
+    def newest_heard(self) -> int:
+        """Return the newest configuration that any process is known to have in force."""
+        heard = [seen.heartbeat.configuration_version for seen in self.processes.values()]
+        return max([self.configuration.version, *heard])
+
     def other_pools(self, route: Route, earlier: bool) -> list[PoolId]:
         """Return pools beside a route's own: its earlier ones, or all that have owners."""
         known = self.earlier_pools.get(route.name, set()) if earlier else set(self.pools())
--- a/pumicespur/platform/_http.py
+++ b/pumicespur/platform/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
@@ -30,6 +31,31 @@
     body: bytes
 
 
+@dataclass
+class Transfer:
+    """How far the answer to one call has come; times are monotonic seconds."""
+
+    asked_at: float
+    received_bytes: int = 0
+    first_at: float | None = None
+    """When the first bytes of the body came; None before."""
+    newest_at: float = 0.0
+    """When the newest bytes came."""
+
+    def note(self, size: int) -> None:
+        """Count bytes of the body that have come."""
+        now = time.monotonic()
+        if self.first_at is None:
+            self.first_at = now
+        self.newest_at = now
+        self.received_bytes += size
+
+    @property
+    def receiving_s(self) -> float:
+        """Return how long the body has been coming."""
+        return 0.0 if self.first_at is None else self.newest_at - self.first_at
+
+
 Decoded = TypeVar("Decoded")
 
 
@@ -71,17 +97,31 @@
         *,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[Answer, Unavailable | AnswerLost]:
-        """Send one request and read its whole answer within `timeout_s` seconds."""
+        """Send one request and read its whole answer within `timeout_s` seconds.
+
+        `transfer` is told of the body's bytes as they come.
+        """
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self.session.request(
                 method, url, data=body, headers=headers, timeout=timeout, allow_redirects=False
             ) as response:
-                return Ok(Answer(response.status, await response.read()))
+                return Ok(Answer(response.status, await _read(response, transfer)))
         except aiohttp.ClientConnectorError as failure:
             return Error(Unavailable(f"not connected: {failure}"))
         except TimeoutError:
             return Error(AnswerLost(f"no answer in {timeout_s:.2f} s"))
         except (aiohttp.ClientError, OSError) as failure:
             return Error(AnswerLost(f"connection broken: {type(failure).__name__}"))
+
+
+async def _read(response: aiohttp.ClientResponse, transfer: Transfer | None) -> bytes:
+    if transfer is None:
+        return await response.read()
+    chunks = []
+    async for chunk in response.content.iter_any():
+        transfer.note(len(chunk))
+        chunks.append(chunk)
+    return b"".join(chunks)
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -14,8 +14,9 @@
 import anyio
 import msgspec
 from expression import Error, Ok, Result
+from logbook import Logger
 
-from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller, understand
+from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller, Transfer, understand
 from pumicespur.store import (
     AnswerLost,
     AnswerTimes,
@@ -26,11 +27,14 @@
     StoreClock,
     Unavailable,
 )
+from pumicespur.utils import METRICS
 
 if TYPE_CHECKING:
     from pumicespur.schema.node_pb import StoreSettings
     from pumicespur.store import Condition, Fault, Transaction
 
+log = Logger(__name__)
+
 PAGE_ROWS = 500
 """Rows that the service hands out at once (its protocol)."""
 
@@ -154,7 +158,9 @@
         start = ""
         while True:
             query = {"table": table, "part": part, "from": start, "limit": str(PAGE_ROWS)}
-            answer = _rows(await self._timed_call("GET", _path(READ_PATH, query), None))
+            transfer = Transfer(time.monotonic())
+            path = _path(READ_PATH, query)
+            answer = _rows(await self._timed_call("GET", path, None, transfer))
             match answer:
                 case Result(tag="ok", ok=found):
                     rows += [_row(row) for row in found.rows]
@@ -163,28 +169,32 @@
                         return Ok(Page(rows, version))
                     start = found.rows[-1].key + "\0"
                 case Result(error=fault):
+                    _note_broken_off("scan", table, transfer, fault)
                     return Error(fault)
 
     async def changes(self, table: str, since: int, wait_s: float) -> Result[Page, Fault]:
         """Wait for changes of a table after version `since`; removed rows have no value."""
         query = {"table": table, "dependsOn": str(since), "waitMs": str(int(wait_s * 1000))}
         answer: Result[_Rows, Fault] = Error(Unavailable("watch given up"))
+        transfer = Transfer(time.monotonic())
         with anyio.CancelScope() as scope:
             self.watches.add(scope)
             try:
                 timeout_s = wait_s + self.times.timeout_s()
                 path = _path(CHANGES_PATH, query)
-                answer = _rows(await self._call("GET", path, timeout_s, None))
+                answer = _rows(await self._call("GET", path, timeout_s, None, transfer))
             finally:
                 self.watches.discard(scope)
+        if answer.is_error() and not isinstance(answer.error, HistoryGone):
+            _note_broken_off("watch", table, transfer, answer.error)
         return answer.map(lambda found: Page([_row(row) for row in found.rows], found.ver))
 
     async def _timed_call(
-        self, method: str, path: str, body: bytes | None
+        self, method: str, path: str, body: bytes | None, transfer: Transfer | None = None
     ) -> Result[Answer, Unavailable | AnswerLost]:
         """Call with a time-out that follows how fast the store answers."""
         started = time.monotonic()
-        answer = await self._call(method, path, self.times.timeout_s(), body)
+        answer = await self._call(method, path, self.times.timeout_s(), body, transfer)
         now = time.monotonic()
         if answer.is_ok():
             self.times.note_answer(now, now - started)
@@ -193,15 +203,34 @@
         return answer
 
     async def _call(
-        self, method: str, path: str, timeout_s: float, body: bytes | None
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes | None,
+        transfer: Transfer | None = None,
     ) -> Result[Answer, Unavailable | AnswerLost]:
         self.calls += 1
         headers = JSON_HEADERS if body is not None else None
         return await self.caller.call(
-            method, self.base + path, timeout_s, body=body, headers=headers
+            method, self.base + path, timeout_s, body=body, headers=headers, transfer=transfer
         )
 
 
+def _note_broken_off(kind: str, table: str, transfer: Transfer, fault: Fault) -> None:
+    """Log a reading without an answer: a dead connection has brought no bytes, a thin one has."""
+    METRICS.broken_off.inc({"kind": kind, "receiving": str(transfer.received_bytes > 0).lower()})
+    log.info(
+        "reading broken off",
+        kind=kind,
+        table=table,
+        reason=str(fault),
+        waited_s=round(time.monotonic() - transfer.asked_at, 3),
+        received_bytes=transfer.received_bytes,
+        receiving_s=round(transfer.receiving_s, 3),
+    )
+
+
 def _path(path: str, query: dict[str, str]) -> str:
     return f"{path}?{urlencode(query)}"
 
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -21,6 +21,13 @@
         self.lost = Counter("pumicespur_pools_lost_total", "Pools that another process took.")
         self.store = Gauge("pumicespur_store_calls", "Calls to the store since the start.")
         self.owned = Gauge("pumicespur_owned_jobs", "Open jobs of the pools owned, by pool.")
+        self.broken_off = Counter(
+            "pumicespur_readings_broken_off_total",
+            "Readings of the store without an answer, by whether bytes were coming.",
+        )
+        self.configuration = Gauge(
+            "pumicespur_configuration_version", "Configuration in force, and newest heard of."
+        )
         self.commits = Histogram(
             "pumicespur_commit_seconds", "Time until a commit is recorded.", buckets=BUCKETS_S
         )
@@ -35,6 +42,8 @@
             self.lost,
             self.store,
             self.owned,
+            self.broken_off,
+            self.configuration,
             self.commits,
             self.callers,
         ):
