--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,16 +10,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from soak._links import Passage
 from soak._plan import FaultKind
+from standins.hosted import Passage
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from soak._links import Link
     from soak._plan import Fault
     from soak._world import NodeLinks, SoakWorld
-    from standins.hosted import HostedWorker, Node
+    from standins.hosted import HostedWorker, Link, Node
 
 END_S = 6.0
 """Time for a node to end after SIGTERM; its own grace period is 3 s."""
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -7,8 +7,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from soak._links import Link
-from standins.hosted import HostedWorker, World
+from standins.hosted import HostedWorker, Link, World
 
 if TYPE_CHECKING:
     from standins.hosted import Node, StoredRow
--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -4,6 +4,7 @@
 
 from standins.hosted._advice import VALID_MS
 from standins.hosted._fleet import FleetOrder, HostedFleet
+from standins.hosted._links import Link, Passage
 from standins.hosted._nodes import NODE_MODULE, Node, Nodes
 from standins.hosted._store import HostedStore, StoredRow
 from standins.hosted._workers import HostedWorker, Run
@@ -18,8 +19,10 @@
     "HostedFleet",
     "HostedStore",
     "HostedWorker",
+    "Link",
     "Node",
     "Nodes",
+    "Passage",
     "Run",
     "StoredRow",
     "World",
--- a/soak/_links.py
+++ b/standins/hosted/_links.py
@@ -1,9 +1,10 @@
-"""A loopback proxy between two parties, which can delay, hold, cut one way and reset."""
+"""A loopback proxy between two parties, which can delay, hold, slow, cut one way and reset."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import time
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,9 @@
 
 CHUNK = 65536
 
+THIN_CHUNK_S = 0.02
+"""Time that one piece takes on a thin link, so that its connections share it fairly."""
+
 
 class Passage(Enum):
     """Which bytes a link carries at present; the others wait until it carries them again."""
@@ -28,6 +32,10 @@
         self.target = target
         """Returns the address to connect to, empty while there is none."""
         self.delay_s = 0.0
+        self.bytes_per_s = 0.0
+        """What all connections together may receive in a second; 0 for no limit."""
+        self.free_at = 0.0
+        """When the bytes received so far have passed (monotonic seconds)."""
         self.passage = Passage.BOTH_WAYS
         self.changed = asyncio.Event()
         self.writers: set[asyncio.StreamWriter] = set()
@@ -94,8 +102,10 @@
     async def _carry(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, request: bool
     ) -> None:
-        while data := await reader.read(CHUNK):
+        while data := await reader.read(self._chunk()):
             await self._wait_for_passage(request)
+            if not request:
+                await self._wait_for_room(len(data))
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             writer.write(data)
@@ -103,6 +113,15 @@
         await self._wait_for_passage(request)
         raise ConnectionResetError("the other party closed")
 
+    def _chunk(self) -> int:
+        return max(1, int(self.bytes_per_s * THIN_CHUNK_S)) if self.bytes_per_s else CHUNK
+
+    async def _wait_for_room(self, size: int) -> None:
+        if self.bytes_per_s:
+            now = time.monotonic()
+            self.free_at = max(now, self.free_at) + size / self.bytes_per_s
+            await asyncio.sleep(self.free_at - now)
+
     async def _wait_for_passage(self, request: bool) -> None:
         while not self._passes(request):
             await self.changed.wait()
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import bisect
 import random
 import time
 from collections.abc import Callable
@@ -16,6 +17,8 @@
 """Table, part and key of a row."""
 
 PAGE_ROWS = 500
+PAGE_BYTES = 1_000_000
+"""Rows and bytes of values that one answer holds at most (the users' protocol page)."""
 
 
 @dataclass
@@ -72,6 +75,8 @@
 
     def __init__(self, seed: int = 1) -> None:
         self.rows: dict[Place, StoredRow] = {}
+        self.history: list[StoredRow] = []
+        """Every change in order; who follows a table is handed each, not only the newest."""
         self.version = 0
         self.oldest = 0
         """Changes up to this version are forgotten."""
@@ -105,12 +110,14 @@
     def forget_history(self) -> None:
         """Drop all changes so far; those who follow have to read anew."""
         self.oldest = self.version
+        self.history.clear()
 
     def _apply(self, rows: list[StoredRow]) -> int:
         self.version += 1
         for row in rows:
             row.version = self.version
             self.rows[row.place] = row
+            self.history.append(row)
         self.changed.set()
         self.changed = asyncio.Event()
         return self.version
@@ -189,22 +196,33 @@
         while True:
             if since < self.oldest:
                 return web.json_response({"error": "history gone"}, status=410)
-            found = [
-                row
-                for (table, _, _), row in self.rows.items()
-                if table == request.query["table"] and row.version > since
-            ]
+            found, version = self._page(request.query["table"], since)
             left = until - time.monotonic()
             if found or left <= 0:
-                found.sort(key=lambda row: row.version)
                 shown = [request.app[VIEW](row).wire() for row in found]
-                return web.json_response({"rows": shown, "ver": self.version})
+                return web.json_response({"rows": shown, "ver": version})
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except TimeoutError:
                 # Nothing changed in the time asked for; an empty answer says so.
                 continue
 
+    def _page(self, table: str, since: int) -> tuple[list[StoredRow], int]:
+        """Return changes after a version, and the version up to which they are complete."""
+        first = bisect.bisect_right(self.history, since, key=lambda row: row.version)
+        page: list[StoredRow] = []
+        size = 0
+        for row in self.history[first:]:
+            if row.place[0] != table:
+                continue
+            full = len(page) >= PAGE_ROWS or size + len(row.value) > PAGE_BYTES
+            # Rows that were written together are handed out together.
+            if page and full and row.version != page[-1].version:
+                return page, page[-1].version
+            page.append(row)
+            size += len(row.value)
+        return page, self.version
+
 
 def base64_free(body: dict[str, Any]) -> str:
     """Return the decoded values of a transaction, to look for a caller's name in."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,11 +12,10 @@
 from soak._callers import Caller, Exchange, JobKind, SentJob
 from soak._checker import Checker
 from soak._faults import Injector
-from soak._links import Link, Passage
 from soak._plan import Deployment, Plan, draw_plan, load_plan, save_plan
 from soak._run import play
 from soak._world import SoakWorld
-from standins.hosted import NODE_MODULE, Run
+from standins.hosted import NODE_MODULE, Link, Passage, Run
 from tests.base import quiet_loop
 
 REGRESSIONS = Path(__file__).parent.parent / "soak" / "regressions"
