A process that knows its configuration to be out of date says so instead of answering 404

Cause: two processes refused added routes as unknown while heartbeats told them of forty newer versions, and counted as ready from the first heartbeat after the cut. A 404 tells a caller not to come back. Change: after half of the time in which a configuration is to be in force, without one that others have or without the operators' table, callers get 503 with a time to come back and the process is not ready. Whole readings are given up like watches when silent. Test: OutdatedConfigurationTest, red before (404, and jobs accepted by the old routes).

--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -61,7 +61,8 @@
         self.catch_up = catch_up
         self.pause_s = pause_s
         """Returns the pause after each answer, for tables that change often, in seconds."""
-        self.connected = True
+        self.failing_since: float | None = None
+        """When a reading first failed; None while the table is followed (monotonic seconds)."""
         self.hurried = anyio.Event()
         self.answered_at = time.monotonic()
         self.newest_row = 0
@@ -106,10 +107,15 @@
         return self.catch_up.when_late and has_news and late
 
     def _note_connected(self, connected: bool, reason: str) -> None:
-        if connected == self.connected:
+        if connected == (self.failing_since is None):
             return
-        self.connected = connected
         if connected:
+            self.failing_since = None
             log.info("table followed again", table=self.name)
         else:
+            self.failing_since = time.monotonic()
             log.warning("table not followed", table=self.name, reason=reason)
+
+    def failing_s(self, now: float) -> float:
+        """Return for how long the table has not been read."""
+        return 0.0 if self.failing_since is None else now - self.failing_since
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -48,7 +48,7 @@
 """The same pause in processes that own something: pools that grow wait for what they tell."""
 
 RENEW_AGAIN_S = 1.0
-"""Pause before silent watches are given up again for the same configuration: twice the usual time
+"""Pause before silent readings are given up again for the same configuration: twice the usual time
 for the first bytes of an answer."""
 
 SLOW_ANSWERS = 3.0
@@ -99,7 +99,7 @@
         self.failing = False
         """Whether the last heartbeat failed."""
         self.renewed_version = 0
-        """Newest configuration for which watches were given up."""
+        """Newest configuration for which readings were given up."""
         self.renewed_at = float("-inf")
         self.changed = anyio.Event()
         self.tasks: TaskGroup | None = None
@@ -188,7 +188,7 @@
         if self.failing:
             self.failing = False
             log.info("store answers again")
-            self.table.renew_watches()
+            self.table.renew_readings()
 
     def _hear(self, rows: Sequence[Row], whole: bool) -> None:
         """Hear of the other processes; a pause gathers many heartbeats into one answer."""
@@ -209,11 +209,11 @@
             return
         heartbeat = HeartbeatRecord.from_binary(row.value)
         process = ProcessId(heartbeat.process)
+        self._note_version(heartbeat.configuration_version, now)
         known = self.view.processes.get(process)
         if known is None:
             self.view.processes[process] = SeenProcess(heartbeat, now, row.version)
             return
-        self._note_version(heartbeat.configuration_version, now)
         before = (known.heartbeat.incarnation, known.heartbeat.number)
         if before != (heartbeat.incarnation, heartbeat.number):
             self.view.processes[process] = SeenProcess(heartbeat, now, row.version)
@@ -227,11 +227,12 @@
         """
         if newest <= max(0, self.view.configuration.version):
             return
+        self.view.note_newer(newest, now)
         if newest <= self.renewed_version and now - self.renewed_at < RENEW_AGAIN_S:
             return
         self.renewed_version, self.renewed_at = newest, now
         log.info("configuration behind", newest=newest)
-        self.table.renew_watches()
+        self.table.renew_readings()
 
     def _see_owners(self, rows: Sequence[Row], whole: bool) -> None:
         """Hear of takeovers and releases as they happen.
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -65,6 +65,10 @@
 WAITING_MAX_AGE_S = 6.0
 """Oldest word of a pool's owner from which waiting jobs are counted."""
 
+OUTDATED_SHARE = 0.5
+"""Share of the time for a new configuration after which a process without it refuses callers; it
+hears of a version up to half a second after the operators are told that it is kept."""
+
 UNLISTED_S = 2.5
 """Time in which the platform asks twice whether the process is ready, with a late answer."""
 
@@ -98,6 +102,8 @@
         self.incarnation = uuid.uuid4().hex
         self.operators_rows: dict[str, int] = {}
         """Versions of the operators' rows that are known, by key."""
+        self.outdated = False
+        """What was last told about the configuration."""
         self.stopping = False
         self.stop_asked = anyio.Event()
 
@@ -118,7 +124,7 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(self._listen_to_signals)
             bound = await self.server.listen(settings.listen.callers, settings.listen.readiness)
-            operators = TableFollower(
+            self.operators = TableFollower(
                 self.table,
                 settings.store,
                 OPERATORS_TABLE,
@@ -134,7 +140,7 @@
                 self._workers_pause_s,
             )
             self.keeper.on_taken = workers.hurry
-            tasks.start_soon(operators.run)
+            tasks.start_soon(self.operators.run)
             tasks.start_soon(workers.run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self.describe)
@@ -265,7 +271,27 @@
     def is_ready(self) -> bool:
         """Tell whether callers are served well here."""
         heard = time.monotonic() - self.keeper.answered_at < NOT_READY_AFTER_S
-        return heard and not self.stopping and self.current_configuration() is not None
+        if self.stopping or self.current_configuration() is None:
+            return False
+        return heard and not self.configuration_outdated()
+
+    def configuration_outdated(self) -> bool:
+        """Tell whether the configuration in force may lack what callers are entitled to.
+
+        Others may serve a route that is not known here, and may have dropped one that is.
+        """
+        now = time.monotonic()
+        lacking_s = max(self.view.outdated_s(now), self.operators.failing_s(now))
+        outdated = lacking_s > self.settings.process.configuration_ms / 1000 * OUTDATED_SHARE
+        if outdated != self.outdated:
+            self.outdated = outdated
+            log.warning(
+                "configuration out of date" if outdated else "configuration up to date",
+                version=self.view.configuration.version,
+                newest=self.view.newest_heard(),
+                lacking_s=round(lacking_s, 3),
+            )
+        return outdated
 
     def store_answers(self) -> bool:
         """Tell whether the store answered lately; a heartbeat that failed is the sign."""
--- a/pumicespur/node/_view.py
+++ b/pumicespur/node/_view.py
@@ -41,6 +41,8 @@
     """One process's beliefs; each part is kept by one task."""
 
     configuration: Configuration = field(default_factory=lambda: Configuration(-1, {}, {}))
+    missing: dict[int, float] = field(default_factory=dict)
+    """Newer configurations that others have in force, and when that was heard (monotonic s)."""
     waves: dict[int, Wave] = field(default_factory=dict)
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
     workers_known: bool = False
@@ -66,12 +68,21 @@
             if before is not None and before.pool != route.pool:
                 self.earlier_pools.setdefault(name, set()).add(before.pool)
         self.configuration = configuration
+        self.missing = {v: at for v, at in self.missing.items() if v > configuration.version}
         return True
 
+    def note_newer(self, version: int, now: float) -> None:
+        """Hear that another process has a configuration in force."""
+        if version > self.configuration.version:
+            self.missing.setdefault(version, now)
+
     def newest_heard(self) -> int:
         """Return the newest configuration that any process is known to have in force."""
-        heard = [seen.heartbeat.configuration_version for seen in self.processes.values()]
-        return max([self.configuration.version, *heard])
+        return max(self.missing, default=self.configuration.version)
+
+    def outdated_s(self, now: float) -> float:
+        """Return for how long a newer configuration has been known and not been in force here."""
+        return now - min(self.missing.values(), default=now)
 
     def other_pools(self, route: Route, earlier: bool) -> list[PoolId]:
         """Return pools beside a route's own: its earlier ones, or all that have owners."""
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -89,6 +89,9 @@
     def is_ready(self) -> bool:
         """Tell whether the process serves callers."""
 
+    def configuration_outdated(self) -> bool:
+        """Tell whether the configuration in force is too old to answer by."""
+
     def store_answers(self) -> bool:
         """Tell whether the store answered lately; without it nothing can be taken or told."""
 
@@ -145,6 +148,10 @@
         configuration = self.context.current_configuration()
         if configuration is None:
             return _refuse(503, "no configuration yet")
+        if self.context.configuration_outdated():
+            # 404 would tell a caller not to come back, on the word of a configuration that others
+            # have replaced.
+            return _refuse(503, "the configuration here is out of date; nothing was done")
         path = request.raw_path.partition("?")[0]
         route = configuration.match(request.headers.get("Host", "").lower(), path)
         if route is None:
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -107,19 +107,19 @@
         self.calls = 0
         self.times = AnswerTimes(settings.timeout_s, settings.max_timeout_s)
         self.clock = StoreClock()
-        self.watches: set[Transfer] = set()
+        self.readings: set[Transfer] = set()
 
-    def renew_watches(self) -> None:
-        """Give up the requests for changes that hear nothing; their connections may be dead.
+    def renew_readings(self) -> None:
+        """Give up the readings that hear nothing; their connections may be dead.
 
         One that is receiving, or was asked for within the time of an answer, goes on: what it
-        carries is what the caller waits for. Given up at each newer version, a configuration
+        carries is what is waited for. Given up at each newer version, a configuration
         stayed away for 14 s while one came each 0.8 s over a link of 10 Mbit/s.
         """
         allowed_s = self.times.timeout_s()
-        for watch in list(self.watches):
-            if watch.silent_s > allowed_s:
-                watch.give_up()
+        for reading in list(self.readings):
+            if reading.silent_s > allowed_s:
+                reading.give_up()
 
     async def transact(self, transaction: Transaction) -> Result[int, Fault]:
         """Write rows together if all conditions hold; return the version of the change."""
@@ -188,11 +188,7 @@
         """
         query = {"table": table, "dependsOn": str(since), "waitMs": str(int(wait_s * 1000))}
         transfer = Transfer(wait_s + self.times.timeout_s())
-        self.watches.add(transfer)
-        try:
-            answer = _rows(await self._read(_path(CHANGES_PATH, query), transfer))
-        finally:
-            self.watches.discard(transfer)
+        answer = _rows(await self._read(_path(CHANGES_PATH, query), transfer))
         if answer.is_error() and not isinstance(answer.error, HistoryGone):
             _note_broken_off("watch", table, transfer, answer.error)
         return answer.map(lambda found: _newest(found, transfer.receiving_s))
@@ -209,7 +205,11 @@
         self, path: str, transfer: Transfer
     ) -> Result[Answer, Unavailable | AnswerLost]:
         self.calls += 1
-        return await self.caller.read(self.base + path, transfer)
+        self.readings.add(transfer)
+        try:
+            return await self.caller.read(self.base + path, transfer)
+        finally:
+            self.readings.discard(transfer)
 
     async def _timed_call(
         self, method: str, path: str, body: bytes | None
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -66,6 +66,8 @@
     late_share: float = 0.0
     """Share of writes that are done only later, without an answer."""
     late_s: float = 0.5
+    refused_tables: set[str] = field(default_factory=set)
+    """Tables that nobody can read at present."""
     refused_callers: set[str] = field(default_factory=set)
     """Bodies that hold one of these texts are refused with 503."""
 
@@ -128,6 +130,8 @@
             await asyncio.sleep(3600)
         if self.faults.slow_s:
             await asyncio.sleep(self.faults.slow_s)
+        if request.query.get("table") in self.faults.refused_tables:
+            return web.json_response({"error": "turned away"}, status=503)
         if self.faults.refuse_with:
             return web.json_response({"error": "refused"}, status=self.faults.refuse_with)
         return None
@@ -194,6 +198,8 @@
         since = int(request.query["dependsOn"])
         until = time.monotonic() + int(request.query["waitMs"]) / 1000
         while True:
+            if request.query["table"] in self.faults.refused_tables:
+                return web.json_response({"error": "turned away"}, status=503)
             if since < self.oldest:
                 return web.json_response({"error": "history gone"}, status=410)
             found, version = self._page(request.query["table"], since)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -29,7 +29,7 @@
         self.times = AnswerTimes(0.4, 3.0)
         self.clock = StoreClock()
 
-    def renew_watches(self) -> None:
+    def renew_readings(self) -> None:
         """Count."""
         self.renewals += 1
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 import unittest
 from typing import Any
 
+from pumicespur.schema.jobs_pb import HeartbeatRecord
 from standins.hosted import VALID_MS, World
 from tests.base import quiet_loop
 
@@ -124,6 +125,32 @@
             status, _ = await self.world.call(self.node, "GET", "/other/")
 
 
+class OutdatedConfigurationTest(NodeCase):
+    """A process knows that there is a newer configuration and can't read it."""
+
+    async def asyncSetUp(self) -> None:
+        # Two processes refused added routes with 404 for seconds while others' heartbeats told
+        # them of forty newer versions.
+        await super().asyncSetUp()
+        self.world.store.faults.refused_tables.add("op")
+        self.world.configure(2, ("quick", "other"))
+        told = HeartbeatRecord(process="far", incarnation="life", configuration_version=2)
+        self.world.store.put(("heartbeats", "far", "newest"), told.to_binary())
+
+    async def wait_status(self, path: str, wanted: int) -> None:
+        """Ask until a path is answered with a status."""
+        status = 0
+        while status != wanted:
+            status, _ = await self.world.call(self.node, "GET", path)
+
+    async def test_it_says_that_nothing_was_done_until_it_has_it(self) -> None:
+        await self.wait_status("/other/", 503)
+        self.assertEqual(503, await self.world.submit(self.node, job_id(1), [STEP]))
+        self.world.store.faults.refused_tables.clear()
+        await self.wait_status("/other/", 200)
+        self.assertEqual("410", await self.world.state(self.node, job_id(1)))
+
+
 class MovedRouteTest(NodeCase):
     """A route that gets another pool while its jobs are open."""
 
--- a/tests/test_thin_links.py
+++ b/tests/test_thin_links.py
@@ -144,7 +144,7 @@
             tasks.start_soon(follow)
             while not answers:
                 await asyncio.sleep(0.01)
-                self.table.renew_watches()
+                self.table.renew_readings()
         return answers[0]
 
     async def test_one_that_is_receiving_goes_on(self) -> None:
