--- a/tests/test_thin_links.py
+++ b/tests/test_thin_links.py
@@ -7,6 +7,10 @@
 Order of events: the store answers a heartbeat; its tables are followed again from where they were
 left; each change since then is on its way, one after the other, over a link of 10 Mbit/s;
 heartbeats that tell of newer versions arrive; the transfers are broken off and begun anew.
+
+Cause: a process that was behind asked for more the further behind it was, and threw away what had
+come at each sign of being behind. What proved it: the readings' lines in the log, given up with
+163,764, 507,828 and 540,596 bytes in, and versions 32 to 53 put in force within 50 ms, 14 s late.
 """
 
 from __future__ import annotations
