A reading that has begun ends by its own stall alone

A link whose queue holds packets for over half a second could still have its transfer given up at each newer version: silence was counted from the last piece. Found by reading; RenewalTest and the thin-link tests stay green.

--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -115,7 +115,7 @@
         self.readings: set[Transfer] = set()
 
     def renew_readings(self) -> None:
-        """Give up the readings that hear nothing; their connections may be dead.
+        """Give up the readings that have heard nothing; their connections may be dead.
 
         One that is receiving, or was asked for within the time of an answer, goes on: what it
         carries is what is waited for. Given up at each newer version, a configuration
@@ -123,7 +123,7 @@
         """
         allowed_s = self.times.timeout_s()
         for reading in list(self.readings):
-            if reading.silent_s > allowed_s:
+            if reading.first_at is None and reading.waited_s > allowed_s:
                 reading.give_up()
 
     async def transact(self, transaction: Transaction) -> Result[int, Fault]:
