--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -80,6 +80,9 @@
 GAUGES_S = 1.0
 """Pause between updates of the gauges."""
 
+STORE_USE_S = 10.0
+"""Pause between log lines that tell what each table of the store has cost so far."""
+
 WORKERS_PAUSE_S = 0.3
 """Workers write often; a worker that drains is known well within the two seconds allowed."""
 
@@ -104,6 +107,8 @@
         """Versions of the operators' rows that are known, by key."""
         self.outdated = False
         """What was last told about the configuration."""
+        self.told_use_at = time.monotonic()
+        """When the use of the store was last logged (monotonic seconds)."""
         self.stopping = False
         self.stop_asked = anyio.Event()
 
@@ -193,19 +198,31 @@
     async def _count(self) -> None:
         """Keep the gauges in line."""
         while True:
-            METRICS.store.set({}, self.table.calls)
+            self._count_store_use()
             METRICS.configuration.set({"which": "in force"}, self.view.configuration.version)
             METRICS.configuration.set({"which": "newest heard"}, self.view.newest_heard())
             for owner in self.keeper.pool_owners():
                 METRICS.owned.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
             await anyio.sleep(GAUGES_S)
 
+    def _count_store_use(self) -> None:
+        for table, used in self.table.use.describe().items():
+            METRICS.store_calls.set({"table": table}, used["calls"])
+            for direction in ("sent", "received"):
+                labels = {"table": table, "direction": direction}
+                METRICS.store_bytes.set(labels, used[f"{direction}_bytes"])
+        now = time.monotonic()
+        if now - self.told_use_at >= STORE_USE_S:
+            self.told_use_at = now
+            log.info("store used", **self.table.use.describe())
+
     def describe(self) -> dict[str, object]:
         """Return the process's state."""
         view = self.view
         return {
             "incarnation": self.incarnation,
             "configuration_version": view.configuration.version,
+            "store_use": self.table.use.describe(),
             "workers": len(view.workers),
             "processes": sorted(view.processes),
             "owners": {pool: owner.record.process for pool, owner in view.owners.items()},
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -24,6 +24,7 @@
     Page,
     Row,
     StoreClock,
+    StoreUse,
     Unavailable,
 )
 from pumicespur.utils import METRICS
@@ -109,7 +110,7 @@
         self.settings = settings
         self.caller = caller
         self.base = f"http://{settings.address}"
-        self.calls = 0
+        self.use = StoreUse()
         self.times = AnswerTimes(settings.timeout_s, settings.max_timeout_s)
         self.clock = StoreClock()
         self.readings: set[Transfer] = set()
@@ -130,7 +131,7 @@
         """Write rows together if all conditions hold; return the version of the change."""
         body = _ENCODER.encode(_encode(transaction))
         sent_at = time.monotonic()
-        answer = await self._timed_call("POST", TRANSACT_PATH, body)
+        answer = await self._timed_call("POST", TRANSACT_PATH, body, _table_of(transaction))
         match answer:
             case Result(tag="ok", ok=Answer(status=200, body=content)):
                 written = understand(_WRITTEN.decode, content)
@@ -151,7 +152,7 @@
         table, part, name = key.split("/", 2)
         query = {"table": table, "part": part, "from": name, "limit": "1"}
         sent_at = time.monotonic()
-        answer = _rows(await self._timed_call("GET", _path(READ_PATH, query), None))
+        answer = _rows(await self._timed_call("GET", _path(READ_PATH, query), None, table))
         answer.map(lambda found: self._note_clock(found.now_ms, sent_at))
         return answer.map(
             lambda found: next(
@@ -171,7 +172,7 @@
         while True:
             query = {"table": table, "part": part, "from": start, "limit": str(PAGE_ROWS)}
             transfer = Transfer(self.times.timeout_s())
-            answer = _rows(await self._read(_path(READ_PATH, query), transfer))
+            answer = _rows(await self._read(_path(READ_PATH, query), transfer, table))
             self._note_first_bytes(transfer)
             match answer:
                 case Result(tag="ok", ok=found):
@@ -193,7 +194,7 @@
         """
         query = {"table": table, "dependsOn": str(since), "waitMs": str(int(wait_s * 1000))}
         transfer = Transfer(wait_s + self.times.timeout_s())
-        answer = _rows(await self._read(_path(CHANGES_PATH, query), transfer))
+        answer = _rows(await self._read(_path(CHANGES_PATH, query), transfer, table))
         if answer.is_error() and not isinstance(answer.error, HistoryGone):
             _note_broken_off("watch", table, transfer, answer.error)
         return answer.map(lambda found: _newest(found, transfer.receiving_s))
@@ -207,23 +208,25 @@
             self.times.note_answer(now, transfer.first_after_s)
 
     async def _read(
-        self, path: str, transfer: Transfer
+        self, path: str, transfer: Transfer, table: str
     ) -> Result[Answer, Unavailable | AnswerLost]:
-        self.calls += 1
         self.readings.add(transfer)
         try:
             return await self.caller.read(self.base + path, transfer)
         finally:
             self.readings.discard(transfer)
+            self.use.note(table, 0, transfer.received_bytes)
 
     async def _timed_call(
-        self, method: str, path: str, body: bytes | None
+        self, method: str, path: str, body: bytes | None, table: str
     ) -> Result[Answer, Unavailable | AnswerLost]:
         """Call with a time-out that follows how fast the store answers, and the body's size."""
         started = time.monotonic()
         upload_s = len(body or b"") / UPLOAD_BYTES_PER_S
         answer = await self._call(method, path, self.times.timeout_s() + upload_s, body)
         now = time.monotonic()
+        received = answer.map(lambda found: len(found.body)).default_value(0)
+        self.use.note(table, len(body or b""), received)
         if answer.is_ok():
             self.times.note_answer(now, now - started)
         else:
@@ -233,13 +236,17 @@
     async def _call(
         self, method: str, path: str, timeout_s: float, body: bytes | None
     ) -> Result[Answer, Unavailable | AnswerLost]:
-        self.calls += 1
         headers = JSON_HEADERS if body is not None else None
         return await self.caller.call(
             method, self.base + path, timeout_s, body=body, headers=headers
         )
 
 
+def _table_of(transaction: Transaction) -> str:
+    """Return the table that a transaction counts for: that of its last write."""
+    return transaction.writes[-1].key.split("/", 1)[0] if transaction.writes else ""
+
+
 def _newest(found: _Rows, receiving_s: float) -> Page:
     newest = {_key(row): row for row in found.rows}
     superseded = len(found.rows) - len(newest)
--- a/pumicespur/store/__init__.py
+++ b/pumicespur/store/__init__.py
@@ -17,6 +17,7 @@
 )
 from pumicespur.store._latency import AnswerTimes
 from pumicespur.store._rows import Condition, Listing, Page, Row, Transaction, UsageListing, Write
+from pumicespur.store._use import StoreUse
 
 __all__ = [
     "AnswerLost",
@@ -30,6 +31,7 @@
     "Page",
     "Row",
     "StoreClock",
+    "StoreUse",
     "Transaction",
     "Unavailable",
     "UsageListing",
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -19,7 +19,10 @@
         self.starts = Counter("pumicespur_task_starts_total", "Ordered starts by pool and outcome.")
         self.takeovers = Counter("pumicespur_takeovers_total", "Pools taken by this process.")
         self.lost = Counter("pumicespur_pools_lost_total", "Pools that another process took.")
-        self.store = Gauge("pumicespur_store_calls", "Calls to the store since the start.")
+        self.store_calls = Gauge("pumicespur_store_calls", "Calls to the store, by table.")
+        self.store_bytes = Gauge(
+            "pumicespur_store_bytes", "Bytes sent to and received from the store, by table."
+        )
         self.owned = Gauge("pumicespur_owned_jobs", "Open jobs of the pools owned, by pool.")
         self.broken_off = Counter(
             "pumicespur_readings_broken_off_total",
@@ -40,7 +43,8 @@
             self.starts,
             self.takeovers,
             self.lost,
-            self.store,
+            self.store_calls,
+            self.store_bytes,
             self.owned,
             self.broken_off,
             self.configuration,
