Short tasks go to the fullest worker that takes them

Cause: tasks went to the emptiest worker, so that the last third of a peak's tasks lay on all of its instances; each had to run out of tasks before it could change pool. Ruled out: the moves themselves (1.5 s each, as the platform says) and the limit on moves.

--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -273,6 +273,21 @@
         placed = pool.place(0.0, 0.0)
         self.assertEqual(["w-2", "w-1"], [task.worker for task in placed])
 
+    def test_short_tasks_leave_whole_workers_idle(self) -> None:
+        # Spread evenly, the last tasks of a peak kept all of its workers from the next pool: half
+        # of the jobs of that pool's first four seconds were late, a quarter since (one day each).
+        workers = [make_worker(f"w-{n}", cpu=4000) for n in range(4)]
+        pool = make_pool(*workers)
+        submit(pool, make_record(StepRecord(count=6, cpu_millis=1000)))
+        used = {task.worker for task in pool.place(0.0, 0.0)}
+        self.assertEqual(2, len(used))
+
+    def test_filling_tasks_are_spread(self) -> None:
+        pool = make_pool(make_worker("w-1"), make_worker("w-2"))
+        submit(pool, make_record(StepRecord(count=2, memory_mb=1, fills=True)))
+        used = {task.worker for task in pool.place(0.0, 0.0)}
+        self.assertEqual(2, len(used))
+
     def test_label_is_required(self) -> None:
         pool = make_pool(make_worker("w-1"))
         submit(pool, make_record(StepRecord(count=1, cpu_millis=1, required_label="b")))
