Foresee growing arrivals, and count a long job by what it keeps busy

And one job of 32 wide tasks in two steps counted as if all its work were due in 1.5 s: 99 workers asked for, 64 came and idled, at another pool's onset.

--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -41,6 +41,10 @@
 ARRIVAL_S = 1.5
 """Time over which arriving work is averaged; a few jobs of a slow route."""
 
+ARRIVAL_LEAD_S = 2.0
+"""Time by which growing arrivals are foreseen: word of them to the fleet's holder, the move of an
+instance and its worker's first answer."""
+
 
 @dataclass(frozen=True)
 class Demand:
@@ -117,15 +121,32 @@
         return Demand(max(peak_cpu, rising.cpu_millis), max(peak_memory, rising.memory_mb))
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A job's work as it came, and the time over which that work is spread."""
+
+    accepted_ms: int
+    cpu_millis: float
+    """Thousandths of a core that the job keeps busy while it lasts."""
+    lasts_ms: float
+
+
+@dataclass(frozen=True)
+class ArrivalFigure:
+    """What was found to arrive at a time of day in milliseconds."""
+
+    at_ms: int
+    cpu_millis: int
+
+
 @dataclass
 class Arrivals:
     """The work that callers handed in lately, whether it has begun or not."""
 
-    entries: deque[tuple[int, float]] = field(default_factory=deque)
-    """Times of day of acceptance and processor time, in milliseconds and thousandths of a core
-    times milliseconds, oldest first."""
-    figures: deque[tuple[int, int]] = field(default_factory=deque)
-    """What was measured in the last seconds, by time of day, oldest first."""
+    entries: deque[Arrival] = field(default_factory=deque)
+    """Oldest first."""
+    figures: deque[ArrivalFigure] = field(default_factory=deque)
+    """What was measured in the last seconds, oldest first."""
 
     def note(self, job: Job, estimates: Estimates) -> None:
         """Count a job; long-running and timed work does not come in peaks."""
@@ -137,28 +158,44 @@
             if not spec.long_running
         )
         if work:
-            self.entries.append((job.record.accepted_ms, float(work)))
+            # A long job is no larger a share of what arrives than of what it keeps busy: one of
+            # 25 s of work in two steps looked like a peak of 77 workers.
+            lasts_ms = max(ARRIVAL_S * 1000, max(job.rest_ms))
+            self.entries.append(Arrival(job.record.accepted_ms, work / lasts_ms, lasts_ms))
 
     def cpu_millis(self, now_ms: int) -> int:
         """Return the processor time that such work keeps busy, in thousandths of a core."""
-        window_ms = ARRIVAL_S * 1000
-        while self.entries and now_ms - self.entries[0][0] > window_ms:
-            self.entries.popleft()
-        return int(sum(work for _, work in self.entries) / window_ms)
+        self.entries = deque(e for e in self.entries if now_ms - e.accepted_ms <= e.lasts_ms)
+        return round(sum(entry.cpu_millis for entry in self.entries))
 
     def measure(self, now_ms: int) -> int:
-        """Return the processor time that arrives and remember it, to tell when it falls."""
+        """Return the processor time that arrives and remember it, to tell how it changes."""
         cpu_millis = self.cpu_millis(now_ms)
-        self.figures.append((now_ms, cpu_millis))
-        while now_ms - self.figures[0][0] > REMEMBER_S * 1000:
+        self.figures.append(ArrivalFigure(now_ms, cpu_millis))
+        while now_ms - self.figures[0].at_ms > REMEMBER_S * 1000:
             self.figures.popleft()
         return cpu_millis
 
+    def foreseen(self) -> int:
+        """Return what will arrive by the time that more workers are there, if growth goes on.
+
+        The largest new job counts for no growth: one job alone is no trend.
+        """
+        if not self.figures:
+            return 0
+        newest = self.figures[-1]
+        since_ms = newest.at_ms - MEAN_S * 1000
+        before = next(figure for figure in self.figures if figure.at_ms >= since_ms)
+        new = [e.cpu_millis for e in self.entries if e.accepted_ms >= since_ms]
+        growth = newest.cpu_millis - before.cpu_millis - max(new, default=0)
+        return newest.cpu_millis + int(max(0, growth) * ARRIVAL_LEAD_S / MEAN_S)
+
     def falling(self) -> bool:
         """Whether less than a share of what was measured a moment ago arrives now."""
         if not self.figures:
             return False
-        return self.figures[-1][1] < FALLING_SHARE * max(figure for _, figure in self.figures)
+        most = max(figure.cpu_millis for figure in self.figures)
+        return self.figures[-1].cpu_millis < FALLING_SHARE * most
 
 
 def current_demand(pool: PoolState, now_ms: float) -> PoolDemand:
--- a/pumicespur/jobs/_size.py
+++ b/pumicespur/jobs/_size.py
@@ -73,8 +73,8 @@
         Once less arrives, what runs is left out: it ends where it is. So a pool gives what it
         took as soon as its callers turn away.
         """
-        arriving = self.arrivals.measure(now_ms())
-        cpu_millis = max(arriving, waiting.cpu_millis)
+        self.arrivals.measure(now_ms())
+        cpu_millis = max(self.arrivals.foreseen(), waiting.cpu_millis)
         memory_mb = waiting.memory_mb
         if not self.arrivals.falling():
             rising = self.demand.rising()
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -608,6 +608,32 @@
         self.arrive(0, long_running=True)
         self.assertEqual(0, self.arrivals.cpu_millis(100))
 
+    def test_long_job_counts_by_what_it_keeps_busy(self) -> None:
+        # One job of 32 wide tasks looked like a peak of 77 workers, which came and idled.
+        steps = [
+            StepRecord(count=32, cpu_millis=4000, estimated_ms=4000),
+            StepRecord(count=32, cpu_millis=4000, estimated_ms=4000, depends_on=[0]),
+        ]
+        record = JobRecord(id="wide", route="quick", steps=steps)
+        self.arrivals.note(make_job(record, ROUTE, Estimates()), Estimates())
+        self.assertAlmostEqual(32 * 4000, self.arrivals.cpu_millis(100), delta=2)
+        self.assertAlmostEqual(32 * 4000, self.arrivals.cpu_millis(7900), delta=2)
+        self.assertEqual(0, self.arrivals.cpu_millis(8100))
+
+    def test_growth_of_many_jobs_is_foreseen(self) -> None:
+        # A pool's onset asked for 25 workers where 60 were needed once they had come.
+        self.arrivals.measure(0)
+        for at_ms in range(0, 1000, 100):
+            self.arrive(at_ms)
+        now = self.arrivals.measure(1000)
+        self.assertAlmostEqual(now + 2.0 * 0.9 * now, self.arrivals.foreseen(), delta=20)
+
+    def test_one_job_is_no_growth(self) -> None:
+        self.arrivals.measure(0)
+        self.arrive(0)
+        now = self.arrivals.measure(1000)
+        self.assertEqual(now, self.arrivals.foreseen())
+
     def test_falling_once_less_than_half_arrives(self) -> None:
         for at_ms in range(0, 1500, 100):
             self.arrive(at_ms)
