--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -13,7 +14,7 @@
 from pumicespur.jobs._sweep import SubmissionSweep
 from pumicespur.model import JobId
 from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
-from pumicespur.store import HistoryGone, Page, Row
+from pumicespur.store import AnswerLost, HistoryGone, Page, Row
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -28,10 +29,21 @@
 RETRY_S = 0.2
 """Pause after a fault of the store outside commits."""
 
-WATCH_S = 1.0
+WATCH_S = 0.25
 """Longest wait for new submissions in one request. A request that the store has forgotten hears
 nothing; each second of that is as much of the callers' latency objective."""
 
+PATIENCE_S = 0.1
+"""Time beyond the wait and the store's slowest answers of late after which a request counts as
+forgotten and is made anew. Waited out like any call, the store's dropping its history at the onset
+of a pool kept its owner from hearing of jobs for 1.2 s, and half of its jobs were late for 6 s."""
+
+SLOW_ANSWERS = 2.0
+"""Times that the slowest answer of late counts there."""
+
+MOST_DOUBLINGS = 4
+"""Silences in a row that double that time; with more, the store is away and is asked less often."""
+
 
 class JobIntake:
     """Takes jobs into a pool's state."""
@@ -126,19 +138,33 @@
         """Take in jobs and cancellations as callers' entries write them."""
         pool = self.pool.pool
         table = submissions_table(pool)
-        wait_s = min(self.watch_s, WATCH_S)
+        silent = 0
         while True:
-            answer = await self.table.changes(table, self.version, wait_s)
+            # After a silence, what there is by now is asked for without a wait.
+            wait_s = 0.0 if silent else min(self.watch_s, WATCH_S)
+            answer = await self.table.changes(
+                table, self.version, wait_s, self._patience_s() * 2**silent
+            )
             match answer:
                 case Result(tag="ok", ok=page):
+                    silent = 0
                     self.version = page.version
                     rows = page.rows
                 case Result(error=HistoryGone()):
                     log.warning("submissions read anew", pool=pool, reason="history gone")
+                    silent = 0
                     rows = await self._read_all()
+                case Result(error=AnswerLost() as fault) if silent < MOST_DOUBLINGS:
+                    log.info("submissions not heard of", pool=pool, reason=str(fault))
+                    silent += 1
+                    continue
                 case Result(error=fault):
                     log.warning("submissions not followed", pool=pool, reason=str(fault))
+                    silent = MOST_DOUBLINGS
                     await anyio.sleep(RETRY_S)
                     continue
             for row in rows:
                 self._take(row, {})
+
+    def _patience_s(self) -> float:
+        return PATIENCE_S + SLOW_ANSWERS * self.table.times.worst_s(time.monotonic())
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -186,14 +186,19 @@
                     _note_broken_off("scan", table, transfer, fault)
                     return Error(fault)
 
-    async def changes(self, table: str, since: int, wait_s: float) -> Result[Page, Fault]:
+    async def changes(
+        self, table: str, since: int, wait_s: float, patience_s: float | None = None
+    ) -> Result[Page, Fault]:
         """Wait for changes of a table after version `since`; removed rows have no value.
 
+        The answer may begin `patience_s` after the wait, or as late as any call's.
+
         The service hands out each change; of a row that changed several times only the newest
         state is returned.
         """
         query = {"table": table, "dependsOn": str(since), "waitMs": str(int(wait_s * 1000))}
-        transfer = Transfer(wait_s + self.times.timeout_s())
+        allowed_s = self.times.timeout_s()
+        transfer = Transfer(wait_s + min(allowed_s, patience_s or allowed_s))
         answer = _rows(await self._read(_path(CHANGES_PATH, query), transfer, table))
         if answer.is_error() and not isinstance(answer.error, HistoryGone):
             _note_broken_off("watch", table, transfer, answer.error)
