The fleet's view stands below its readers; jobs, maintenance, node and platform import one way

What the view is (NodeView) moves from node to a package of its own, the outcomes of callers' requests to model; the server for callers names what it needs of jobs as a protocol. import-linter checks the layers in make lint. Ruled out: moving the records of owners and processes along with the protocol messages, which stay generated. Before: jobs, maintenance, node and platform imported each other in one circle of 17 files; after: none.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 lint: $(STAMP)
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/lint-imports --no-cache
 
 types: $(STAMP)
 	$(VENV)/bin/mypy
--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -7,18 +7,16 @@
 from pumicespur.jobs._keys import OWNERS_TABLE, owner_key
 from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._owner import PoolOwner
-from pumicespur.jobs._service import Cancellation, JobService, Submission
+from pumicespur.jobs._service import JobService
 
 __all__ = [
     "FILL_SHARE",
     "OWNERS_TABLE",
-    "Cancellation",
     "EarlierLeases",
     "JobService",
     "Journal",
     "Ownership",
     "OwnershipLostError",
     "PoolOwner",
-    "Submission",
     "owner_key",
 ]
--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -21,8 +21,8 @@
 
     from pumicespur.jobs._job import Job
     from pumicespur.jobs._pool import PoolState
-    from pumicespur.node import NodeView
     from pumicespur.platform import PlatformTable
+    from pumicespur.view import NodeView
 
 log = Logger(__name__)
 
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -34,9 +34,9 @@
     from pumicespur.jobs._job import StepGroup
     from pumicespur.jobs._lease import EarlierLeases
     from pumicespur.model import TaskEnd, Worker
-    from pumicespur.node import NodeView
     from pumicespur.platform import PlatformTable, WorkerOrders
     from pumicespur.schema.jobs_pb import PoolReport
+    from pumicespur.view import NodeView
 
 log = Logger(__name__)
 
--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -4,7 +4,6 @@
 
 import random
 import time
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import anyio
@@ -13,7 +12,7 @@
 
 from pumicespur.jobs._job import ENDED_PHASES
 from pumicespur.jobs._keys import progress_key, submission_key
-from pumicespur.model import JobId
+from pumicespur.model import Cancellation, JobId, Submission
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, Condition, Conflict, Row, Transaction, Write
 
@@ -33,23 +32,6 @@
 """Longest such pause."""
 
 
-class Submission(Enum):
-    """What became of a submitted job."""
-
-    ACCEPTED = "accepted"
-    NOT_TAKEN = "not taken"
-    """It is recorded nowhere and never will be."""
-    UNKNOWN = "unknown"
-
-
-class Cancellation(Enum):
-    """What became of a request to cancel."""
-
-    DONE = "done"
-    NO_SUCH_JOB = "no such job"
-    UNKNOWN = "unknown"
-
-
 class JobService:
     """Answers callers from the store, so that it needs no owner to be at work."""
 
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -39,8 +39,8 @@
 
     from pumicespur.config import NodeSettings
     from pumicespur.jobs import Ownership
-    from pumicespur.node import NodeView
     from pumicespur.platform import FleetOrders, PlatformTable
+    from pumicespur.view import NodeView
 
 log = Logger(__name__)
 
--- a/pumicespur/maintenance/_reports.py
+++ b/pumicespur/maintenance/_reports.py
@@ -9,8 +9,8 @@
     from collections.abc import Iterable, Mapping
 
     from pumicespur.model import Instance, InstanceId, PoolId
-    from pumicespur.node import NodeView
     from pumicespur.schema.jobs_pb import PoolReport, WorkerReport
+    from pumicespur.view import NodeView
 
 REPORT_MAX_AGE_S = 3.0
 """Oldest report of an owner from which a worker is known to be empty."""
--- a/pumicespur/maintenance/_wave_work.py
+++ b/pumicespur/maintenance/_wave_work.py
@@ -24,8 +24,8 @@
     from pumicespur.maintenance._reports import FleetReports
     from pumicespur.maintenance._sizing import FleetState
     from pumicespur.model import Instance
-    from pumicespur.node import NodeView
     from pumicespur.platform import FleetOrders, PlatformTable
+    from pumicespur.view import NodeView
 
 log = Logger(__name__)
 
--- a/pumicespur/model/__init__.py
+++ b/pumicespur/model/__init__.py
@@ -30,6 +30,7 @@
     task_name,
 )
 from pumicespur.model._orders import Account, OtherLife, Refused, StartOrder
+from pumicespur.model._outcomes import Cancellation, Submission
 from pumicespur.model._workers import (
     Capacity,
     Instance,
@@ -49,6 +50,7 @@
     "SPARE_POOL",
     "Advice",
     "CallerLimits",
+    "Cancellation",
     "Capacity",
     "Configuration",
     "DataHall",
@@ -66,6 +68,7 @@
     "RouteName",
     "RunEnd",
     "Running",
+    "Submission",
     "TaskEnd",
     "TaskId",
     "TaskName",
--- a/pumicespur/node/__init__.py
+++ b/pumicespur/node/__init__.py
@@ -3,6 +3,5 @@
 from __future__ import annotations
 
 from pumicespur.node._process import NodeProcess
-from pumicespur.node._view import NodeView
 
-__all__ = ["NodeProcess", "NodeView"]
+__all__ = ["NodeProcess"]
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -21,9 +21,9 @@
 from pumicespur.model import PoolId, ProcessId
 from pumicespur.node._follow import CatchUp, TableFollower
 from pumicespur.node._predecessors import Predecessors
-from pumicespur.node._view import SeenOwner, SeenProcess
 from pumicespur.schema.jobs_pb import GivenUp, HeartbeatRecord, OwnerRecord
 from pumicespur.store import Condition, Transaction, Write
+from pumicespur.view import SeenOwner, SeenProcess
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -31,9 +31,9 @@
     from anyio.abc import TaskGroup
 
     from pumicespur.config import NodeSettings
-    from pumicespur.node._view import NodeView
     from pumicespur.platform import FleetOrders, PlatformTable, WorkerOrders
     from pumicespur.store import Row
+    from pumicespur.view import NodeView
 
 log = Logger(__name__)
 
--- a/pumicespur/node/_predecessors.py
+++ b/pumicespur/node/_predecessors.py
@@ -16,8 +16,8 @@
 
 if TYPE_CHECKING:
     from pumicespur.config import NodeSettings
-    from pumicespur.node._view import NodeView, SeenOwner, SeenProcess
     from pumicespur.store import StoreClock
+    from pumicespur.view import NodeView, SeenOwner, SeenProcess
 
 LAPSE_SLACK_S = 0.5
 """Added to the longest lease of an earlier owner, for late timers and a stop under way."""
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -19,7 +19,6 @@
 from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._keeper import OwnershipKeeper
 from pumicespur.node._reload import SettingsFile
-from pumicespur.node._view import NodeView
 from pumicespur.platform import (
     CONFIGURATION_KEY,
     OPERATORS_TABLE,
@@ -35,6 +34,7 @@
     decode_worker,
 )
 from pumicespur.utils import METRICS
+from pumicespur.view import NodeView
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -10,15 +10,14 @@
 from expression import Error, Ok, Result
 from logbook import Logger
 
-from pumicespur.jobs import Cancellation, Submission
 from pumicespur.listeners import bound_to, listen_at
-from pumicespur.model import JobId
+from pumicespur.model import Cancellation, JobId, Submission
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, StepRecord
 from pumicespur.utils import METRICS, now_ms
 
 if TYPE_CHECKING:
-    from pumicespur.jobs import JobService
     from pumicespur.model import Configuration, Route, RouteName
+    from pumicespur.store import Fault
 
 log = Logger(__name__)
 
@@ -78,10 +77,27 @@
 _JOB = msgspec.json.Decoder(_Job)
 
 
+class JobDesk(Protocol):
+    """What callers may ask of jobs; times to give up are monotonic seconds."""
+
+    async def submit(self, route: Route, record: JobRecord, give_up_at: float) -> Submission:
+        """Record a job."""
+
+    async def state(
+        self, route: Route, job: JobId, give_up_at: float
+    ) -> Result[JobPhase | None, Fault]:
+        """Read how far a job is; None tells that there is no such job."""
+
+    async def cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
+        """Record that a job is not wanted any more."""
+
+
 class CallerContext(Protocol):
     """What the server needs of the process."""
 
-    jobs: JobService
+    @property
+    def jobs(self) -> JobDesk:
+        """Return where jobs are handed in and asked for."""
 
     def current_configuration(self) -> Configuration | None:
         """Return the configuration in force, or None before the first one."""
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -10,10 +10,10 @@
 from pumicespur.model import PoolId, ProcessId
 from pumicespur.node._keeper import RENEW_AGAIN_S, OwnershipKeeper
 from pumicespur.node._predecessors import Predecessors
-from pumicespur.node._view import NodeView, SeenOwner, SeenProcess
 from pumicespur.schema.jobs_pb import GivenUp, HeartbeatRecord, OwnerRecord
 from pumicespur.schema.node_pb import NodeProcessSettings, StoreSettings, WorkerSettings
 from pumicespur.store import AnswerTimes, Row, StoreClock
+from pumicespur.view import NodeView, SeenOwner, SeenProcess
 
 if TYPE_CHECKING:
     from pumicespur.jobs import EarlierLeases
