A peak is what takes three tenths of the pool's own instances

Cause: from the first instance's worth on, what a single job asked for was a peak. Ruled out: the rule that a peak has ended (its times were right).

--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -19,7 +19,7 @@
 from pumicespur.jobs import FILL_SHARE, Journal, OwnershipLostError
 from pumicespur.maintenance._intents import IntentLog, intent_age_s
 from pumicespur.maintenance._memory import HolderMemory
-from pumicespur.maintenance._peaks import reserved_sizes
+from pumicespur.maintenance._peaks import least_peak, reserved_sizes
 from pumicespur.maintenance._reports import FleetReports
 from pumicespur.maintenance._sizing import FleetState, Sizer
 from pumicespur.maintenance._wave_work import WaveWork
@@ -181,8 +181,9 @@
     def _note_peaks(self) -> None:
         if not self.instances:
             return
-        least = self._largest_room()
+        room = self._largest_room()
         for pool, report in self.reports.pools().items():
+            least = least_peak(self.memory.declared.get(pool, 0), room)
             self.memory.peaks.note(pool, report.arriving_cpu_millis, least, now_ms())
 
     def _largest_room(self) -> int:
--- a/pumicespur/maintenance/_peaks.py
+++ b/pumicespur/maintenance/_peaks.py
@@ -27,6 +27,11 @@
 crosses it within its first second; a share that is crossed by what lies in between finds peaks
 where there are none."""
 
+PEAK_SHARE = 0.3
+"""Share of the instances a pool came with that it takes to carry what arrives at least, for that to
+be a peak. Counted from the first instance on, single jobs made four pools out of turn within the
+first seconds, and two of them kept 25 idle instances each for half a minute."""
+
 END_SHARE = 0.15
 """Share of the present peak's highest demand below which it is over."""
 
@@ -137,6 +142,14 @@
         self.peaks = list(peaks)
 
 
+def least_peak(declared: int, room: int) -> int:
+    """Return the least demand of a peak, by a pool's own size and the room of one instance.
+
+    The demand and the room are in thousandths of a core.
+    """
+    return int(PEAK_SHARE * room * max(1, declared))
+
+
 def reserved_sizes(
     history: PeakHistory, declared: Mapping[PoolId, int], pools: Iterable[PoolId]
 ) -> dict[PoolId, int]:
--- a/tests/test_holder_memory.py
+++ b/tests/test_holder_memory.py
@@ -10,7 +10,7 @@
 
 from pumicespur.maintenance._intents import IntentLog
 from pumicespur.maintenance._memory import HolderMemory
-from pumicespur.maintenance._peaks import PeakHistory, reserved_sizes
+from pumicespur.maintenance._peaks import PeakHistory, least_peak, reserved_sizes
 from pumicespur.model import (
     Capacity,
     DataHall,
@@ -126,6 +126,14 @@
         self.history.note(MAIN, ROOM - 1, ROOM, 1_000)
         self.assertIsNone(self.history.current(MAIN))
 
+    def test_single_jobs_do_not_change_whose_turn_it_is(self) -> None:
+        # Each kept an idle pool at its own size for half a minute: it counted as the pool whose
+        # peak lies furthest back.
+        least = least_peak(declared=36, room=16_000)
+        self.history.note(MAIN, 30_000, least, 1_000)
+        self.history.note(OTHER, 5 * least, least, 2_000)
+        self.assertEqual({MAIN}, self.history.next_pools([MAIN, OTHER]))
+
     def test_demand_that_falls_a_little_goes_on(self) -> None:
         self.history.note(MAIN, PEAK, ROOM, 1_000)
         self.history.note(MAIN, PEAK // 3, ROOM, 2_000)
