Heartbeats of processes that own nothing are read only when a pool lacks an owner

Now: owners' heartbeats are heard by all and hold no reports; those of the others stand in a table of their own that is read when a pool lacks an owner; reports and workers are followed by owners alone, from a takeover on. A process that owns nothing may be gone unnoticed, so that each candidate waits 0.4 s for the one before it. A takeover counts as a sign of life. An owner waits for the list of workers before it judges what runs where. The keeper is split: what is written, what is heard, who follows, what is owned. Weighed: a digest written by the fleet's holder (nobody hears of anybody for as long as there is none), direct links (a second way to fail for news that the store carries anyway).

--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -55,6 +55,9 @@
 EVACUATION_MAX_AGE_S = 3.0
 """Oldest word of the fleet's holder that is followed; a few heartbeats."""
 
+LIST_POLL_S = 0.01
+"""Pause between looks whether the list of workers is known."""
+
 SETTLE_S = 1.5
 """Time after a takeover before tasks are moved: stops that the owner before gave take effect."""
 
@@ -127,6 +130,7 @@
             await self.journal.load()
             await self.intake.load()
             self._tell_taken()
+            await self._wait_for_workers()
             async with anyio.create_task_group() as self.tasks:
                 self.sync_workers()
                 self.ready = True
@@ -149,6 +153,11 @@
         self.wake()
         await self.stopped.wait()
 
+    async def _wait_for_workers(self) -> None:
+        """Wait for the list of workers: tasks on workers that are not listed start elsewhere."""
+        while not self.view.workers_known and not self.stopping:
+            await anyio.sleep(LIST_POLL_S)
+
     def _tell_taken(self) -> None:
         METRICS.takeovers.inc({})
         log.info(
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -53,6 +53,8 @@
         on_rows: Callable[[Sequence[Row], bool], None],
         catch_up: CatchUp,
         pause_s: Callable[[], float] = lambda: 0.0,
+        wait_s: float | None = None,
+        first_version: int | None = None,
     ) -> None:
         self.table = table
         self.settings = settings
@@ -61,6 +63,10 @@
         self.catch_up = catch_up
         self.pause_s = pause_s
         """Returns the pause after each answer, for tables that change often, in seconds."""
+        self.wait_s = settings.watch_s if wait_s is None else wait_s
+        """Longest wait for changes in one request, in seconds."""
+        self.first_version = first_version
+        """Version from which changes are followed instead of a whole reading first, if any."""
         self.failing_since: float | None = None
         """When a reading first failed; None while the table is followed (monotonic seconds)."""
         self.hurried = anyio.Event()
@@ -74,12 +80,12 @@
 
     async def run(self) -> None:
         """Follow for ever; after a short outage go on where it left off."""
-        version: int | None = None
+        version = self.first_version
         while True:
             if version is None:
                 answer = await self.table.scan(self.name, "")
             else:
-                answer = await self.table.changes(self.name, version, self.settings.watch_s)
+                answer = await self.table.changes(self.name, version, self.wait_s)
             match answer:
                 case Result(tag="ok", ok=page):
                     self._note_connected(True, "")
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -14,11 +14,13 @@
 
 from pumicespur.jobs import JobService, PoolOwner
 from pumicespur.listeners import bound_to
-from pumicespur.model import WorkerId
+from pumicespur.model import ProcessId, WorkerId
 from pumicespur.node._follow import CatchUp, TableFollower
+from pumicespur.node._hearing import count_waiting
 from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._keeper import OwnershipKeeper
 from pumicespur.node._reload import SettingsFile
+from pumicespur.node._tables import REPORTS_TABLE, newest_key
 from pumicespur.platform import (
     CONFIGURATION_KEY,
     OPERATORS_TABLE,
@@ -43,7 +45,7 @@
     from anyio.abc import TaskStatus
 
     from pumicespur.config import NodeSettings
-    from pumicespur.model import Configuration, RouteName
+    from pumicespur.model import Configuration, Route
     from pumicespur.store import Row
 
 log = Logger(__name__)
@@ -86,9 +88,8 @@
 WORKERS_PAUSE_S = 0.3
 """Workers write often; a worker that drains is known well within the two seconds allowed."""
 
-IDLE_WORKERS_PAUSE_S = 2.0
-"""The same pause in a process that owns no pool; it looks at once when it takes one."""
-
+OWNERLESS_S = 0.5
+"""Pause between looks whether a pool is still owned, while the workers are followed."""
 
 WORKERS_REPLAY_S = 3.0
 """Longest silence after which the workers' changes are replayed: each writes itself about every
@@ -136,17 +137,8 @@
                 self._on_operators_rows,
                 CatchUp(after_s=0.0, when_late=True),
             )
-            workers = TableFollower(
-                self.table,
-                settings.store,
-                WORKERS_TABLE,
-                self._on_worker_rows,
-                CatchUp(WORKERS_REPLAY_S),
-                self._workers_pause_s,
-            )
-            self.keeper.on_taken = workers.hurry
             tasks.start_soon(self.operators.run)
-            tasks.start_soon(workers.run)
+            tasks.start_soon(self._follow_workers)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self.describe)
                 self.server.runners.append(inspection)
@@ -201,7 +193,7 @@
             self._count_store_use()
             METRICS.configuration.set({"which": "in force"}, self.view.configuration.version)
             METRICS.configuration.set({"which": "newest heard"}, self.view.newest_heard())
-            for owner in self.keeper.pool_owners():
+            for owner in self.keeper.duties.pool_owners():
                 METRICS.owned.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
             await anyio.sleep(GAUGES_S)
 
@@ -228,7 +220,7 @@
             "owners": {pool: owner.record.process for pool, owner in view.owners.items()},
             "owned": {
                 pool: {"jobs": len(owner.pool.jobs), "workers": len(owner.watches)}
-                for pool, owner in self.keeper.owned.items()
+                for pool, owner in self.keeper.duties.owned.items()
                 if isinstance(owner, PoolOwner)
             },
         }
@@ -247,7 +239,7 @@
         match decode_configuration(value):
             case Result(tag="ok", ok=configuration):
                 self.view.take_configuration(configuration)
-                self.keeper.changed.set()
+                self.keeper.note_configuration()
             case Result(error=reason):
                 log.error("configuration not understood", reason=reason)
 
@@ -259,8 +251,34 @@
             case Result(error=reason):
                 log.error("wave not understood", reason=reason)
 
-    def _workers_pause_s(self) -> float:
-        return WORKERS_PAUSE_S if self.keeper.pool_owners() else IDLE_WORKERS_PAUSE_S
+    async def _follow_workers(self) -> None:
+        """Follow the list of workers while a pool is owned, from a whole reading on.
+
+        Each worker writes itself each 1.5 s; followed by all of 97 processes, that was 40 KB a
+        second for each of them.
+        """
+        while True:
+            await self.keeper.owning.wait()
+            if self.keeper.duties.pool_owners():
+                await self._follow_workers_while_owning()
+            await anyio.sleep(POLL_S)
+
+    async def _follow_workers_while_owning(self) -> None:
+        follower = TableFollower(
+            self.table,
+            self.settings.store,
+            WORKERS_TABLE,
+            self._on_worker_rows,
+            CatchUp(WORKERS_REPLAY_S),
+            lambda: WORKERS_PAUSE_S,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            while self.keeper.duties.pool_owners():
+                await anyio.sleep(OWNERLESS_S)
+            tasks.cancel_scope.cancel()
+        self.view.workers_known = False
+        self.view.workers.clear()
 
     def _on_worker_rows(self, rows: Sequence[Row], whole: bool) -> None:
         if whole:
@@ -275,9 +293,7 @@
                     self.view.workers[identity] = worker
                 case Result(error=reason):
                     log.error("worker not understood", worker=identity, reason=reason)
-        if not self.view.workers_known:
-            self.view.workers_known = True
-            self.keeper.changed.set()
+        self.view.workers_known = True
         self.keeper.sync_workers()
 
     def current_configuration(self) -> Configuration | None:
@@ -287,7 +303,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers are served well here."""
-        heard = time.monotonic() - self.keeper.answered_at < NOT_READY_AFTER_S
+        heard = time.monotonic() - self.table.answered_at < NOT_READY_AFTER_S
         if self.stopping or self.current_configuration() is None:
             return False
         return heard and not self.configuration_outdated()
@@ -311,14 +327,26 @@
         return outdated
 
     def store_answers(self) -> bool:
-        """Tell whether the store answered lately; a heartbeat that failed is the sign."""
-        silent_s = time.monotonic() - self.keeper.answered_at
-        return not self.keeper.failing or silent_s < REFUSE_AFTER_S
+        """Tell whether the store answered lately, or no call has failed since it did."""
+        return self.table.silent_s(time.monotonic()) < REFUSE_AFTER_S
 
     def is_stopping(self) -> bool:
         """Tell whether connections are to be closed after their answer."""
         return self.stopping
 
-    def waiting_jobs(self, route: RouteName) -> int | None:
-        """Return how many jobs wait on a route, or None if that is not known."""
-        return self.view.waiting_jobs(route, WAITING_MAX_AGE_S)
+    async def waiting_jobs(self, route: Route) -> int | None:
+        """Return how many jobs wait on a route, or None if that is not known.
+
+        Only owners follow reports; others read the one of the pool's owner when they are asked.
+        """
+        owner = self.view.owners.get(route.pool)
+        if owner is None:
+            return None
+        key = newest_key(REPORTS_TABLE, ProcessId(owner.record.process))
+        found = await self.table.read(key)
+        match found:
+            case Result(tag="ok", ok=row):
+                return count_waiting(row, route, self.table.clock, WAITING_MAX_AGE_S)
+            case Result(error=fault):
+                log.info("waiting jobs not read", route=route.name, reason=str(fault))
+                return None
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -16,7 +16,7 @@
 from pumicespur.utils import METRICS, now_ms
 
 if TYPE_CHECKING:
-    from pumicespur.model import Configuration, Route, RouteName
+    from pumicespur.model import Configuration, Route
     from pumicespur.store import Fault
 
 log = Logger(__name__)
@@ -114,7 +114,7 @@
     def is_stopping(self) -> bool:
         """Tell whether connections are to be closed after their answer."""
 
-    def waiting_jobs(self, route: RouteName) -> int | None:
+    async def waiting_jobs(self, route: Route) -> int | None:
         """Return how many jobs wait on a route, or None if that is not known."""
 
 
@@ -174,7 +174,7 @@
             return _refuse(404, "no such route")
         name = path[len(route.path_prefix) :]
         if not name and request.method == "GET":
-            return self._count(route)
+            return await self._count(route)
         if len(name) != ID_LENGTH or not set(name) <= HEX_DIGITS:
             return _refuse(404, "no such job")
         if not self.context.store_answers():
@@ -191,8 +191,8 @@
             case _:
                 return _refuse(405, "no such method")
 
-    def _count(self, route: Route) -> web.Response:
-        waiting = self.context.waiting_jobs(route.name)
+    async def _count(self, route: Route) -> web.Response:
+        waiting = await self.context.waiting_jobs(route)
         if waiting is None:
             return _refuse(503, "the pool has no owner at present")
         return _json(200, {"pending": waiting})
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -38,6 +38,9 @@
 PAGE_ROWS = 500
 """Rows that the service hands out at once (its protocol)."""
 
+UNDERSTOOD = frozenset({200, 410, 412})
+"""Status codes of answers by which the service tells what it did or has."""
+
 TRANSACT_PATH = "/pumicespur/rows-tx"
 READ_PATH = "/pumicespur/rows-get"
 CHANGES_PATH = "/pumicespur/rows-feed"
@@ -114,6 +117,21 @@
         self.times = AnswerTimes(settings.timeout_s, settings.max_timeout_s)
         self.clock = StoreClock()
         self.readings: set[Transfer] = set()
+        self.answered_at = float("-inf")
+        """When the service last did what it was asked (monotonic seconds)."""
+        self.failed_at = float("-inf")
+        """When a call last got a refusal or no answer (monotonic seconds)."""
+
+    def silent_s(self, now: float) -> float:
+        """Return for how long calls have failed; 0 if the last one did not."""
+        return now - self.answered_at if self.failed_at > self.answered_at else 0.0
+
+    def _note_outcome(self, answer: Result[Answer, Unavailable | AnswerLost]) -> None:
+        now = time.monotonic()
+        if answer.is_ok() and answer.ok.status in UNDERSTOOD:
+            self.answered_at = now
+        else:
+            self.failed_at = now
 
     def renew_readings(self) -> None:
         """Give up the readings that have heard nothing; their connections may be dead.
@@ -217,10 +235,13 @@
     ) -> Result[Answer, Unavailable | AnswerLost]:
         self.readings.add(transfer)
         try:
-            return await self.caller.read(self.base + path, transfer)
+            answer = await self.caller.read(self.base + path, transfer)
         finally:
             self.readings.discard(transfer)
             self.use.note(table, 0, transfer.received_bytes)
+        if not transfer.given_up:
+            self._note_outcome(answer)
+        return answer
 
     async def _timed_call(
         self, method: str, path: str, body: bytes | None, table: str
@@ -232,6 +253,7 @@
         now = time.monotonic()
         received = answer.map(lambda found: len(found.body)).default_value(0)
         self.use.note(table, len(body or b""), received)
+        self._note_outcome(answer)
         if answer.is_ok():
             self.times.note_answer(now, now - started)
         else:
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from pumicespur.model import Route, Wave, Worker
-    from pumicespur.schema.jobs_pb import HeartbeatRecord, OwnerRecord, PoolReport
+    from pumicespur.schema.jobs_pb import DutyReport, HeartbeatRecord, OwnerRecord, PoolReport
 
 log = Logger(__name__)
 
@@ -27,6 +27,14 @@
     """The heartbeat's version in the store, to tell it from rows written before or after."""
 
 
+@dataclass(frozen=True)
+class SeenReport:
+    """What a process tells of its duties, and when that was first seen (monotonic seconds)."""
+
+    report: DutyReport
+    seen_at: float
+
+
 @dataclass(frozen=True)
 class SeenOwner:
     """Who owns a pool, under which token, and when that was first seen (monotonic seconds)."""
@@ -45,8 +53,10 @@
     """Newer configurations that others have in force, and when that was heard (monotonic s)."""
     waves: dict[int, Wave] = field(default_factory=dict)
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
+    """Followed only while this process owns a pool, as are `reports`."""
     workers_known: bool = False
     processes: dict[ProcessId, SeenProcess] = field(default_factory=dict)
+    reports: dict[ProcessId, SeenReport] = field(default_factory=dict)
     owners: dict[PoolId, SeenOwner] = field(default_factory=dict)
     earlier_pools: dict[RouteName, set[PoolId]] = field(default_factory=dict)
     """Pools that a route had in earlier configurations of this process's life."""
@@ -98,24 +108,16 @@
         now = time.monotonic()
         reports = [
             report
-            for seen in self.processes.values()
+            for seen in self.reports.values()
             if now - seen.seen_at <= max_age_s
-            for report in seen.heartbeat.pools
+            for report in seen.report.pools
             if report.pool == pool
         ]
         return max(reports, key=lambda report: report.fencing_token, default=None)
 
-    def waiting_jobs(self, route: RouteName, max_age_s: float) -> int | None:
-        """Return how many jobs wait on a route; None if the owner's word is too old."""
-        found = self.configuration.routes.get(route)
-        report = None if found is None else self.fresh_report(found.pool, max_age_s)
-        if report is None:
-            return None
-        return sum(count.jobs for count in report.waiting if count.route == route)
-
     def evacuations(self, max_age_s: float) -> set[WorkerId]:
         """Return the workers that the newest holder of the fleet's duty wants emptied."""
         now = time.monotonic()
-        fresh = [s.heartbeat for s in self.processes.values() if now - s.seen_at <= max_age_s]
-        newest = max(fresh, key=lambda heartbeat: heartbeat.fleet_token, default=None)
+        fresh = [s.report for s in self.reports.values() if now - s.seen_at <= max_age_s]
+        newest = max(fresh, key=lambda report: report.fleet_token, default=None)
         return set() if newest is None else {WorkerId(name) for name in newest.evacuations}
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -2,23 +2,41 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import unittest
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
 
+from expression import Ok, Result
+
 from pumicespur.config import NodeSettings
-from pumicespur.model import PoolId, ProcessId
-from pumicespur.node._keeper import RENEW_AGAIN_S, OwnershipKeeper
+from pumicespur.model import PoolId, ProcessId, Route, RouteName
+from pumicespur.node._beats import HeartbeatWriter
+from pumicespur.node._duties import Duties
+from pumicespur.node._hearing import RENEW_AGAIN_S, count_waiting
+from pumicespur.node._keeper import OwnershipKeeper
 from pumicespur.node._predecessors import Predecessors
-from pumicespur.schema.jobs_pb import GivenUp, HeartbeatRecord, OwnerRecord
+from pumicespur.node._succession import RANK_S
+from pumicespur.node._tables import HEARTBEATS_TABLE, PRESENCE_TABLE
+from pumicespur.schema.jobs_pb import (
+    DutyReport,
+    GivenUp,
+    HeartbeatRecord,
+    OwnerRecord,
+    PoolReport,
+    WaitingCount,
+)
 from pumicespur.schema.node_pb import NodeProcessSettings, StoreSettings, WorkerSettings
 from pumicespur.store import AnswerTimes, Row, StoreClock
 from pumicespur.view import NodeView, SeenOwner, SeenProcess
 
 if TYPE_CHECKING:
     from pumicespur.jobs import EarlierLeases
+    from pumicespur.store import Fault, Transaction
 
 NOW = 100.0
+ROUTE = Route(RouteName("quick"), "host", "/quick/", PoolId("main"), 3.0, 0, 2, 1.5, 0.6)
 
 
 class CountingTable:
@@ -48,17 +66,25 @@
             settings, NodeView(), cast("Any", self.table), nothing, nothing, "life"
         )
         self.keeper.view.steady_since = NOW
+        self.hearing = self.keeper.hearing
+        self.succession = self.keeper.succession
+        self.version = 1
 
     def hear(self, process: str, now: float = NOW, **fields: Any) -> None:
-        """Hear a heartbeat; the first one only makes a process known."""
-        for number in (1, 2):
-            record = HeartbeatRecord(process=process, incarnation="life", number=number, **fields)
-            self.keeper._see(Row(f"heartbeats/{process}/newest", record.to_binary(), number), now)
+        """Hear a heartbeat."""
+        self.version += 1
+        record = HeartbeatRecord(process=process, incarnation="life", number=1, **fields)
+        row = Row(f"heartbeats/{process}/newest", record.to_binary(), self.version)
+        self.hearing.see(row, now)
+
+    def successor(self, pool: str = "main") -> ProcessId:
+        """Return who takes a pool first."""
+        return self.succession.order(PoolId(pool), NOW)[0]
 
     def see_owner(self, pool: str, process: str, version: int = 1, **fields: Any) -> PoolId:
         """Hear who owns a pool."""
         record = OwnerRecord(process=process, **({"incarnation": "life"} | fields))
-        self.keeper._see_owner(Row(f"owners/{pool}/owner", record.to_binary(), version))
+        self.hearing.see_owner(Row(f"owners/{pool}/owner", record.to_binary(), version))
         return PoolId(pool)
 
 
@@ -86,27 +112,27 @@
     def test_larger_instance_goes_first(self) -> None:
         self.hear("large", capacity=2.0)
         self.hear("other-small", capacity=0.5)
-        self.assertEqual("large", self.keeper._successor(PoolId("main"), NOW))
+        self.assertEqual("large", self.successor())
 
     def test_all_choose_alike(self) -> None:
         for name in ("small", "second", "third"):
             self.hear(name, capacity=0.5)
         pools = [PoolId(f"pool-{number}") for number in range(20)]
-        here = [self.keeper._successor(pool, NOW) for pool in pools]
-        self.keeper.me = ProcessId("second")
-        self.assertEqual(here, [self.keeper._successor(pool, NOW) for pool in pools])
+        here = [self.successor(pool) for pool in pools]
+        self.succession.me = ProcessId("second")
+        self.assertEqual(here, [self.successor(pool) for pool in pools])
         self.assertGreater(len(set(here)), 1)
 
     def test_process_that_gave_a_pool_up_is_none(self) -> None:
         # Its heartbeat that tells so is heard up to half a second later.
         self.hear("large", capacity=2.0)
         self.see_owner("other", "large", released=True)
-        self.assertEqual("small", self.keeper._successor(PoolId("main"), NOW))
+        self.assertEqual("small", self.successor())
 
     def test_its_next_life_is_one(self) -> None:
         self.hear("large", capacity=2.0)
         self.see_owner("other", "large", released=True, incarnation="earlier")
-        self.assertEqual("large", self.keeper._successor(PoolId("main"), NOW))
+        self.assertEqual("large", self.successor())
 
 
 class NewLifeTest(KeeperCase):
@@ -114,7 +140,7 @@
 
     def is_held(self, pool: PoolId) -> bool:
         """Return whether the pool's owner counts as alive."""
-        return self.keeper._is_held(self.keeper.view.owners[pool], time.monotonic())
+        return self.succession.is_held(self.keeper.view.owners[pool], time.monotonic())
 
     def test_heartbeat_of_the_life_before_says_nothing(self) -> None:
         self.hear("other")
@@ -193,23 +219,132 @@
 class EarlierLifeTest(KeeperCase):
     """A process that starts again finds what its earlier life held."""
 
+    def is_due(self, pool: PoolId) -> bool:
+        """Return whether the pool is taken now, right after the start."""
+        return asyncio.run(self.keeper._is_due(pool))
+
     def test_it_is_taken_back_before_anybody_is_heard(self) -> None:
         # After a loss of all processes nothing was placed for 1.75 s.
-        pool = self.see_owner("main", "small", incarnation="earlier")
-        self.assertTrue(self.keeper._is_due(pool, self.keeper.started_at + 0.01))
+        self.assertTrue(self.is_due(self.see_owner("main", "small", incarnation="earlier")))
 
     def test_what_others_hold_waits(self) -> None:
-        pool = self.see_owner("main", "other", incarnation="earlier")
-        self.assertFalse(self.keeper._is_due(pool, self.keeper.started_at + 0.01))
+        self.assertFalse(self.is_due(self.see_owner("main", "other", incarnation="earlier")))
 
     def test_what_it_released_waits(self) -> None:
         pool = self.see_owner("main", "small", incarnation="earlier", released=True)
-        self.assertFalse(self.keeper._is_due(pool, self.keeper.started_at + 0.01))
+        self.assertFalse(self.is_due(pool))
 
     def test_what_names_this_life_and_does_not_run_here_is_taken_again(self) -> None:
         # A pool was without an owner for 20 s: the call that took it had no answer and applied
         # later; the others saw a living owner, which saw another successor.
         self.hear("large", capacity=2.0)
         pool = self.see_owner("main", "small")
-        self.keeper.started_at = NOW - 100.0
-        self.assertTrue(self.keeper._is_due(pool, NOW))
+        self.keeper.started_at -= 100.0
+        self.assertTrue(self.is_due(pool))
+        self.see_owner("other", "large", released=True, incarnation="earlier")
+        self.assertEqual("large", self.successor())
+
+
+class TurnTest(KeeperCase):
+    """A pool lacks an owner, and the process that is to take it may be gone too."""
+
+    def test_each_waits_for_the_one_before(self) -> None:
+        self.hear("large", capacity=2.0)
+        pool = PoolId("main")
+        self.assertFalse(self.succession.is_turn(pool, NOW))
+        self.assertTrue(self.succession.is_turn(pool, NOW + RANK_S))
+
+    def test_first_one_does_not_wait(self) -> None:
+        self.hear("other-small", capacity=0.1)
+        self.assertTrue(self.succession.is_turn(PoolId("main"), NOW))
+
+    def test_next_owner_begins_the_wait_anew(self) -> None:
+        self.hear("large", capacity=2.0)
+        pool = PoolId("main")
+        self.succession.is_turn(pool, NOW)
+        self.succession.note_held(pool)
+        self.assertFalse(self.succession.is_turn(pool, NOW + RANK_S))
+
+    def test_takeover_is_a_sign_of_life(self) -> None:
+        # Who owned nothing before was last heard of when it started.
+        self.hear("other", time.monotonic() - 100.0)
+        pool = self.see_owner("main", "other", 50)
+        owner = self.keeper.view.owners[pool]
+        self.assertTrue(self.succession.is_held(owner, time.monotonic()))
+
+
+class WritingTable(CountingTable):
+    """Takes what is written and remembers where."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written: list[str] = []
+
+    async def transact(self, transaction: Transaction) -> Result[int, Fault]:
+        """Take a write."""
+        self.written.append(transaction.writes[0].key.split("/", 1)[0])
+        return Ok(len(self.written))
+
+
+class HeartbeatTest(unittest.IsolatedAsyncioTestCase):
+    """Which heartbeats all processes hear."""
+
+    async def asyncSetUp(self) -> None:
+        self.table = WritingTable()
+        settings = NodeSettings(
+            process=NodeProcessSettings(id="me"), store=StoreSettings(heartbeat_s=0.5)
+        )
+        self.duties = Duties()
+        self.writer = HeartbeatWriter(
+            settings, NodeView(), cast("Any", self.table), self.duties, "life"
+        )
+
+    async def beat(self) -> str:
+        """Write a heartbeat; return its table."""
+        await self.writer._beat()
+        return self.table.written[-1]
+
+    async def test_start_is_heard_then_an_idle_process_is_quiet(self) -> None:
+        self.assertEqual([HEARTBEATS_TABLE, PRESENCE_TABLE], [await self.beat(), await self.beat()])
+
+    async def test_owner_is_heard(self) -> None:
+        await self.beat()
+        self.duties.owned[PoolId("main")] = cast("Any", SimpleNamespace())
+        self.assertEqual(HEARTBEATS_TABLE, await self.beat())
+
+    async def test_what_is_given_up_and_a_stop_are_heard_once(self) -> None:
+        await self.beat()
+        self.duties.given_up[PoolId("main")] = 7
+        self.assertEqual([HEARTBEATS_TABLE, PRESENCE_TABLE], [await self.beat(), await self.beat()])
+        self.duties.stopping = True
+        self.assertEqual([HEARTBEATS_TABLE, PRESENCE_TABLE], [await self.beat(), await self.beat()])
+
+    async def test_changes_are_asked_for_from_before_a_moment(self) -> None:
+        self.assertIsNone(self.writer.version_before(NOW))
+        for at in (10.0, 11.0, 12.0):
+            self.writer._note_answer(at, int(at))
+        self.assertEqual(11, self.writer.version_before(11.5))
+        self.assertEqual(10, self.writer.version_before(9.0))
+
+
+class WaitingJobsTest(unittest.TestCase):
+    """Waiting jobs by a report that is read when somebody asks."""
+
+    def setUp(self) -> None:
+        self.clock = StoreClock()
+        self.now = time.monotonic()
+        self.clock.note(10_000, self.now, self.now)
+
+    def count(self, told_ms: int) -> int | None:
+        """Count by a report that was told at a time of the store's clock."""
+        waiting = [WaitingCount(route="quick", jobs=3), WaitingCount(route="other", jobs=9)]
+        pools = [PoolReport(pool="main", fencing_token=4, waiting=waiting)]
+        record = DutyReport(process="owner", pools=pools, told_ms=told_ms)
+        row = Row("reports/owner/newest", record.to_binary(), 5)
+        return count_waiting(row, ROUTE, self.clock, 6.0)
+
+    def test_route_is_counted(self) -> None:
+        self.assertEqual(3, self.count(9_000))
+
+    def test_old_word_counts_for_nothing(self) -> None:
+        self.assertIsNone(self.count(3_000))
