What stays silent is read itself while the store answers other calls

Now owners read submissions, the other owners' reports and the workers themselves after 0.1 s of silence. Ruled out: the connection (a new one was silent too) and the version asked for (410 came at 2.2 s, for all at once).

--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -35,14 +35,15 @@
 
 PATIENCE_S = 0.1
 """Time beyond the wait and the store's slowest answers of late after which a request counts as
-forgotten and is made anew. Waited out like any call, the store's dropping its history at the onset
-of a pool kept its owner from hearing of jobs for 1.2 s, and half of its jobs were late for 6 s."""
+forgotten, and the submissions are read themselves. The store had dropped its history at the onset
+of a pool and answered no request for changes for 1.2 s, while it took every submission: half of
+the pool's jobs were late for 6 s."""
 
 SLOW_ANSWERS = 2.0
 """Times that the slowest answer of late counts there."""
 
-MOST_DOUBLINGS = 4
-"""Silences in a row that double that time; with more, the store is away and is asked less often."""
+ANSWERS_S = 0.5
+"""Age of the newest answer up to which the store counts as answering: a heartbeat."""
 
 
 class JobIntake:
@@ -138,29 +139,22 @@
         """Take in jobs and cancellations as callers' entries write them."""
         pool = self.pool.pool
         table = submissions_table(pool)
-        silent = 0
         while True:
-            # After a silence, what there is by now is asked for without a wait.
-            wait_s = 0.0 if silent else min(self.watch_s, WATCH_S)
             answer = await self.table.changes(
-                table, self.version, wait_s, self._patience_s() * 2**silent
+                table, self.version, min(self.watch_s, WATCH_S), self._patience_s()
             )
             match answer:
                 case Result(tag="ok", ok=page):
-                    silent = 0
                     self.version = page.version
                     rows = page.rows
                 case Result(error=HistoryGone()):
                     log.warning("submissions read anew", pool=pool, reason="history gone")
-                    silent = 0
                     rows = await self._read_all()
-                case Result(error=AnswerLost() as fault) if silent < MOST_DOUBLINGS:
-                    log.info("submissions not heard of", pool=pool, reason=str(fault))
-                    silent += 1
-                    continue
+                case Result(error=AnswerLost()) if self._store_answers():
+                    log.info("submissions read anew", pool=pool, reason="no word of changes")
+                    rows = await self._read_all()
                 case Result(error=fault):
                     log.warning("submissions not followed", pool=pool, reason=str(fault))
-                    silent = MOST_DOUBLINGS
                     await anyio.sleep(RETRY_S)
                     continue
             for row in rows:
@@ -168,3 +162,6 @@
 
     def _patience_s(self) -> float:
         return PATIENCE_S + SLOW_ANSWERS * self.table.times.worst_s(time.monotonic())
+
+    def _store_answers(self) -> bool:
+        return time.monotonic() - self.table.answered_at < ANSWERS_S
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -10,20 +10,30 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.store import HistoryGone
+from pumicespur.store import AnswerLost, HistoryGone
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
     from pumicespur.platform import PlatformTable
     from pumicespur.schema.node_pb import StoreSettings
-    from pumicespur.store import Page, Row
+    from pumicespur.store import Fault, Page, Row
 
 log = Logger(__name__)
 
 RETRY_S = 0.2
 """Pause after a fault of the store."""
 
+PATIENCE_S = 0.1
+"""Time beyond the wait and the store's slowest answers of late after which a request for changes
+counts as silent, where its table can be read in another way."""
+
+SLOW_ANSWERS = 2.0
+"""Times that the slowest answer of late counts there."""
+
+ANSWERS_S = 0.5
+"""Age of the newest answer up to which the store counts as answering: a heartbeat."""
+
 SLOW_S = 0.1
 """An answer that was on its way for longer may be out of date when it is here."""
 
@@ -42,6 +52,19 @@
     """Also when an answer tells that newer rows may be there by now; for few and large rows."""
 
 
+@dataclass(frozen=True)
+class Reread:
+    """How a table is read when its changes stay silent although the store answers other calls.
+
+    The store had dropped its history, and answered no request for changes for 1.2 s while it took
+    every write: what owners asked for at an onset, and the workers that came, were not heard of.
+    """
+
+    read: Callable[[], Awaitable[Result[Page, Fault]]]
+    whole: bool
+    """Whether the answer holds all rows of the table."""
+
+
 class TableFollower:
     """Calls `on_rows` with all rows first (`whole` true), then with those that change."""
 
@@ -55,6 +78,7 @@
         pause_s: Callable[[], float] = lambda: 0.0,
         wait_s: float | None = None,
         first_version: int | None = None,
+        reread: Reread | None = None,
     ) -> None:
         self.table = table
         self.settings = settings
@@ -67,6 +91,7 @@
         """Longest wait for changes in one request, in seconds."""
         self.first_version = first_version
         """Version from which changes are followed instead of a whole reading first, if any."""
+        self.reread = reread
         self.failing_since: float | None = None
         """When a reading first failed; None while the table is followed (monotonic seconds)."""
         self.hurried = anyio.Event()
@@ -85,7 +110,7 @@
             if version is None:
                 answer = await self.table.scan(self.name, "")
             else:
-                answer = await self.table.changes(self.name, version, self.wait_s)
+                answer = await self._changes(version)
             match answer:
                 case Result(tag="ok", ok=page):
                     self._note_connected(True, "")
@@ -98,12 +123,35 @@
                 case Result(error=HistoryGone()):
                     log.warning("table read anew", table=self.name, reason="history gone")
                     version = None
+                case Result(error=AnswerLost()) if self.reread and self._store_answers():
+                    await self._read_again(self.reread)
                 case Result(error=fault):
                     self._note_connected(False, str(fault))
                     await anyio.sleep(RETRY_S)
                     if time.monotonic() - self.answered_at > self.catch_up.after_s:
                         version = None
 
+    async def _changes(self, version: int) -> Result[Page, Fault]:
+        if self.reread is None:
+            return await self.table.changes(self.name, version, self.wait_s)
+        patience_s = PATIENCE_S + SLOW_ANSWERS * self.table.times.worst_s(time.monotonic())
+        return await self.table.changes(self.name, version, self.wait_s, patience_s)
+
+    def _store_answers(self) -> bool:
+        return time.monotonic() - self.table.answered_at < ANSWERS_S
+
+    async def _read_again(self, reread: Reread) -> None:
+        """Read the rows themselves; their changes are waited for again after that."""
+        log.info("table read anew", table=self.name, reason="no word of changes")
+        answer = await reread.read()
+        match answer:
+            case Result(tag="ok", ok=page):
+                self.answered_at = time.monotonic()
+                self.on_rows(page.rows, reread.whole)
+            case Result(error=fault):
+                self._note_connected(False, str(fault))
+                await anyio.sleep(RETRY_S)
+
     def _is_late(self, page: Page) -> bool:
         """Whether to read the table whole at once, until that brings nothing new."""
         newest_row = max((row.version for row in page.rows), default=0)
--- a/pumicespur/node/_hearing.py
+++ b/pumicespur/node/_hearing.py
@@ -6,14 +6,21 @@
 import time
 from typing import TYPE_CHECKING
 
-from expression import Result
+import anyio
+from expression import Error, Ok, Result
 from logbook import Logger
 
 from pumicespur.jobs import OWNERS_TABLE
 from pumicespur.model import PoolId, ProcessId
-from pumicespur.node._follow import CatchUp, TableFollower
-from pumicespur.node._tables import HEARTBEATS_TABLE, PRESENCE_TABLE, REPORTS_TABLE
+from pumicespur.node._follow import CatchUp, Reread, TableFollower
+from pumicespur.node._tables import (
+    HEARTBEATS_TABLE,
+    PRESENCE_TABLE,
+    REPORTS_TABLE,
+    newest_key,
+)
 from pumicespur.schema.jobs_pb import DutyReport, HeartbeatRecord, OwnerRecord
+from pumicespur.store import Page
 from pumicespur.view import SeenOwner, SeenProcess, SeenReport
 
 if TYPE_CHECKING:
@@ -25,7 +32,7 @@
     from pumicespur.node._duties import Duties
     from pumicespur.node._predecessors import Predecessors
     from pumicespur.platform import PlatformTable
-    from pumicespur.store import Row, StoreClock
+    from pumicespur.store import Fault, Row, StoreClock
     from pumicespur.view import NodeView
 
 log = Logger(__name__)
@@ -37,6 +44,9 @@
 OWNER_HEARING_S = 0.1
 """The same pause in processes that own something: pools that grow wait for what they tell."""
 
+OWNER_WAIT_S = 0.25
+"""Longest wait for reports in one request: a pool's onset is a matter of tenths of a second."""
+
 HEARTBEATS_REPLAYED = 2.0
 """Heartbeats that are replayed after a silence; who lives repeats all that it tells."""
 
@@ -110,9 +120,30 @@
             self.take_reports,
             CatchUp(HEARTBEATS_REPLAYED * store.heartbeat_s),
             lambda: OWNER_HEARING_S,
+            wait_s=OWNER_WAIT_S,
             first_version=self.beats.version_before(since),
+            reread=Reread(self._read_reports, whole=False),
         )
 
+    async def _read_reports(self) -> Result[Page, Fault]:
+        """Read the reports of all owners, one by one."""
+        owners = {ProcessId(owner.record.process) for owner in self.view.owners.values()}
+        rows: list[Row] = []
+        faults: list[Fault] = []
+
+        async def read(process: ProcessId) -> None:
+            answer = await self.table.read(newest_key(REPORTS_TABLE, process))
+            match answer:
+                case Result(tag="ok", ok=row):
+                    rows.append(row)
+                case Result(error=fault):
+                    faults.append(fault)
+
+        async with anyio.create_task_group() as tasks:
+            for process in owners:
+                tasks.start_soon(read, process)
+        return Error(faults[0]) if faults else Ok(Page(rows, 0))
+
     def _hearing_pause_s(self) -> float:
         if self.duties.owned:
             return OWNER_HEARING_S
@@ -186,11 +217,17 @@
         now = time.monotonic()
         for row in rows:
             if row.version:
-                report = DutyReport.from_binary(row.value)
-                self.view.reports[ProcessId(report.process)] = SeenReport(report, now)
+                self._take_report(row, now)
         if self.duties.fleet is not None:
             self.duties.fleet.wake()
 
+    def _take_report(self, row: Row, now: float) -> None:
+        report = DutyReport.from_binary(row.value)
+        process = ProcessId(report.process)
+        known = self.view.reports.get(process)
+        if known is None or row.version > known.version:
+            self.view.reports[process] = SeenReport(report, now, row.version)
+
     def _see_owners(self, rows: Sequence[Row], whole: bool) -> None:
         """Hear of takeovers and releases as they happen.
 
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -15,7 +15,7 @@
 from pumicespur.jobs import JobService, PoolOwner
 from pumicespur.listeners import bound_to
 from pumicespur.model import ProcessId, WorkerId
-from pumicespur.node._follow import CatchUp, TableFollower
+from pumicespur.node._follow import CatchUp, Reread, TableFollower
 from pumicespur.node._hearing import count_waiting
 from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._keeper import OwnershipKeeper
@@ -88,6 +88,9 @@
 WORKERS_PAUSE_S = 0.3
 """Workers write often; a worker that drains is known well within the two seconds allowed."""
 
+WORKERS_WAIT_S = 1.0
+"""Longest wait for changes of the workers in one request; they write more often."""
+
 OWNERLESS_S = 0.5
 """Pause between looks whether a pool is still owned, while the workers are followed."""
 
@@ -271,6 +274,8 @@
             self._on_worker_rows,
             CatchUp(WORKERS_REPLAY_S),
             lambda: WORKERS_PAUSE_S,
+            wait_s=WORKERS_WAIT_S,
+            reread=Reread(lambda: self.table.scan(WORKERS_TABLE, ""), whole=True),
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follower.run)
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -33,6 +33,8 @@
 
     report: DutyReport
     seen_at: float
+    version: int = 0
+    """The report's version in the store, to tell a newer one."""
 
 
 @dataclass(frozen=True)
