A heartbeat's answer tells of the time when it was asked for

Traced in the code: an entry that was paused with the answer to a heartbeat in its socket woke up, took it as word of this moment (confirmed_at was the time of reading), was in no doubt and routed by the old table. Now the time of the question counts, for the table service's head as well.

--- a/pumicespur/peers/_links.py
+++ b/pumicespur/peers/_links.py
@@ -173,6 +173,7 @@
         heartbeat = Heartbeat(
             sender=self.members.me, revision=self.replica.revision, stopping=self.stopping
         )
+        asked_at = time.monotonic()
         reply = await self._exchange(socket, PeerRequest(heartbeat=heartbeat))
         theirs = reply.heartbeat.revision if reply.heartbeat else self.replica.revision
         if theirs > self.replica.revision:
@@ -184,7 +185,7 @@
             lacking = self.replica.since(theirs)
             await self._exchange(socket, PeerRequest(push=lacking))
         if reply.heartbeat is not None and self.replica.revision >= theirs:
-            self.replica.confirm()
+            self.replica.confirm(asked_at)
 
     async def _exchange(self, socket: pynng.Req0, request: PeerRequest) -> PeerReply:
         content = request.to_binary()
--- a/pumicespur/state/_replica.py
+++ b/pumicespur/state/_replica.py
@@ -45,6 +45,7 @@
 
     async def catch_up(self) -> Result[int, Fault]:
         """Fold in all that the table service has; return the revision reached."""
+        asked_at = time.monotonic()
         answer = await self.store.head()
         match answer:
             case Result(tag="ok", ok=head):
@@ -57,7 +58,7 @@
                     return Error(fault)
         if self.revision == head.revision:
             self.head_version = head.version
-        self.confirm()
+        self.confirm(asked_at)
         return Ok(self.revision)
 
     async def _read_more(self) -> Result[None, Fault]:
@@ -101,9 +102,13 @@
             self.recent.clear()
             self._announce()
 
-    def confirm(self) -> None:
-        """Note that the table service or a peer had nothing newer a moment ago."""
-        self.confirmed_at = time.monotonic()
+    def confirm(self, asked_at: float) -> None:
+        """Note that the table service or a peer had nothing newer when it was asked.
+
+        That is a monotonic time in seconds. An answer may have waited in the socket of a process
+        that was paused, and says nothing about the time since.
+        """
+        self.confirmed_at = max(self.confirmed_at, asked_at)
 
     def take(self, reply: FetchReply) -> None:
         """Fold in what a peer sent."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import math
+import time
 import unittest
+from types import SimpleNamespace
+from typing import Any, cast
 
+import anyio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pumicespur.peers import choose_links
+from pumicespur.peers import PeerNetwork, choose_links
+from pumicespur.schema.peer_pb import HeartbeatReply, PeerReply
 
 NAMES = st.sets(st.text("abcdef0123456789", min_size=1, max_size=6), min_size=1, max_size=40)
 
@@ -54,3 +59,26 @@
         self.assertEqual(choose_links("a", {"a"}), [])
         self.assertEqual(choose_links("a", set()), [])
         self.assertNotIn("a", choose_links("a", {"a", "b", "c"}))
+
+
+class BeatTest(unittest.IsolatedAsyncioTestCase):
+    """What an answered heartbeat says of how new the own table is."""
+
+    async def test_it_tells_of_the_time_when_it_was_asked(self) -> None:
+        # A process was paused with an answer in its socket, woke up, took the answer as word of
+        # this moment and sent four requests by a table from before a move.
+        told: list[float] = []
+
+        async def exchange(socket: object, request: object) -> PeerReply:
+            await anyio.sleep(0.05)
+            return PeerReply(heartbeat=HeartbeatReply(id="peer", revision=1))
+
+        network = SimpleNamespace(
+            members=SimpleNamespace(me=None),
+            replica=SimpleNamespace(revision=1, confirm=told.append),
+            stopping=False,
+            _exchange=exchange,
+        )
+        before = time.monotonic()
+        await PeerNetwork._beat(cast("Any", network), cast("Any", None))
+        self.assertLess(told[0] - before, 0.05)
