A peak that begins is expected to grow as others did

Now, for the first three seconds of a peak, a pool is given what its last one asked for, or what the others' did in proportion to the sizes that pools came with.

--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -191,21 +191,30 @@
         return max(instance.capacity.cpu_millis for instance in self.instances.values())
 
     def _foreseen(self, pools: Iterable[PoolId]) -> dict[PoolId, int]:
-        """Return the workers that an expected peak will take, early enough to move them there."""
-        lead_ms = (self.settings.fleet.move_s + EMPTYING_S) * 1000
-        pool = self.memory.peaks.due_pool(pools, now_ms(), lead_ms)
-        if pool is None or not self.instances:
-            self.foreseen = None
+        """Return the workers that peaks will take which have just begun or are expected now."""
+        if not self.instances:
             return {}
-        cpu_millis = self.memory.peaks.usual_cpu_millis(pool)
-        if pool != self.foreseen:
-            log.info("peak foreseen", pool=pool, cpu_millis=cpu_millis)
-        self.foreseen = pool
-        return {
-            pool: self._bounded(
-                pool, math.ceil(cpu_millis / max(1, self._largest_room()) / FILL_SHARE)
-            )
+        known = list(pools)
+        peaks = self.memory.peaks
+        found = {
+            pool: self._workers_for(pool, cpu_millis)
+            for pool in known
+            if (cpu_millis := peaks.begun_cpu_millis(pool, self.memory.declared, now_ms()))
         }
+        lead_ms = (self.settings.fleet.move_s + EMPTYING_S) * 1000
+        due = peaks.due_pool(known, now_ms(), lead_ms)
+        if due is not None:
+            cpu_millis = peaks.usual_cpu_millis(due)
+            if due != self.foreseen:
+                log.info("peak foreseen", pool=due, cpu_millis=cpu_millis)
+            found[due] = self._workers_for(due, cpu_millis)
+        self.foreseen = due
+        return found
+
+    def _workers_for(self, pool: PoolId, cpu_millis: int) -> int:
+        """Return how many instances carry a demand, within what the pool may grow to."""
+        workers = math.ceil(cpu_millis / max(1, self._largest_room()) / FILL_SHARE)
+        return self._bounded(pool, workers)
 
     def _has_arrived(self, name: InstanceId, pool: PoolId, since_s: float) -> bool:
         """Whether a move is over, or its order surely had no effect."""
--- a/pumicespur/maintenance/_peaks.py
+++ b/pumicespur/maintenance/_peaks.py
@@ -13,13 +13,12 @@
 
 from logbook import Logger
 
+from pumicespur.model import PoolId
 from pumicespur.schema.jobs_pb import PeakRecord
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from pumicespur.model import PoolId
-
 log = Logger(__name__)
 
 BEGIN_SHARE = 0.35
@@ -43,6 +42,10 @@
 """Time after an expected onset for which instances are kept ready; onsets are noted a second
 late, and a peak that has not come by then may not come at all."""
 
+ONSET_MS = 3_000
+"""Time after a peak's begin for which it is expected to grow as others did; after that, what has
+come tells more. Told by growth alone, the workers of an onset were asked for 1.5 s later."""
+
 REMEMBERED = 24
 """Peaks that are remembered; some rounds over the busy pools, in a row of a few kilobytes."""
 
@@ -142,6 +145,26 @@
         known = [peak.cpu_millis for peak in self.peaks]
         return int(statistics.fmean(known)) if known else 0
 
+    def begun_cpu_millis(
+        self, pool: PoolId, declared: Mapping[PoolId, int], now_ms: int
+    ) -> int | None:
+        """Return what a peak that has just begun will ask for, or None if that can't be told.
+
+        It is taken to be as the pool's last one, or as the others' in proportion to their sizes.
+        """
+        begun = self.current(pool)
+        if begun is None or now_ms - begun.began_ms > ONSET_MS:
+            return None
+        own = [peak.cpu_millis for peak in self.peaks if peak.pool == pool and peak is not begun]
+        if own:
+            return own[-1]
+        shares = [
+            peak.cpu_millis / declared[PoolId(peak.pool)]
+            for peak in self.peaks
+            if peak is not begun and declared.get(PoolId(peak.pool))
+        ]
+        return round(statistics.fmean(shares) * declared.get(pool, 0)) if shares else None
+
     def restore(self, peaks: Iterable[PeakRecord]) -> None:
         """Go on from what an earlier holder recorded."""
         self.peaks = list(peaks)
--- a/tests/test_holder_memory.py
+++ b/tests/test_holder_memory.py
@@ -170,6 +170,21 @@
         self.turn(MAIN, 10)
         self.assertEqual(PEAK, self.history.usual_cpu_millis(OTHER))
 
+    def test_peak_that_begins_is_expected_as_the_others(self) -> None:
+        # Its pool asked for 31 workers a second after the onset and had use for 77.
+        declared = {MAIN: 6, OTHER: 12}
+        self.assertIsNone(self.history.begun_cpu_millis(MAIN, declared, 10_000))
+        self.turn(MAIN, 10)
+        self.history.note(OTHER, ROOM, ROOM, 20_000)
+        expected = self.history.begun_cpu_millis(OTHER, declared, 21_000)
+        self.assertEqual(2 * PEAK, expected)
+        self.assertIsNone(self.history.begun_cpu_millis(OTHER, declared, 24_000))
+
+    def test_and_as_its_own_last_one(self) -> None:
+        self.turn(MAIN, 10)
+        self.history.note(MAIN, PEAK // 2, ROOM, 40_000)
+        self.assertEqual(PEAK, self.history.begun_cpu_millis(MAIN, {MAIN: 6}, 41_000))
+
     def test_pool_keeps_what_it_came_with_until_its_turn(self) -> None:
         declared = {MAIN: 6, OTHER: 5}
         self.assertEqual(declared, reserved_sizes(self.history, declared, [MAIN, OTHER], 0))
