--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -31,19 +31,8 @@
 
 WATCH_S = 0.25
 """Longest wait for new submissions in one request. A request that the store has forgotten hears
-nothing; each second of that is as much of the callers' latency objective."""
-
-PATIENCE_S = 0.1
-"""Time beyond the wait and the store's slowest answers of late after which a request counts as
-forgotten, and the submissions are read themselves. The store had dropped its history at the onset
-of a pool and answered no request for changes for 1.2 s, while it took every submission: half of
-the pool's jobs were late for 6 s."""
-
-SLOW_ANSWERS = 2.0
-"""Times that the slowest answer of late counts there."""
-
-ANSWERS_S = 0.5
-"""Age of the newest answer up to which the store counts as answering: a heartbeat."""
+nothing; each second of that is as much of the callers' latency objective. The submissions are then
+read themselves: half of a pool's jobs were late for 6 s after 1.2 s without word of them."""
 
 
 class JobIntake:
@@ -140,8 +129,9 @@
         pool = self.pool.pool
         table = submissions_table(pool)
         while True:
+            patience_s = self.table.times.patience_s(time.monotonic())
             answer = await self.table.changes(
-                table, self.version, min(self.watch_s, WATCH_S), self._patience_s()
+                table, self.version, min(self.watch_s, WATCH_S), patience_s
             )
             match answer:
                 case Result(tag="ok", ok=page):
@@ -150,7 +140,7 @@
                 case Result(error=HistoryGone()):
                     log.warning("submissions read anew", pool=pool, reason="history gone")
                     rows = await self._read_all()
-                case Result(error=AnswerLost()) if self._store_answers():
+                case Result(error=AnswerLost()) if self.table.answers():
                     log.info("submissions read anew", pool=pool, reason="no word of changes")
                     rows = await self._read_all()
                 case Result(error=fault):
@@ -159,9 +149,3 @@
                     continue
             for row in rows:
                 self._take(row, {})
-
-    def _patience_s(self) -> float:
-        return PATIENCE_S + SLOW_ANSWERS * self.table.times.worst_s(time.monotonic())
-
-    def _store_answers(self) -> bool:
-        return time.monotonic() - self.table.answered_at < ANSWERS_S
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -24,16 +24,6 @@
 RETRY_S = 0.2
 """Pause after a fault of the store."""
 
-PATIENCE_S = 0.1
-"""Time beyond the wait and the store's slowest answers of late after which a request for changes
-counts as silent, where its table can be read in another way."""
-
-SLOW_ANSWERS = 2.0
-"""Times that the slowest answer of late counts there."""
-
-ANSWERS_S = 0.5
-"""Age of the newest answer up to which the store counts as answering: a heartbeat."""
-
 SLOW_S = 0.1
 """An answer that was on its way for longer may be out of date when it is here."""
 
@@ -123,7 +113,7 @@
                 case Result(error=HistoryGone()):
                     log.warning("table read anew", table=self.name, reason="history gone")
                     version = None
-                case Result(error=AnswerLost()) if self.reread and self._store_answers():
+                case Result(error=AnswerLost()) if self.reread and self.table.answers():
                     await self._read_again(self.reread)
                 case Result(error=fault):
                     self._note_connected(False, str(fault))
@@ -134,12 +124,9 @@
     async def _changes(self, version: int) -> Result[Page, Fault]:
         if self.reread is None:
             return await self.table.changes(self.name, version, self.wait_s)
-        patience_s = PATIENCE_S + SLOW_ANSWERS * self.table.times.worst_s(time.monotonic())
+        patience_s = self.table.times.patience_s(time.monotonic())
         return await self.table.changes(self.name, version, self.wait_s, patience_s)
 
-    def _store_answers(self) -> bool:
-        return time.monotonic() - self.table.answered_at < ANSWERS_S
-
     async def _read_again(self, reread: Reread) -> None:
         """Read the rows themselves; their changes are waited for again after that."""
         log.info("table read anew", table=self.name, reason="no word of changes")
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -38,6 +38,9 @@
 PAGE_ROWS = 500
 """Rows that the service hands out at once (its protocol)."""
 
+ANSWERS_S = 0.5
+"""Age of the newest answer up to which the service counts as answering: a heartbeat."""
+
 UNDERSTOOD = frozenset({200, 410, 412})
 """Status codes of answers by which the service tells what it did or has."""
 
@@ -126,6 +129,10 @@
         """Return for how long calls have failed; 0 if the last one did not."""
         return now - self.answered_at if self.failed_at > self.answered_at else 0.0
 
+    def answers(self) -> bool:
+        """Return whether the service did what it was asked a moment ago."""
+        return time.monotonic() - self.answered_at < ANSWERS_S
+
     def _note_outcome(self, answer: Result[Answer, Unavailable | AnswerLost]) -> None:
         now = time.monotonic()
         if answer.is_ok() and answer.ok.status in UNDERSTOOD:
--- a/pumicespur/store/_latency.py
+++ b/pumicespur/store/_latency.py
@@ -11,6 +11,14 @@
 MEANS = 4.0
 """Mean answer times that a call may take; the usual spread stays under it."""
 
+PATIENCE_S = 0.1
+"""Time beyond the slowest answers of late after which a request for changes counts as forgotten,
+where what it waits for can be read in another way. A store that had dropped its history answered
+no such request for 1.2 s, at the onset of a pool, while it took every submission."""
+
+SLOW_ANSWERS = 2.0
+"""Times that the slowest answer of late counts there."""
+
 RECENT_S = 3.0
 """Time for which a slow answer is remembered."""
 
@@ -54,3 +62,7 @@
     def worst_s(self, now: float) -> float:
         """Return the longest time that a call took of late."""
         return max((took for at, took in self.recent if now - at <= RECENT_S), default=0.0)
+
+    def patience_s(self, now: float) -> float:
+        """Return the time after which an answer is better asked for in another way."""
+        return PATIENCE_S + SLOW_ANSWERS * self.worst_s(now)
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 import unittest
 from typing import TYPE_CHECKING, Any, cast
 
@@ -33,11 +32,14 @@
     """Hands out answers in turn and notes what it was asked."""
 
     def __init__(self, answers: list[Result[Page, Fault]]) -> None:
-        self.answers = answers
+        self.script = answers
         self.asked: list[str] = []
         self.done = anyio.Event()
         self.times = AnswerTimes(0.4, 3.0)
-        self.answered_at = time.monotonic()
+
+    def answers(self) -> bool:
+        """Whether other calls are answered."""
+        return True
 
     async def rows(self) -> Result[Page, Fault]:
         """Answer a reading of the rows themselves."""
@@ -54,11 +56,11 @@
         return await self._answer(f"since {since}")
 
     async def _answer(self, asked: str) -> Result[Page, Fault]:
-        if not self.answers:
+        if not self.script:
             self.done.set()
             await anyio.sleep_forever()
         self.asked.append(asked)
-        return self.answers.pop(0)
+        return self.script.pop(0)
 
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -510,7 +510,9 @@
 
         class Table:
             times = AnswerTimes(0.4, 3.0)
-            answered_at = time.monotonic()
+
+            def answers(self) -> bool:
+                return True
 
             async def changes(
                 self, table: str, since: int, wait_s: float, patience_s: float
