An instance that its wave has given up is recorded once

Traced: counted in four runs of the test alone, the planner wrote 147 to 233 records in 4.4 s, nearly all the same row of the wave, since each round put the progress of an instance that had failed before into its decision; a record wakes the planner at once. With 400 of them retention drops the first 200, which the test's history needs. The load only made the span longer; a fleet with a failed instance in a wave had this for good.

--- a/pumicespur/planning/_lifecycle.py
+++ b/pumicespur/planning/_lifecycle.py
@@ -170,9 +170,7 @@
 
 def _drop(known: PlanInput, decision: Decision, assignment: Assignment) -> None:
     decision.assign(Assignment(instance=assignment.instance, removed=True))
-    progress = _progress(known, decision, assignment)
-    if progress is not None and assignment.outcome is WaveOutcome.UNSPECIFIED:
-        progress.failed += 1
+    _count_failure(known, decision, assignment)
 
 
 def _timed_out(known: PlanInput, assignment: Assignment, limit_s: float) -> bool:
@@ -186,12 +184,25 @@
 
 def _fail(known: PlanInput, decision: Decision, assignment: Assignment) -> None:
     """Give an instance up for its wave, once."""
-    progress = _progress(known, decision, assignment)
-    if progress is not None and assignment.outcome is WaveOutcome.UNSPECIFIED:
-        progress.failed += 1
+    if _count_failure(known, decision, assignment):
         decision.assign(replace_fields(assignment, outcome=WaveOutcome.FAILED))
 
 
+def _count_failure(known: PlanInput, decision: Decision, assignment: Assignment) -> bool:
+    """Count an instance that its wave gives up, once; return whether it counts.
+
+    One that has counted leaves the wave's row out of the decision: an unchanged row is a record
+    like any other, wakes the planner at once and made it append 100 records a second.
+    """
+    if assignment.outcome is not WaveOutcome.UNSPECIFIED:
+        return False
+    progress = _progress(known, decision, assignment)
+    if progress is None:
+        return False
+    progress.failed += 1
+    return True
+
+
 def _progress(known: PlanInput, decision: Decision, assignment: Assignment) -> WaveProgress | None:
     """Return the progress of an instance's wave, as a row of the decision."""
     wave = WaveId(assignment.wave)
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -139,6 +139,23 @@
         self.assertIs(progress.phase, WavePhase.DONE)
         self.assertEqual((progress.done, progress.failed), (9, 1))
 
+    def test_an_instance_that_has_failed_is_recorded_once(self) -> None:
+        # After half of a pool was lost in a wave, the planner appended the wave's unchanged row a
+        # hundred times a second; 200 records later the first ones of the log were gone.
+        wave = make_wave("p", parallel=1)
+        wave.halt_share = 1.0
+        model = build([(make_pool("p", 4, 3), 4)])
+        model.never_back = set(model.instances)
+        model.fleet.waves[WaveId("wave")] = wave
+        model.start_wave("wave")
+        while not model.fleet.progress[WaveId("wave")].failed and model.round < ROUNDS:
+            model.step()
+        records = [record for _ in range(20) if (record := model.step())]
+        # The instance may be given up as a member meanwhile.
+        self.assertLessEqual(len(records), 1)
+        progress = model.fleet.progress[WaveId("wave")]
+        self.assertEqual((WavePhase.RUNNING, 1), (progress.phase, progress.failed))
+
     def test_windows(self) -> None:
         cases = [
             (0, 0, 700, True),
