A gap between two looks at heartbeats tells of nobody's silence

An answer came in the midst of the outage, 2.1 s after the last one; a gap counted only from 2.3 s on, and owners silent for 1.8 s as gone. Now a gap is what exceeds one usual look, with the store's slowest answers of late.

--- a/pumicespur/node/_hearing.py
+++ b/pumicespur/node/_hearing.py
@@ -50,6 +50,9 @@
 HEARTBEATS_REPLAYED = 2.0
 """Heartbeats that are replayed after a silence; who lives repeats all that it tells."""
 
+LATE_S = 0.3
+"""Time that a look may be late by timers and a repeated call."""
+
 RENEW_AGAIN_S = 1.0
 """Pause before silent readings are given up again for the same configuration: twice the usual time
 for the first bytes of an answer."""
@@ -154,8 +157,13 @@
         return min(self.settings.store.watch_s, self.settings.store.heartbeat_s)
 
     def hears(self, now: float) -> bool:
-        """Whether heartbeats are heard; nobody can be judged by those that do not come here."""
-        return now - self.heard_at <= self.settings.store.missing_s + self._wait_s()
+        """Whether heartbeats were heard of within one usual look at them.
+
+        Nobody can be judged by those that do not come here: an outage of two seconds, with one
+        answer in its midst, made all owners look silent for longer than a dead one is waited for.
+        """
+        usual_s = self._hearing_pause_s() + self._wait_s() + LATE_S
+        return now - self.heard_at <= usual_s + self.table.times.patience_s(now)
 
     def hear(self, rows: Sequence[Row], whole: bool) -> None:
         """Hear of the other processes; a pause gathers many heartbeats into one answer."""
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -265,6 +265,17 @@
         self.hearing.heard_at = now - 1.6
         self.assertFalse(asyncio.run(self.keeper._is_due(pool)))
 
+    def test_answer_after_a_gap_tells_of_no_silence_before_it(self) -> None:
+        now = time.monotonic()
+        self.keeper.started_at = self.keeper.view.steady_since = now - 100.0
+        self.hear("other", now - 2.2)
+        pool = self.see_owner("main", "other")
+        owner = self.keeper.view.owners[pool]
+        self.keeper.view.owners[pool] = replace(owner, seen_at=now - 50.0)
+        self.hearing.heard_at = now - 2.1
+        self.hearing.hear([], False)
+        self.assertFalse(asyncio.run(self.keeper._is_due(pool)))
+
     def test_silence_that_was_listened_to_ends_it(self) -> None:
         now = time.monotonic()
         self.keeper.started_at = self.keeper.view.steady_since = now - 100.0
