--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -59,7 +59,7 @@
     def setUp(self) -> None:
         settings = NodeSettings(
             process=NodeProcessSettings(id="small", cpu_share=0.5, cpu_speed=1.0),
-            store=StoreSettings(missing_s=1.8),
+            store=StoreSettings(missing_s=1.8, heartbeat_s=0.5, watch_s=5.0),
         )
         self.table = CountingTable()
         nothing = cast("Any", None)
@@ -274,7 +274,8 @@
         self.keeper.view.owners[pool] = replace(owner, seen_at=now - 50.0)
         self.hearing.heard_at = now - 2.1
         self.hearing.hear([], False)
-        self.assertFalse(asyncio.run(self.keeper._is_due(pool)))
+        owner = self.keeper.view.owners[pool]
+        self.assertTrue(self.succession.is_held(owner, self.hearing.heard_at))
 
     def test_silence_that_was_listened_to_ends_it(self) -> None:
         now = time.monotonic()
