--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -14,18 +14,18 @@
 
 from pumicespur.jobs import JobService, PoolOwner
 from pumicespur.listeners import bound_to
-from pumicespur.model import ProcessId, WorkerId
-from pumicespur.node._follow import CatchUp, Reread, TableFollower
+from pumicespur.model import ProcessId
+from pumicespur.node._follow import CatchUp, TableFollower
 from pumicespur.node._hearing import count_waiting
 from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._keeper import OwnershipKeeper
 from pumicespur.node._reload import SettingsFile
 from pumicespur.node._tables import REPORTS_TABLE, newest_key
+from pumicespur.node._workers import WorkerList
 from pumicespur.platform import (
     CONFIGURATION_KEY,
     OPERATORS_TABLE,
     WAVE_PREFIX,
-    WORKERS_TABLE,
     CallerServer,
     FleetOrders,
     HttpCaller,
@@ -33,7 +33,6 @@
     WorkerOrders,
     decode_configuration,
     decode_wave,
-    decode_worker,
 )
 from pumicespur.utils import METRICS
 from pumicespur.view import NodeView
@@ -85,19 +84,6 @@
 STORE_USE_S = 10.0
 """Pause between log lines that tell what each table of the store has cost so far."""
 
-WORKERS_PAUSE_S = 0.3
-"""Workers write often; a worker that drains is known well within the two seconds allowed."""
-
-WORKERS_WAIT_S = 1.0
-"""Longest wait for changes of the workers in one request; they write more often."""
-
-OWNERLESS_S = 0.5
-"""Pause between looks whether a pool is still owned, while the workers are followed."""
-
-WORKERS_REPLAY_S = 3.0
-"""Longest silence after which the workers' changes are replayed: each writes itself about every
-1.5 s, so that after two of these intervals the table is smaller than its changes."""
-
 
 class NodeProcess:
     """All parts of one process."""
@@ -141,7 +127,7 @@
                 CatchUp(after_s=0.0, when_late=True),
             )
             tasks.start_soon(self.operators.run)
-            tasks.start_soon(self._follow_workers)
+            tasks.start_soon(WorkerList(settings.store, self.view, self.table, self.keeper).run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self.describe)
                 self.server.runners.append(inspection)
@@ -254,53 +240,6 @@
             case Result(error=reason):
                 log.error("wave not understood", reason=reason)
 
-    async def _follow_workers(self) -> None:
-        """Follow the list of workers while a pool is owned, from a whole reading on.
-
-        Each worker writes itself each 1.5 s; followed by all of 97 processes, that was 40 KB a
-        second for each of them.
-        """
-        while True:
-            await self.keeper.owning.wait()
-            if self.keeper.duties.pool_owners():
-                await self._follow_workers_while_owning()
-            await anyio.sleep(POLL_S)
-
-    async def _follow_workers_while_owning(self) -> None:
-        follower = TableFollower(
-            self.table,
-            self.settings.store,
-            WORKERS_TABLE,
-            self._on_worker_rows,
-            CatchUp(WORKERS_REPLAY_S),
-            lambda: WORKERS_PAUSE_S,
-            wait_s=WORKERS_WAIT_S,
-            reread=Reread(lambda: self.table.scan(WORKERS_TABLE, ""), whole=True),
-        )
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(follower.run)
-            while self.keeper.duties.pool_owners():
-                await anyio.sleep(OWNERLESS_S)
-            tasks.cancel_scope.cancel()
-        self.view.workers_known = False
-        self.view.workers.clear()
-
-    def _on_worker_rows(self, rows: Sequence[Row], whole: bool) -> None:
-        if whole:
-            self.view.workers.clear()
-        for row in rows:
-            identity = WorkerId(row.key.split("/", 2)[2])
-            if not row.version:
-                self.view.workers.pop(identity, None)
-                continue
-            match decode_worker(identity, row.value):
-                case Result(tag="ok", ok=worker):
-                    self.view.workers[identity] = worker
-                case Result(error=reason):
-                    log.error("worker not understood", worker=identity, reason=reason)
-        self.view.workers_known = True
-        self.keeper.sync_workers()
-
     def current_configuration(self) -> Configuration | None:
         """Return the configuration in force, or None before the first one."""
         configuration = self.view.configuration
--- /dev/null
+++ b/pumicespur/node/_workers.py
@@ -0,0 +1,103 @@
+"""The list of workers, followed while this process owns a pool."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.model import WorkerId
+from pumicespur.node._follow import CatchUp, Reread, TableFollower
+from pumicespur.platform import WORKERS_TABLE, decode_worker
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pumicespur.node._keeper import OwnershipKeeper
+    from pumicespur.platform import PlatformTable
+    from pumicespur.schema.node_pb import StoreSettings
+    from pumicespur.store import Row
+    from pumicespur.view import NodeView
+
+log = Logger(__name__)
+
+POLL_S = 0.05
+"""Pause between looks whether a pool is owned, in the process that holds the fleet's duty."""
+
+WORKERS_PAUSE_S = 0.3
+"""Workers write often; a worker that drains is known well within the two seconds allowed."""
+
+WORKERS_WAIT_S = 1.0
+"""Longest wait for changes of the workers in one request; they write more often."""
+
+OWNERLESS_S = 0.5
+"""Pause between looks whether a pool is still owned, while the workers are followed."""
+
+WORKERS_REPLAY_S = 3.0
+"""Longest silence after which the workers' changes are replayed: each writes itself about every
+1.5 s, so that after two of these intervals the table is smaller than its changes."""
+
+
+class WorkerList:
+    """Keeps the view's workers, and tells the owners of pools when they change."""
+
+    def __init__(
+        self,
+        settings: StoreSettings,
+        view: NodeView,
+        table: PlatformTable,
+        keeper: OwnershipKeeper,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.table = table
+        self.keeper = keeper
+
+    async def run(self) -> None:
+        """Follow the list of workers while a pool is owned, from a whole reading on.
+
+        Each worker writes itself each 1.5 s; followed by all of 97 processes, that was 40 KB a
+        second for each of them.
+        """
+        while True:
+            await self.keeper.owning.wait()
+            if self.keeper.duties.pool_owners():
+                await self._follow_while_owning()
+            await anyio.sleep(POLL_S)
+
+    async def _follow_while_owning(self) -> None:
+        follower = TableFollower(
+            self.table,
+            self.settings,
+            WORKERS_TABLE,
+            self._take,
+            CatchUp(WORKERS_REPLAY_S),
+            lambda: WORKERS_PAUSE_S,
+            wait_s=WORKERS_WAIT_S,
+            reread=Reread(lambda: self.table.scan(WORKERS_TABLE, ""), whole=True),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            while self.keeper.duties.pool_owners():
+                await anyio.sleep(OWNERLESS_S)
+            tasks.cancel_scope.cancel()
+        self.view.workers_known = False
+        self.view.workers.clear()
+
+    def _take(self, rows: Sequence[Row], whole: bool) -> None:
+        if whole:
+            self.view.workers.clear()
+        for row in rows:
+            identity = WorkerId(row.key.split("/", 2)[2])
+            if not row.version:
+                self.view.workers.pop(identity, None)
+                continue
+            match decode_worker(identity, row.value):
+                case Result(tag="ok", ok=worker):
+                    self.view.workers[identity] = worker
+                case Result(error=reason):
+                    log.error("worker not understood", worker=identity, reason=reason)
+        self.view.workers_known = True
+        self.keeper.sync_workers()
