--- a/pumicespur/config/_node_settings.py
+++ b/pumicespur/config/_node_settings.py
@@ -35,6 +35,11 @@
     workers: WorkerSettings = field(default_factory=WorkerSettings)
     fleet: FleetSettings = field(default_factory=FleetSettings)
 
+    @property
+    def capacity(self) -> float:
+        """Return the processor time of the process, in cores of the smallest instance."""
+        return self.process.cpu_share * self.process.cpu_speed
+
     def sections(self) -> dict[str, Message[Any]]:
         """Return the message of each section by its name."""
         return {
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -112,11 +112,11 @@
     if spec.long_running:
         racks = Counter(load.worker.rack for load in loads for t in load.tasks if t.group is group)
         return min(able, key=lambda load: (racks[load.worker.rack], load.share(), load.worker.id))
-    if spec.fills:
-        return min(able, key=lambda load: (_far(group, load), load.share(), load.worker.id))
     # The fullest worker first: whole workers stay idle, which can change pool at once. Spread
-    # evenly, a peak's last tasks kept every one of its instances for seconds.
-    return min(able, key=lambda load: (_far(group, load), -load.share(), load.worker.id))
+    # evenly, a peak's last tasks kept every one of its instances for seconds. Filling tasks ask for
+    # no room of their own and are spread.
+    sign = 1 if spec.fills else -1
+    return min(able, key=lambda load: (_far(group, load), sign * load.share(), load.worker.id))
 
 
 def _far(group: StepGroup, load: WorkerLoad) -> bool:
--- a/pumicespur/maintenance/_wave_work.py
+++ b/pumicespur/maintenance/_wave_work.py
@@ -117,9 +117,7 @@
         for name, since in list(progress.emptying.items()):
             if name not in self.instances:
                 del progress.emptying[name]
-            elif name in state.empty or (
-                now - since > EMPTY_S and self.reports.is_released(self.instances[name])
-            ):
+            elif name in state.empty or self._is_overdue(name, now - since):
                 due.add(name)
         due = {name for name in due if self.intents.may_order(name)}
         if due:
--- a/pumicespur/node/_beats.py
+++ b/pumicespur/node/_beats.py
@@ -61,7 +61,6 @@
         self.duties = duties
         self.incarnation = incarnation
         self.me = ProcessId(settings.process.id)
-        self.capacity = settings.process.cpu_share * settings.process.cpu_speed
         self.number = 0
         self.told: tuple[bool, dict[PoolId, int]] | None = None
         """What all processes were last told of this one's end and of what it gave up."""
@@ -103,7 +102,7 @@
             process=self.me,
             incarnation=self.incarnation,
             data_hall=self.settings.process.data_hall,
-            capacity=self.capacity,
+            capacity=self.settings.capacity,
             number=self.number,
             unfit=self.duties.stopping,
             configuration_version=max(0, self.view.configuration.version),
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -121,6 +121,14 @@
                     if time.monotonic() - self.answered_at > self.catch_up.after_s:
                         version = None
 
+    async def run_while(self, needed: Callable[[], object], look_s: float) -> None:
+        """Follow until what needs the table is gone, which is looked at each `look_s` seconds."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.run)
+            while needed():
+                await anyio.sleep(look_s)
+            tasks.cancel_scope.cancel()
+
     async def _changes(self, version: int) -> Result[Page, Fault]:
         if self.reread is None:
             return await self.table.changes(self.name, version, self.wait_s)
--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -96,11 +96,7 @@
         """Hear the other owners' reports while this process owns something."""
         while True:
             await self.owning.wait()
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.hearing.reports_follower().run)
-                while self.duties.owned:
-                    await anyio.sleep(LOOK_S)
-                tasks.cancel_scope.cancel()
+            await self.hearing.reports_follower().run_while(lambda: self.duties.owned, LOOK_S)
             self.view.reports.clear()
 
     def look(self) -> None:
--- a/pumicespur/node/_succession.py
+++ b/pumicespur/node/_succession.py
@@ -37,7 +37,6 @@
         self.presence_s = presence_s
         """Time after which a process that owns nothing counts as gone, in seconds."""
         self.me = ProcessId(settings.process.id)
-        self.capacity = settings.process.cpu_share * settings.process.cpu_speed
         self.vacant_since: dict[PoolId, float] = {}
         """Since when pools are known to lack an owner (monotonic seconds)."""
 
@@ -97,7 +96,7 @@
             for process, seen in self.view.processes.items()
             if self._lives(seen, now) and process not in stopping
         }
-        sizes.setdefault(self.me, self.capacity)
+        sizes.setdefault(self.me, self.settings.capacity)
         counts = dict.fromkeys(sizes, 0)
         for other, owner in self.view.owners.items():
             holder = ProcessId(owner.record.process)
--- a/pumicespur/node/_workers.py
+++ b/pumicespur/node/_workers.py
@@ -78,11 +78,7 @@
             wait_s=WORKERS_WAIT_S,
             reread=Reread(lambda: self.table.scan(WORKERS_TABLE, ""), whole=True),
         )
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(follower.run)
-            while self.keeper.duties.pool_owners():
-                await anyio.sleep(OWNERLESS_S)
-            tasks.cancel_scope.cancel()
+        await follower.run_while(self.keeper.duties.pool_owners, OWNERLESS_S)
         self.view.workers_known = False
         self.view.workers.clear()
 
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -255,37 +255,38 @@
     although its answer is lost; the owner's next commit is refused, and it gives the pool up.
     """
 
-    def test_silence_that_nobody_listened_to_is_none(self) -> None:
-        now = time.monotonic()
-        self.keeper.started_at = self.keeper.view.steady_since = now - 100.0
-        self.hear("other", now - 2.1)
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = time.monotonic()
+        self.keeper.started_at = self.keeper.view.steady_since = self.now - 100.0
+
+    def silent_owner(self, silent_s: float) -> PoolId:
+        """Hear of a pool that was taken long ago, and last of its owner a while ago."""
+        self.hear("other", self.now - silent_s)
         pool = self.see_owner("main", "other")
         owner = self.keeper.view.owners[pool]
-        self.keeper.view.owners[pool] = replace(owner, seen_at=now - 50.0)
-        self.hearing.heard_at = now - 1.6
+        self.keeper.view.owners[pool] = replace(owner, seen_at=self.now - 50.0)
+        return pool
+
+    def is_held(self, pool: PoolId) -> bool:
+        """Return whether the pool's owner counts as alive, by the last hearing."""
+        return self.succession.is_held(self.keeper.view.owners[pool], self.hearing.heard_at)
+
+    def test_silence_that_nobody_listened_to_is_none(self) -> None:
+        pool = self.silent_owner(2.1)
+        self.hearing.heard_at = self.now - 1.6
         self.assertFalse(asyncio.run(self.keeper._is_due(pool)))
 
     def test_answer_after_a_gap_tells_of_no_silence_before_it(self) -> None:
-        now = time.monotonic()
-        self.keeper.started_at = self.keeper.view.steady_since = now - 100.0
-        self.hear("other", now - 2.2)
-        pool = self.see_owner("main", "other")
-        owner = self.keeper.view.owners[pool]
-        self.keeper.view.owners[pool] = replace(owner, seen_at=now - 50.0)
-        self.hearing.heard_at = now - 2.1
+        pool = self.silent_owner(2.2)
+        self.hearing.heard_at = self.now - 2.1
         self.hearing.hear([], False)
-        owner = self.keeper.view.owners[pool]
-        self.assertTrue(self.succession.is_held(owner, self.hearing.heard_at))
+        self.assertTrue(self.is_held(pool))
 
     def test_silence_that_was_listened_to_ends_it(self) -> None:
-        now = time.monotonic()
-        self.keeper.started_at = self.keeper.view.steady_since = now - 100.0
-        self.hear("other", now - 2.1)
-        pool = self.see_owner("main", "other")
-        owner = self.keeper.view.owners[pool]
-        self.keeper.view.owners[pool] = replace(owner, seen_at=now - 50.0)
-        self.hearing.heard_at = now
-        self.assertFalse(self.succession.is_held(self.keeper.view.owners[pool], now))
+        pool = self.silent_owner(2.1)
+        self.hearing.heard_at = self.now
+        self.assertFalse(self.is_held(pool))
 
 
 class TurnTest(KeeperCase):
