Each run that is lost with its worker is logged and counted

Sight only, no logic: nothing told which tasks a lost worker carried, so that a task that brings workers down could not be told from its neighbours.

--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -344,6 +344,7 @@
         if not self.load.listed:
             self.end("not listed and its lease is over")
             return
+        self._tell_lost_runs("its lease is over")
         for task in list(self.load.tasks):
             self.unsettled.pop(task, None)
             self.load.remove(task)
@@ -356,5 +357,26 @@
             return
         self.gone = True
         log.info("worker gone", pool=self.owner.pool.pool, worker=self.id, reason=reason)
+        self._tell_lost_runs(reason)
         self.owner.pool.drop_worker(self.id)
         self.owner.wake()
+
+    def _tell_lost_runs(self, reason: str) -> None:
+        """Log what the worker takes along, so that a task that brings workers down shows."""
+        lost = [task for task in self.load.tasks if task.wants(self.id, task.run)]
+        for task in lost:
+            log.warning(
+                "run lost",
+                pool=self.owner.pool.pool,
+                job=task.job.id,
+                task=task.name,
+                run=task.run,
+                worker=self.id,
+                instance=self.load.worker.instance,
+                state=task.state.value,
+                ran_s=round(max(0.0, self.lease.heard_at - task.started_at), 3),
+                beside=len(lost) - 1,
+                emptied=self.load.evacuating,
+                reason=reason,
+            )
+            METRICS.runs_lost.inc({"pool": self.owner.pool.pool})
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -17,6 +17,9 @@
         self.jobs = Counter("pumicespur_jobs_total", "Submitted jobs by outcome.")
         self.tasks = Counter("pumicespur_task_ends_total", "Ended runs by pool and how they ended.")
         self.starts = Counter("pumicespur_task_starts_total", "Ordered starts by pool and outcome.")
+        self.runs_lost = Counter(
+            "pumicespur_runs_lost_total", "Runs that were lost with their worker, by pool."
+        )
         self.takeovers = Counter("pumicespur_takeovers_total", "Pools taken by this process.")
         self.lost = Counter("pumicespur_pools_lost_total", "Pools that another process took.")
         self.store_calls = Gauge("pumicespur_store_calls", "Calls to the store, by table.")
@@ -41,6 +44,7 @@
             self.jobs,
             self.tasks,
             self.starts,
+            self.runs_lost,
             self.takeovers,
             self.lost,
             self.store_calls,
