--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -7,10 +7,11 @@
 from standins.hosted._links import Link, Passage
 from standins.hosted._nodes import NODE_MODULE, Node, Nodes
 from standins.hosted._store import HostedStore, StoredRow
-from standins.hosted._workers import HostedWorker, Run
+from standins.hosted._workers import CRASHING_PAYLOAD, HostedWorker, Run
 from standins.hosted._world import HOST, MAX_ATTEMPTS, World
 
 __all__ = [
+    "CRASHING_PAYLOAD",
     "HOST",
     "MAX_ATTEMPTS",
     "NODE_MODULE",
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -7,15 +7,24 @@
 import json
 import time
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
 from standins.hosted._serving import Served
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 LAST = 10**9
 """A duration that no test outlives, in seconds."""
 
+CRASHING_PAYLOAD = "crashes"
+"""The first task of each step of a job with this payload brings down the worker that starts it."""
+
+CRASH_AFTER_S = 0.01
+"""Time from such a start to the crash; its answer is on its way by then."""
+
 
 @dataclass
 class Run:
@@ -83,6 +92,8 @@
     ends: dict[int, Run] = field(default_factory=dict)
     """Ends that nobody has confirmed yet, by their numbers."""
     news: asyncio.Event = field(default_factory=asyncio.Event)
+    on_crash: Callable[[], None] | None = None
+    """Called when a task brings the worker down."""
     served: Served | None = None
 
     def clock_ms(self) -> float:
@@ -207,12 +218,18 @@
         self.running[run.task] = run
         self.history.append(run)
         loop = asyncio.get_running_loop()
+        if self._brings_down(run) and self.on_crash is not None:
+            loop.call_later(CRASH_AFTER_S, self.on_crash)
+            return
         lasts_s = LAST if run.payload == "lasts" else self.task_s
         if lasts_s < LAST:
             how = "failed" if self.faults.fail_all or run.payload == "fails" else "done"
             loop.call_later(lasts_s, self._end, run, how)
         loop.call_later(0.05, self._check_lease)
 
+    def _brings_down(self, run: Run) -> bool:
+        return run.payload == CRASHING_PAYLOAD and run.task.endswith(".0")
+
     def _check_lease(self) -> None:
         if not self.alive or not self.running:
             return
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -27,6 +27,8 @@
 WAIT_S = 20.0
 CHECK_S = 0.02
 TASK_S = 0.05
+CRASH_BACK_S = 0.4
+"""Time after which an instance whose worker a task brought down runs another one."""
 MAX_ATTEMPTS = 3
 """Failed runs of one task after which its job has failed."""
 LOG_TAIL = 4000
@@ -51,6 +53,8 @@
         self.task_s = TASK_S
         """How long a short task of a new worker takes."""
         self.served: list[Served] = []
+        self.crashes: set[asyncio.Task[None]] = set()
+        """Workers that a task has brought down and that are not back yet."""
         self.session: aiohttp.ClientSession | None = None
         self.addresses: dict[str, str] = {}
 
@@ -76,6 +80,8 @@
         """End all that was started."""
         self.nodes.close()
         self.fleet.close()
+        for crash in list(self.crashes):
+            crash.cancel()
         if self.session is not None:
             await self.session.close()
         for worker in list(self.workers.values()):
@@ -113,6 +119,7 @@
         number = next(self.numbers)
         worker = HostedWorker(f"w-{number}", pool, instance, rack, self.history)
         worker.task_s = self.task_s
+        worker.on_crash = lambda: self._crash_under_task(worker)
         await worker.serve()
         self.workers[instance] = worker
         self.fleet.pools[instance] = pool
@@ -130,6 +137,20 @@
         await worker.crash()
         self.store.remove(("servers", "", worker.id))
 
+    def _crash_under_task(self, worker: HostedWorker) -> None:
+        if self.workers.get(worker.instance) is not worker:
+            return
+        crash = asyncio.get_running_loop().create_task(self._crash_and_return(worker))
+        self.crashes.add(crash)
+        crash.add_done_callback(self.crashes.discard)
+
+    async def _crash_and_return(self, worker: HostedWorker) -> None:
+        pool = worker.pool
+        await self.take_down(worker.instance)
+        await asyncio.sleep(CRASH_BACK_S)
+        if worker.instance not in self.workers and worker.instance not in self.fleet.busy:
+            await self.bring_up(worker.instance, self.fleet.pools.get(worker.instance, pool))
+
     async def take_down(self, instance: str) -> None:
         """End the worker of an instance, if it has one."""
         self.fleet.workers.pop(instance, None)
