A task that brings its workers down is tried alone, counted and given up

Cause: a run that ends with its worker ends without a word, so that no attempt was counted and nothing bounded the starts; and what lay on a lost worker was placed together again, so that two tasks took 71 others along. Ruled out: a count that is forgotten (it was never made), workers that end by themselves (those without the task lose nothing). Change: losses are kept with the task in its progress row, with the workers' names; the tasks that had just begun on a lost worker are suspected, each is tried on a worker to itself; two instances brought down alone, or five workers in a row, end the job. Losses are taken back when the same worker answers again, and don't count alone where a rack was lost or the end was planned.

--- /dev/null
+++ b/pumicespur/jobs/_crashes.py
@@ -0,0 +1,163 @@
+"""Tasks that bring their workers down: whom a lost worker is blamed on, and when to give up.
+
+A worker that ends without a word takes a dozen tasks along, and one of them may be the cause. Only
+the tasks that had just begun there are suspected. A suspect is tried alone: on a worker without
+other new tasks, which gets none until the suspect has shown that it runs. So the next loss has
+one cause, and the neighbours are cleared by their first good run. Placed together again and again
+instead, 71 tasks were lost with their workers up to eight times each for the sake of two.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from pumicespur.jobs._job import Loss, Standing, TaskState
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Sequence
+
+    from pumicespur.jobs._job import StepGroup, Task
+    from pumicespur.jobs._load import WorkerLoad
+    from pumicespur.schema.jobs_pb import FailureRecord
+
+log = Logger(__name__)
+
+PROVEN_S = 0.5
+"""Time for which a run is known to have gone on before other new tasks may join it. Programs that
+bring their machine down do so while they start."""
+
+SETTLED_S = 10.0
+"""Time after which a run can't be the cause any more and earlier losses are forgotten; longer than
+short tasks last, so that one that brings its worker down half way is found too."""
+
+TRIAL_LOOK_S = 0.25
+"""Longest wait in one look at a worker that is kept for a trial; half of `PROVEN_S`."""
+
+TRIAL_SHARE = 0.5
+"""Share of a pool's open workers that may be kept for trials; the rest serves the others."""
+
+ALONE_LIMIT = 2
+"""Instances that a task may bring down while only it can be the cause; one may be chance."""
+
+LOSS_LIMIT = 5
+"""Workers in a row that may be lost under a task, whatever else had just begun there. Callers are
+promised that three workers lost are followed by two starts at most."""
+
+TOGETHER_S = 1.0
+"""Time within which workers of one rack that fall silent have a cause in common; two looks."""
+
+
+def is_suspect(task: Task) -> bool:
+    """Whether a task may have brought down a worker and has not run well since."""
+    return bool(task.losses) and task.standing is Standing.NEW
+
+
+def is_tried_alone(task: Task) -> bool:
+    """Whether a waiting task needs a worker to itself at first.
+
+    Members of a gang start at once on many workers; those are not kept for them.
+    """
+    return bool(task.losses) and not task.spec.gang
+
+
+def admits(load: WorkerLoad, task: Task) -> bool:
+    """Whether a worker may get a task as far as trials go."""
+    if is_tried_alone(task):
+        return load.reserved and not _has_new(load)
+    return not load.reserved and not any(is_suspect(other) for other in load.suspects)
+
+
+def _has_new(load: WorkerLoad) -> bool:
+    return any(task.standing is Standing.NEW for task in load.tasks)
+
+
+def reserve_workers(groups: Iterable[StepGroup], loads: Sequence[WorkerLoad], now: float) -> None:
+    """Keep workers for the suspects that wait, the quietest first, up to a share of the pool."""
+    for load in loads:
+        load.reserved = False
+    waiting = [task for group in groups for task in group.waiting() if is_tried_alone(task)]
+    if not waiting:
+        return
+    open_loads = [load for load in loads if load.open(now)]
+    free = max(1, int(TRIAL_SHARE * len(open_loads)))
+    free -= sum(1 for load in open_loads if any(is_suspect(task) for task in load.suspects))
+    for task in waiting:
+        if free <= 0:
+            return
+        able = [load for load in open_loads if _may_try(load, task, now)]
+        if able:
+            min(able, key=lambda load: _trial_order(load, task)).reserved = True
+            free -= 1
+
+
+def _may_try(load: WorkerLoad, task: Task, now: float) -> bool:
+    """Whether a worker may be kept for a task, now or once others on it have ended."""
+    group = task.group
+    if load.reserved or any(is_suspect(other) for other in load.suspects):
+        return False
+    if not load.allows(group) or not load.fits_empty(task.spec):
+        return False
+    if task.spec.same_rack and group.rack is not None and load.worker.rack != group.rack:
+        return False
+    return not group.job.advised or bool(group.ticket(load.worker.id, now))
+
+
+def _trial_order(load: WorkerLoad, task: Task) -> tuple[bool, bool, int, float, str]:
+    """Order workers: with room, on another instance than before, few new tasks, little to lose."""
+    before = any(loss.instance == load.instance for loss in task.losses)
+    new = sum(1 for other in load.tasks if other.standing is Standing.NEW)
+    return (not load.fits(task.spec), before, new, load.share(), load.worker.id)
+
+
+def note_running(task: Task, ran_s: float) -> None:
+    """Take in that the present run is known to have gone on for some time, in seconds."""
+    if task.standing is Standing.NEW and ran_s >= PROVEN_S:
+        task.standing = Standing.PROVEN
+    if ran_s >= SETTLED_S:
+        task.standing = Standing.SETTLED
+        task.losses.clear()
+
+
+def blame(load: WorkerLoad, pending: Collection[Task], *, together: bool) -> list[Task]:
+    """Note the loss of a worker with the tasks that may have caused it; return these.
+
+    Starts that are `pending` have no answer yet, which may tell that they did not arrive.
+    `together` tells that other workers of its rack were lost at the same time without cause.
+    """
+    ordered = [task for task in load.tasks if _was_ordered(task, load) and task not in pending]
+    new = [task for task in ordered if task.standing is Standing.NEW]
+    if not new and load.leaving:
+        return []
+    blamed = new or [task for task in ordered if task.standing is Standing.PROVEN]
+    alone = len(new) == 1 and not together and not load.leaving
+    for task in blamed:
+        task.losses.append(Loss(load.worker.id, load.instance, alone))
+    return blamed
+
+
+def _was_ordered(task: Task, load: WorkerLoad) -> bool:
+    started = task.state in (TaskState.STARTING, TaskState.RUNNING)
+    return started and task.wants(load.worker.id, task.run)
+
+
+def forgive(tasks: Iterable[Task], load: WorkerLoad) -> list[Task]:
+    """Take back the loss of a worker that answers again after all; return the tasks changed."""
+    found = [task for task in tasks if any(loss.worker == load.worker.id for loss in task.losses)]
+    for task in found:
+        task.losses = [loss for loss in task.losses if loss.worker != load.worker.id]
+    return found
+
+
+def is_hopeless(task: Task) -> bool:
+    """Whether a task has brought down so many workers that its job is given up."""
+    alone = {loss.instance for loss in task.losses if loss.alone}
+    return len(alone) >= ALONE_LIMIT or len(task.losses) >= LOSS_LIMIT
+
+
+def explain_failure(failure: FailureRecord) -> str:
+    """Tell in words why a job failed."""
+    if failure.lost_workers:
+        return f"task {failure.task} brought down {len(failure.lost_workers)} workers"
+    return f"task {failure.task} failed {failure.attempts} times"
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -6,8 +6,14 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from pumicespur.model import JobId, RouteName, TaskName, WorkerId, task_name
-from pumicespur.schema.jobs_pb import JobPhase, ProgressRecord, TaskRecord
+from pumicespur.model import InstanceId, JobId, RouteName, TaskName, WorkerId, task_name
+from pumicespur.schema.jobs_pb import (
+    FailureRecord,
+    JobPhase,
+    LossRecord,
+    ProgressRecord,
+    TaskRecord,
+)
 
 if TYPE_CHECKING:
     from pumicespur.jobs._estimates import Estimates
@@ -32,6 +38,26 @@
     DONE = "done"
 
 
+class Standing(Enum):
+    """How far a task's present run has shown that it does not bring its worker down."""
+
+    NEW = "new"
+    PROVEN = "proven"
+    """It has gone on for longer than a program takes to start."""
+    SETTLED = "settled"
+    """It has gone on for so long that the worker's end has another cause."""
+
+
+@dataclass(frozen=True)
+class Loss:
+    """A worker that was lost with a task on it that may have been the cause."""
+
+    worker: WorkerId
+    instance: InstanceId
+    alone: bool
+    """Nothing else can have been the cause."""
+
+
 @dataclass(eq=False)
 class Task:
     """One task; `index` is its place among all tasks of the job."""
@@ -42,6 +68,11 @@
     state: TaskState = TaskState.WAITING
     run: int = 0
     failures: int = 0
+    losses: list[Loss] = field(default_factory=list)
+    """Workers lost under the task since it last ran well for a while, oldest first."""
+    standing: Standing = Standing.NEW
+    seen_at: float = 0.0
+    """Monotonic time at which the present run was first known to be there, in seconds."""
     checkpoint: str = ""
     worker: WorkerId | None = None
     percent: int = 0
@@ -147,6 +178,7 @@
     advised: bool = False
     """Its tasks need tickets of the advising service."""
     phase: JobPhase = JobPhase.QUEUED
+    failure: FailureRecord | None = None
     begun: bool = False
     groups: list[StepGroup] = field(default_factory=list)
     tasks: list[Task] = field(default_factory=list)
@@ -180,9 +212,16 @@
         if all(group.complete for group in self.groups):
             self.phase = JobPhase.COMPLETED
 
+    def fail(self, failure: FailureRecord) -> None:
+        """Give the job up for a reason that is kept with it."""
+        self.phase = JobPhase.FAILED
+        self.failure = failure
+
     def progress(self, now_ms: int) -> ProgressRecord:
         """Write how far the job is."""
-        record = ProgressRecord(phase=self.phase, changed_ms=now_ms, route=self.route)
+        record = ProgressRecord(
+            phase=self.phase, changed_ms=now_ms, route=self.route, failure=self.failure
+        )
         if self.ended:
             return record
         done = 0
@@ -205,6 +244,10 @@
             task = self.tasks[kept.index]
             task.run = kept.run
             task.failures = kept.failures
+            task.losses = [
+                Loss(WorkerId(loss.worker), InstanceId(loss.instance), loss.alone)
+                for loss in kept.losses
+            ]
             task.checkpoint = kept.checkpoint
             if task.spec.gang and kept.checkpoint:
                 task.group.gang_checkpoint = kept.checkpoint
@@ -221,6 +264,10 @@
         worker=task.worker or "",
         failures=task.failures,
         checkpoint=task.checkpoint,
+        losses=[
+            LossRecord(worker=loss.worker, instance=loss.instance, alone=loss.alone)
+            for loss in task.losses
+        ],
     )
 
 
--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from pumicespur.model import WorkerState
+from pumicespur.model import InstanceId, WorkerState
 
 if TYPE_CHECKING:
     from pumicespur.jobs._job import StepGroup, Task
@@ -28,6 +28,12 @@
 
     worker: Worker
     tasks: set[Task] = field(default_factory=set)
+    suspects: set[Task] = field(default_factory=set)
+    """Those of its tasks that may have brought an earlier worker down."""
+    reserved: bool = False
+    """It gets no new tasks but one suspect, see `_crashes`."""
+    silent_at: float = 0.0
+    """Monotonic time at which it last stopped answering, in seconds."""
     cpu_millis: int = 0
     memory_mb: int = 0
     accelerators: int = 0
@@ -53,6 +59,8 @@
         if task in self.tasks:
             return
         self.tasks.add(task)
+        if task.losses:
+            self.suspects.add(task)
         self._count(task.spec, 1)
 
     def remove(self, task: Task) -> None:
@@ -60,6 +68,7 @@
         if task not in self.tasks:
             return
         self.tasks.remove(task)
+        self.suspects.discard(task)
         self._count(task.spec, -1)
 
     def _count(self, spec: StepRecord, sign: int) -> None:
@@ -68,6 +77,16 @@
         self.memory_mb += sign * spec.memory_mb
         self.accelerators += sign * spec.accelerators
 
+    @property
+    def instance(self) -> InstanceId:
+        """Return what the worker runs on; its own id where it names no instance."""
+        return self.worker.instance or InstanceId(self.worker.id)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the worker's end is planned."""
+        return self.evacuating or self.worker.state is WorkerState.DRAINING
+
     def open(self, now: float) -> bool:
         """Whether the worker may be given tasks now."""
         ready = self.listed and self.worker.state is WorkerState.READY
@@ -83,6 +102,15 @@
             and self.accelerators + spec.accelerators <= room.accelerators
         )
 
+    def fits_empty(self, spec: StepRecord) -> bool:
+        """Whether one task of a step would have room if nothing else were here."""
+        room = self.worker.capacity
+        return (
+            (spec.fills or spec.cpu_millis <= room.cpu_millis)
+            and spec.memory_mb <= room.memory_mb
+            and spec.accelerators <= room.accelerators
+        )
+
     def allows(self, group: StepGroup) -> bool:
         """Whether the step's label and spread permit one more of its tasks here."""
         spec = group.spec
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -12,7 +12,7 @@
 from pumicespur.jobs._advice import AdviceDesk
 from pumicespur.jobs._availability import tasks_to_move
 from pumicespur.jobs._intake import JobIntake
-from pumicespur.jobs._job import Job, Task, TaskState
+from pumicespur.jobs._job import Job, Loss, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import progress_key
 from pumicespur.jobs._pace import choose_paces
@@ -20,7 +20,7 @@
 from pumicespur.jobs._reports import report_pool
 from pumicespur.jobs._size import PoolSize
 from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
-from pumicespur.model import WorkerId, WorkerState
+from pumicespur.model import InstanceId, WorkerId, WorkerState
 from pumicespur.store import Write
 from pumicespur.utils import METRICS, now_ms
 
@@ -201,6 +201,7 @@
                 if task.worker == worker.id and not job.ended:
                     watch.load.add(task)
                     watch.unsettled[task] = UnansweredStart(task.run, self.ownership.acquired_at)
+                watch.blamed |= any(loss.worker == worker.id for loss in task.losses)
         self.watches[worker.id] = watch
         self.spawn(watch.run)
 
@@ -223,6 +224,8 @@
             for task in job.tasks:
                 if task.worker and task.worker not in self.watches and not job.ended:
                     log.info("start undone", job=job.id, task=task.name, reason="worker not listed")
+                    instance = InstanceId(task.worker)
+                    self.pool.lose_run(task, Loss(task.worker, instance, alone=False))
                     self.pool.free(task)
         self.wake()
 
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -5,7 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from pumicespur.jobs._job import TaskState
+from pumicespur.jobs._crashes import admits, is_tried_alone
+from pumicespur.jobs._job import Standing, TaskState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -56,7 +57,9 @@
     if group.spec.gang and len(group.waiting()) < len(group.tasks):
         return []
     for task in group.waiting():
-        load = choose_worker(group, loads, now)
+        load = choose_worker(task, loads, now)
+        if load is None and is_tried_alone(task):
+            continue
         if load is None:
             break
         put(task, load)
@@ -83,6 +86,7 @@
     """Assign a task to a worker under a new run number."""
     task.state = TaskState.PLACED
     task.run += 1
+    task.standing = Standing.NEW
     task.worker = load.worker.id
     load.add(task)
     if task.spec.same_rack and task.group.rack is None:
@@ -99,10 +103,11 @@
         task.group.rack = None
 
 
-def choose_worker(group: StepGroup, loads: Sequence[WorkerLoad], now: float) -> WorkerLoad | None:
-    """Pick the best worker for one more task of a group, or None if none has room."""
+def choose_worker(task: Task, loads: Sequence[WorkerLoad], now: float) -> WorkerLoad | None:
+    """Pick the best worker for a waiting task, or None if none has room."""
+    group = task.group
     spec = group.spec
-    able = [load for load in loads if load.takes(group, now)]
+    able = [load for load in loads if load.takes(group, now) and admits(load, task)]
     if group.job.advised:
         able = [load for load in able if group.ticket(load.worker.id, now)]
     if not able:
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -9,19 +9,30 @@
 
 from logbook import Logger
 
+from pumicespur.jobs._crashes import (
+    TOGETHER_S,
+    blame,
+    explain_failure,
+    forgive,
+    is_hopeless,
+    reserve_workers,
+)
 from pumicespur.jobs._estimates import Estimates
-from pumicespur.jobs._job import TaskState, make_job
+from pumicespur.jobs._job import Standing, TaskState, make_job
 from pumicespur.jobs._load import WorkerLoad
 from pumicespur.jobs._placement import order_groups, place_group
 from pumicespur.model import JobId, RouteName, RunEnd
-from pumicespur.schema.jobs_pb import JobPhase
+from pumicespur.schema.jobs_pb import FailureRecord, JobPhase
 
 if TYPE_CHECKING:
-    from pumicespur.jobs._job import Job, Task
+    from collections.abc import Collection, Sequence
+
+    from pumicespur.jobs._job import Job, Loss, Task
     from pumicespur.model import (
         Capacity,
         Configuration,
         PoolId,
+        Rack,
         TaskEnd,
         TaskName,
         Worker,
@@ -32,6 +43,19 @@
 log = Logger(__name__)
 
 
+SILENCES_KEPT_S = 30.0
+"""How long a silence is remembered: longer than the lease of a worker that fell silent with it."""
+
+
+@dataclass(frozen=True)
+class Silence:
+    """A worker that stopped answering (monotonic seconds) without a task that explains it."""
+
+    worker: WorkerId
+    rack: Rack
+    at: float
+
+
 @dataclass(eq=False)
 class PoolState:
     """Jobs and workers of a pool; `dirty` holds the jobs whose progress is not recorded yet."""
@@ -42,6 +66,7 @@
     dirty: set[Job] = field(default_factory=set)
     fresh: list[Task] = field(default_factory=list)
     """Tasks placed since the last commit."""
+    silences: list[Silence] = field(default_factory=list)
     estimates: Estimates = field(default_factory=Estimates)
     rooms: set[Capacity] | None = None
     """The different capacities of the workers; None after a change until they are asked for."""
@@ -103,6 +128,59 @@
         if load is not None:
             load.tasks.clear()
 
+    def note_silence(self, load: WorkerLoad, now: float) -> None:
+        """Note that a worker stopped answering."""
+        load.silent_at = now
+        self.silences = [s for s in self.silences if now - s.at < SILENCES_KEPT_S]
+        explained = any(task.standing is Standing.NEW for task in load.tasks)
+        if not explained and not load.leaving:
+            self.silences.append(Silence(load.worker.id, load.worker.rack, now))
+
+    def lose_runs(self, load: WorkerLoad, pending: Collection[Task] = ()) -> list[Task]:
+        """Note that a worker's runs are lost; return the tasks that may be the cause."""
+        together = any(
+            silence.worker != load.worker.id
+            and silence.rack == load.worker.rack
+            and abs(silence.at - load.silent_at) <= TOGETHER_S
+            for silence in self.silences
+        )
+        blamed = blame(load, pending, together=together)
+        for task in blamed:
+            self._weigh_losses(task)
+        return blamed
+
+    def lose_run(self, task: Task, loss: Loss) -> None:
+        """Note the loss of a worker with a task of which it is not known whether it began there."""
+        if task.job.ended or task.state is TaskState.DONE:
+            return
+        task.losses.append(loss)
+        self._weigh_losses(task)
+
+    def _weigh_losses(self, task: Task) -> None:
+        """Record a task's losses; give its job up if there are too many."""
+        self.dirty.add(task.job)
+        if is_hopeless(task) and not task.job.ended:
+            self._give_up(task, [loss.worker for loss in task.losses])
+
+    def forgive_loss(self, load: WorkerLoad) -> None:
+        """Take back the loss of a worker that answers again."""
+        tasks = (task for job in self.jobs.values() if not job.ended for task in job.tasks)
+        self.dirty.update(task.job for task in forgive(tasks, load))
+
+    def _give_up(self, task: Task, lost_workers: Sequence[WorkerId] = ()) -> None:
+        failure = FailureRecord(
+            task=task.name, attempts=task.failures, lost_workers=list(lost_workers)
+        )
+        task.job.fail(failure)
+        log.warning(
+            "job given up",
+            job=task.job.id,
+            pool=self.pool,
+            task=task.name,
+            reason=explain_failure(failure),
+            workers=list(lost_workers),
+        )
+
     def free(self, task: Task, checkpoint: str = "") -> None:
         """Let a task wait again after its run is known to be over."""
         load = self.load_of(task)
@@ -160,13 +238,15 @@
                 member.failures += 1
         self.dirty.add(task.job)
         if task.failures >= task.job.max_attempts:
-            task.job.phase = JobPhase.FAILED
+            self._give_up(task)
 
     def place(self, now: float, now_ms: float) -> list[Task]:
         """Choose workers for waiting tasks whose turn has come."""
         loads = list(self.loads.values())
         placed: list[Task] = []
-        for group in order_groups(self.jobs.values(), now_ms):
+        groups = order_groups(self.jobs.values(), now_ms)
+        reserve_workers(groups, loads, now)
+        for group in groups:
             placed += place_group(group, loads, now)
         for task in placed:
             self.dirty.add(task.job)
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -10,7 +10,8 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.jobs._job import TaskState
+from pumicespur.jobs._crashes import TRIAL_LOOK_S, note_running
+from pumicespur.jobs._job import Loss, TaskState
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs._lease import WorkerLease
 from pumicespur.model import Account, OtherLife, Refused, StartOrder
@@ -96,6 +97,10 @@
         self.failures = 0
         """Looks in a row that got no answer."""
         self.gone = False
+        self.pending: set[Task] = set()
+        """Tasks that are being ordered to start."""
+        self.blamed = False
+        """Tasks carry the worker's loss, which is taken back if it answers again."""
 
     async def run(self) -> None:
         """Follow the worker until its life is over."""
@@ -125,6 +130,8 @@
         """Extend the lease and read the account; return whether to look again at once."""
         settings = self.owner.settings.workers
         wait_s = settings.watch_s if self.lease.clock_ms is not None else 0.0
+        if self.load.suspects or self.load.reserved:
+            wait_s = min(wait_s, TRIAL_LOOK_S)
         if self.seen > self.recorded or self.unsettled or self.failures:
             wait_s = 0.0
         # A worker that did not answer is promised nothing more, so that its lease does end.
@@ -149,6 +156,8 @@
                 return False
 
     def _note_failure(self, reason: str) -> None:
+        if self.failures == 0:
+            self.owner.pool.note_silence(self.load, time.monotonic())
         self.failures += 1
         if self.load.reachable or self.failures == 1:
             log.warning("worker lost", pool=self.owner.pool.pool, worker=self.id, reason=reason)
@@ -159,18 +168,24 @@
             log.info("worker answers", pool=self.owner.pool.pool, worker=self.id)
             self.load.reachable = True
             self.owner.wake()
+        if self.blamed:
+            # It lives: what was lost with it was cut off, and nothing brought it down.
+            self.blamed = False
+            self.owner.pool.forgive_loss(self.load)
         now = time.monotonic()
         for end in account.ended:
             if end.number > self.seen:
                 self.seen = end.number
                 self.owner.note_end(self.id, end, now)
         running = {(run.task, run.run): run for run in account.running}
-        self._note_running(running, now)
+        self._note_running(running, sent_at, now)
         await self._settle(running, sent_at)
         await self._stop_foreign(running, now)
         await self._stop_stalled(now)
 
-    def _note_running(self, running: dict[tuple[TaskName, int], Running], now: float) -> None:
+    def _note_running(
+        self, running: dict[tuple[TaskName, int], Running], sent_at: float, now: float
+    ) -> None:
         for task in list(self.load.tasks):
             found = running.get((task.name, task.run))
             if task.job.ended or task.worker != self.id:
@@ -182,6 +197,7 @@
                 continue
             if task.state is TaskState.STARTING:
                 self._confirm(task)
+            note_running(task, sent_at - task.seen_at)
             if task.percent != found.percent:
                 task.progressed_at = now
             task.percent = found.percent
@@ -203,7 +219,7 @@
     def _confirm(self, task: Task, started_at: float = 0.0) -> None:
         task.state = TaskState.RUNNING
         task.started_at = started_at
-        task.progressed_at = time.monotonic()
+        task.progressed_at = task.seen_at = time.monotonic()
         task.job.begun = True
         if task.spec.long_running and task.away_since is None:
             task.away_since = task.progressed_at
@@ -284,7 +300,9 @@
         order = StartOrder(
             task.name, run, task.job.record.payload, task.checkpoint, deadline, task.ticket
         )
+        self.pending.add(task)
         answer = await self.owner.orders.start(self.load.worker, self.owner.token, order)
+        self.pending.discard(task)
         outcome = "taken" if answer.is_ok() else type(answer.error).__name__
         log.info(
             "start ordered",
@@ -298,12 +316,16 @@
             took_s=round(time.monotonic() - now, 3),
         )
         METRICS.starts.inc({"pool": self.owner.pool.pool, "outcome": outcome})
+        if self.gone and (answer.is_ok() or isinstance(answer.error, AnswerLost)):
+            # The worker's end was known before this answer, so the start was not counted then.
+            self.owner.pool.lose_run(task, Loss(self.id, self.load.instance, alone=False))
         if task.run != run or task.worker != self.id:
             return
         match answer:
             case Result(tag="ok"):
                 self._confirm(task, now)
             case Result(error=OtherLife()):
+                self._free_if_same(task, run, "another life answers")
                 self.end("another life answers")
             case Result(error=Refused(reason=reason)) if reason == FENCED:
                 raise OwnershipLostError(f"worker {self.id} has seen a newer token")
@@ -344,7 +366,7 @@
         if not self.load.listed:
             self.end("not listed and its lease is over")
             return
-        self._tell_lost_runs("its lease is over")
+        self._lose_runs("its lease is over")
         for task in list(self.load.tasks):
             self.unsettled.pop(task, None)
             self.load.remove(task)
@@ -357,13 +379,17 @@
             return
         self.gone = True
         log.info("worker gone", pool=self.owner.pool.pool, worker=self.id, reason=reason)
-        self._tell_lost_runs(reason)
+        self._lose_runs(reason)
         self.owner.pool.drop_worker(self.id)
         self.owner.wake()
 
-    def _tell_lost_runs(self, reason: str) -> None:
-        """Log what the worker takes along, so that a task that brings workers down shows."""
+    def _lose_runs(self, reason: str) -> None:
+        """Note and log what the worker takes along, and which of it may have brought it down."""
         lost = [task for task in self.load.tasks if task.wants(self.id, task.run)]
+        if self.failures == 0:
+            self.owner.pool.note_silence(self.load, time.monotonic())
+        blamed = self.owner.pool.lose_runs(self.load, self.pending)
+        self.blamed = self.blamed or bool(blamed)
         for task in lost:
             log.warning(
                 "run lost",
@@ -375,6 +401,8 @@
                 instance=self.load.worker.instance,
                 state=task.state.value,
                 ran_s=round(max(0.0, self.lease.heard_at - task.started_at), 3),
+                blamed=task in blamed,
+                workers_lost=len(task.losses),
                 beside=len(lost) - 1,
                 emptied=self.load.evacuating,
                 reason=reason,
