--- a/pumicespur/__main__.py
+++ b/pumicespur/__main__.py
@@ -47,6 +47,8 @@
 WATCH_HELP = "Print the wave's progress until it no longer runs."
 WANTED_HELP = "Id of a job, a task, a worker or a pool."
 LOGS_HELP = "Log files of any number of processes."
+JOB_HELP = "Id of a job on a hosted platform."
+NODE_HELP = "URL of any node's metrics address."
 PROCESS_HELP = "The process; the manager itself if left out."
 
 Settings = Annotated[Path, Parameter(help=SETTINGS_HELP)]
@@ -58,6 +60,8 @@
 Resume = Annotated[bool, Parameter(help=RESUME_HELP, negative="")]
 Wanted = Annotated[str, Parameter(help=WANTED_HELP)]
 Logs = Annotated[list[Path], Parameter(help=LOGS_HELP, negative="")]
+WantedJob = Annotated[str, Parameter(help=JOB_HELP)]
+NodeUrl = Annotated[str, Parameter(help=NODE_HELP)]
 WaveName = Annotated[str, Parameter(help=WAVE_HELP)]
 Watch = Annotated[bool, Parameter(help=WATCH_HELP, negative="")]
 ProcessName = Annotated[str, Parameter(help=PROCESS_HELP)]
@@ -192,11 +196,24 @@
 
 
 @app.command
-async def status(*, json: Json = False, connection: Connection = LOCAL) -> None:
-    """Show the state of pools, waves and processes.
+async def status(
+    *,
+    job: WantedJob = "",
+    node: NodeUrl = "",
+    json: Json = False,
+    connection: Connection = LOCAL,
+) -> None:
+    """Show the state of pools, waves and processes, or of one job and why it failed.
 
     Example: pumicespur status --json
+
+    Example: pumicespur status --job 5c0e7a21d94b36f8 --node http://10.1.0.9:9464
     """
+    if bool(job) != bool(node):
+        raise PumicespurError("--job and --node go together: any node tells of any job")
+    if job:
+        await status_command.job_status(node, job, as_json=json)
+        return
     await status_command.status(connection.client(), as_json=json)
 
 
--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pumicespur.jobs._demand import FILL_SHARE
+from pumicespur.jobs._describe import describe_progress
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import OWNERS_TABLE, owner_key
 from pumicespur.jobs._lease import EarlierLeases
@@ -18,5 +19,6 @@
     "Ownership",
     "OwnershipLostError",
     "PoolOwner",
+    "describe_progress",
     "owner_key",
 ]
--- a/pumicespur/jobs/_crashes.py
+++ b/pumicespur/jobs/_crashes.py
@@ -20,7 +20,6 @@
 
     from pumicespur.jobs._job import StepGroup, Task
     from pumicespur.jobs._load import WorkerLoad
-    from pumicespur.schema.jobs_pb import FailureRecord
 
 log = Logger(__name__)
 
@@ -154,10 +153,3 @@
     """Whether a task has brought down so many workers that its job is given up."""
     alone = {loss.instance for loss in task.losses if loss.alone}
     return len(alone) >= ALONE_LIMIT or len(task.losses) >= LOSS_LIMIT
-
-
-def explain_failure(failure: FailureRecord) -> str:
-    """Tell in words why a job failed."""
-    if failure.lost_workers:
-        return f"task {failure.task} brought down {len(failure.lost_workers)} workers"
-    return f"task {failure.task} failed {failure.attempts} times"
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -12,11 +12,11 @@
 from pumicespur.jobs._crashes import (
     TOGETHER_S,
     blame,
-    explain_failure,
     forgive,
     is_hopeless,
     reserve_workers,
 )
+from pumicespur.jobs._describe import explain_failure
 from pumicespur.jobs._estimates import Estimates
 from pumicespur.jobs._job import Standing, TaskState, make_job
 from pumicespur.jobs._load import WorkerLoad
--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -17,7 +17,7 @@
 from pumicespur.store import AnswerLost, Condition, Conflict, Row, Transaction, Write
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from pumicespur.model import PoolId, Route
     from pumicespur.platform import PlatformTable
@@ -130,6 +130,26 @@
                     return Error(fault)
         return Ok(None)
 
+    async def find(
+        self, pools: Sequence[PoolId], job: JobId, give_up_at: float
+    ) -> Result[tuple[PoolId, ProgressRecord] | None, Fault]:
+        """Look a job up for an operator, who need not know its route; None if it is in no pool."""
+        for pool in pools:
+            progress = await self._read(progress_key(pool, job), give_up_at)
+            match progress:
+                case Result(tag="ok", ok=row) if row.version:
+                    return Ok((pool, ProgressRecord.from_binary(row.value)))
+                case Result(error=fault):
+                    return Error(fault)
+            submission = await self._read(submission_key(pool, job), give_up_at)
+            match submission:
+                case Result(tag="ok", ok=row) if row.version:
+                    route = JobRecord.from_binary(row.value).route
+                    return Ok((pool, ProgressRecord(phase=JobPhase.QUEUED, route=route)))
+                case Result(error=fault):
+                    return Error(fault)
+        return Ok(None)
+
     async def cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
         """Record that a job is not wanted any more; its owner stops it."""
         with anyio.CancelScope(deadline=give_up_at):
--- a/pumicespur/node/_inspection.py
+++ b/pumicespur/node/_inspection.py
@@ -1,9 +1,9 @@
-"""The HTTP server for metrics and the state dump."""
+"""The HTTP server for metrics, the state dump and what is recorded of a job."""
 
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from aiohttp import web
 
@@ -11,13 +11,26 @@
 from pumicespur.utils import METRICS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from aiohttp.web import ServerRunner
+    from expression import Result
+
+    from pumicespur.store import Fault
+
+JOBS_PATH = "/jobs/"
+
+
+class Inspected(Protocol):
+    """What the server needs of the process."""
+
+    def describe(self) -> dict[str, object]:
+        """Return the process's state."""
 
+    async def describe_job(self, name: str) -> Result[dict[str, object] | None, Fault]:
+        """Return what is recorded of a job; None if there is no such job."""
 
-async def serve_inspection(address: str, describe: Callable[[], dict[str, object]]) -> ServerRunner:
-    """Serve `/metrics` as text and `/state` as JSON at an IP number and port."""
+
+async def serve_inspection(address: str, process: Inspected) -> ServerRunner:
+    """Serve `/metrics` as text, `/state` and `/jobs/ID` as JSON at an IP number and port."""
 
     async def answer(request: web.BaseRequest) -> web.StreamResponse:
         match request.path:
@@ -25,10 +38,24 @@
                 content, headers = METRICS.page()
                 return web.Response(body=content, headers=headers)
             case "/state":
-                return web.Response(
-                    text=json.dumps(describe(), default=str), content_type="application/json"
-                )
+                return _as_json(process.describe())
+            case path if path.startswith(JOBS_PATH):
+                return await _answer_job(process, path.removeprefix(JOBS_PATH))
             case _:
                 return web.Response(status=404)
 
     return await listen_at(address, answer)
+
+
+async def _answer_job(process: Inspected, name: str) -> web.StreamResponse:
+    found = await process.describe_job(name)
+    if found.is_error():
+        return _as_json({"error": f"the store does not tell: {found.error}"}, status=503)
+    if found.ok is None:
+        return _as_json({"error": f"no job {name!r}"}, status=404)
+    return _as_json(found.ok)
+
+
+def _as_json(content: dict[str, object], status: int = 200) -> web.Response:
+    text = json.dumps(content, default=str)
+    return web.Response(status=status, text=text, content_type="application/json")
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -12,9 +12,9 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.jobs import JobService, PoolOwner
+from pumicespur.jobs import JobService, PoolOwner, describe_progress
 from pumicespur.listeners import bound_to
-from pumicespur.model import ProcessId
+from pumicespur.model import JobId, ProcessId
 from pumicespur.node._follow import CatchUp, TableFollower
 from pumicespur.node._hearing import count_waiting
 from pumicespur.node._inspection import serve_inspection
@@ -45,7 +45,7 @@
 
     from pumicespur.config import NodeSettings
     from pumicespur.model import Configuration, Route
-    from pumicespur.store import Row
+    from pumicespur.store import Fault, Row
 
 log = Logger(__name__)
 
@@ -81,6 +81,9 @@
 GAUGES_S = 1.0
 """Pause between updates of the gauges."""
 
+JOB_LOOKUP_S = 3.0
+"""Longest wait for the store when an operator asks for a job."""
+
 STORE_USE_S = 10.0
 """Pause between log lines that tell what each table of the store has cost so far."""
 
@@ -129,7 +132,7 @@
             tasks.start_soon(self.operators.run)
             tasks.start_soon(WorkerList(settings.store, self.view, self.table, self.keeper).run)
             if settings.listen.metrics:
-                inspection = await serve_inspection(settings.listen.metrics, self.describe)
+                inspection = await serve_inspection(settings.listen.metrics, self)
                 self.server.runners.append(inspection)
                 bound["metrics"] = bound_to(inspection)
             log.info(
@@ -214,6 +217,12 @@
             },
         }
 
+    async def describe_job(self, name: str) -> Result[dict[str, object] | None, Fault]:
+        """Return what is recorded of a job; None if there is no such job."""
+        give_up_at = time.monotonic() + JOB_LOOKUP_S
+        found = await self.jobs.find(self.view.pools(), JobId(name), give_up_at)
+        return found.map(lambda job: None if job is None else describe_progress(name, *job))
+
     def _on_operators_rows(self, rows: Sequence[Row], whole: bool) -> None:
         for row in rows:
             if row.version <= self.operators_rows.get(row.key, 0):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -33,6 +34,7 @@
 from pumicespur.model import InstanceId, WorkerId
 from pumicespur.schema.jobs_pb import JobPhase, ProgressRecord, StepRecord
 from standins.hosted import CRASHING_PAYLOAD, Run
+from tests.test_commands import run
 from tests.test_jobs import ROUTE, make_pool, make_record, make_worker, run_all, submit
 from tests.test_node import STEP, NodeCase, job_id
 
@@ -95,6 +97,32 @@
         await self.check_outcome(await self.submit_all())
 
 
+class CrashingTaskReasonTest(CrashCase):
+    """Operators are told why the job failed, by the logs and by any node."""
+
+    async def test_status_and_explain_name_the_task_and_its_workers(self) -> None:
+        await self.check_outcome(await self.submit_all())
+        url = f"http://{self.other.address('metrics')}"
+        shown = await run("status", "--job", CRASHER, "--node", url)
+        self.assertEqual(0, shown.returncode, shown.stderr)
+        self.assertIn(f"task {CRASHING_TASK} brought down", shown.stdout)
+        told = await run("status", "--json", "--job", CRASHER, "--node", url)
+        lost = json.loads(told.stdout)["lost_workers"]
+        self.assertEqual([r.worker for r in self.crashing_runs()], lost)
+        explained = await run("explain", CRASHER, str(self.owner.log))
+        self.assertIn("job given up", explained.stdout)
+        for worker in lost:
+            self.assertIn(worker, explained.stdout)
+
+    async def test_status_tells_of_a_job_that_is_not_there(self) -> None:
+        url = f"http://{self.other.address('metrics')}"
+        shown = await run("status", "--job", job_id(1), "--node", url)
+        self.assertEqual(1, shown.returncode)
+        self.assertIn("no job", shown.stderr)
+        alone = await run("status", "--job", job_id(1))
+        self.assertIn("--node", alone.stderr)
+
+
 class CrashingTaskTakeoverTest(CrashCase):
     """The pool gets a new owner between two crashes."""
 
