What another writer left in the workers' table names no worker

Cause: an unknown state counted as ready, a missing state or capacity had a default, deeply nested text ended the process, and a value that is no base64 made the whole page unreadable; an entry that could not be read left the worker of before in use. The stand-in puts such entries beside the workers'.

--- a/pumicespur/node/_workers.py
+++ b/pumicespur/node/_workers.py
@@ -94,6 +94,8 @@
                 case Result(tag="ok", ok=worker):
                     self.view.workers[identity] = worker
                 case Result(error=reason):
+                    # Whatever stood there before, the entry names no worker to use any more.
+                    self.view.workers.pop(identity, None)
                     log.error("worker not understood", worker=identity, reason=reason)
         self.view.workers_known = True
         self.keeper.sync_workers()
--- a/pumicespur/platform/_declarations.py
+++ b/pumicespur/platform/_declarations.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from enum import Enum
+from typing import Annotated, TypeVar
+
 import msgspec
 from expression import Error, Ok, Result
 
@@ -28,6 +31,12 @@
 OPERATORS_TABLE = "op"
 WORKERS_TABLE = "servers"
 
+ADDRESS_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+"""IP number and port, the only form of address that is spoken to."""
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+"""How much there is of something; messages between processes carry no more."""
+
 RACK_LABEL_DIGITS = frozenset("0123456789-")
 
 
@@ -79,24 +88,29 @@
 class WireCapacity(msgspec.Struct):
     """Capacity as workers and the instance list write it."""
 
-    cpu: int = 0
+    cpu: Amount = 0
     """Thousandths of a core."""
-    memory_mb: int = msgspec.field(name="memMb", default=0)
-    gpu: int = 0
+    memory_mb: Amount = msgspec.field(name="memMb", default=0)
+    gpu: Amount = 0
 
     def decode(self) -> Capacity:
         """Return the product's form."""
         return Capacity(self.cpu, self.memory_mb, self.gpu)
 
 
+class _WorkerState(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+
+
 class _Worker(msgspec.Struct):
     backend: str
     """The pool."""
-    address: str
+    address: Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN)]
     zone: str
     """The data hall."""
-    state: str = "ready"
-    capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
+    state: _WorkerState
+    capacity: WireCapacity
     labels: list[str] = []
     machine: str = ""
     """The instance that the worker runs on."""
@@ -106,14 +120,21 @@
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
 _WAVE = msgspec.json.Decoder(_Wave)
 _WORKER = msgspec.json.Decoder(_Worker)
+_WORKER_STATES = {
+    _WorkerState.READY: WorkerState.READY,
+    _WorkerState.DRAINING: WorkerState.DRAINING,
+}
+
+Declared = TypeVar("Declared")
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
     """Read the operators' configuration, or tell what is wrong with it."""
-    try:
-        found = _CONFIGURATION.decode(value)
-    except msgspec.MsgspecError as failure:
-        return Error(f"configuration: {failure}")
+    match _decode(_CONFIGURATION, value, "configuration"):
+        case Result(tag="error", error=reason):
+            return Error(reason)
+        case Result(ok=found):
+            pass
     routes = {RouteName(route.name): _route(route) for route in found.routes}
     pools = {
         PoolId(s.name): PoolSettings(PoolId(s.name), s.guarded, s.spare) for s in found.services
@@ -124,10 +145,11 @@
 
 def decode_wave(value: bytes) -> Result[Wave, str]:
     """Read a wave, or tell what is wrong with it."""
-    try:
-        found = _WAVE.decode(value)
-    except msgspec.MsgspecError as failure:
-        return Error(f"wave: {failure}")
+    match _decode(_WAVE, value, "wave"):
+        case Result(tag="error", error=reason):
+            return Error(reason)
+        case Result(ok=found):
+            pass
     instances = tuple(InstanceId(name) for name in found.machines)
     return Ok(Wave(found.wave, instances, found.duration_s, found.at_once))
 
@@ -143,18 +165,17 @@
 
 
 def decode_worker(identity: str, value: bytes) -> Result[Worker, str]:
-    """Read a worker's description, or tell what is wrong with it."""
-    try:
-        found = _WORKER.decode(value)
-    except msgspec.MsgspecError as failure:
-        return Error(f"worker {identity}: {failure}")
-    return Ok(
-        Worker(
+    """Read a worker's description, or tell what is wrong with it.
+
+    Others may write into the table too, so that anything may stand there.
+    """
+    return _decode(_WORKER, value, f"worker {identity}").map(
+        lambda found: Worker(
             id=WorkerId(identity),
             pool=PoolId(found.backend),
             address=found.address,
             data_hall=DataHall(found.zone),
-            state=WorkerState.DRAINING if found.state == "draining" else WorkerState.READY,
+            state=_WORKER_STATES[found.state],
             capacity=found.capacity.decode(),
             labels=frozenset(found.labels),
             rack=rack_of(found.labels),
@@ -164,6 +185,15 @@
     )
 
 
+def _decode(
+    decoder: msgspec.json.Decoder[Declared], value: bytes, what: str
+) -> Result[Declared, str]:
+    try:
+        return Ok(decoder.decode(value))
+    except (msgspec.MsgspecError, RecursionError) as failure:
+        return Error(f"{what}: {failure}")
+
+
 def rack_of(labels: list[str]) -> Rack:
     """Pick the label that names the rack: a letter, then digits and hyphens."""
     for label in labels:
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -57,7 +57,8 @@
     table: str
     part: str = ""
     key: str = msgspec.field(name="privateKey", default="")
-    value: str = ""
+    value: object = ""
+    """Text in base64; another writer may have put anything there."""
     ver: int = 0
     gone: bool = False
     """The row was removed; `ver` is the version of its removal."""
@@ -345,4 +346,13 @@
 def _row(row: _Row) -> Row:
     if row.gone:
         return Row(_key(row), b"", 0)
-    return Row(_key(row), base64.b64decode(row.value), row.ver)
+    return Row(_key(row), _content(row), row.ver)
+
+
+def _content(row: _Row) -> bytes:
+    """Return a row's value; one that can't be read is empty, and the rows beside it hold."""
+    try:
+        return base64.b64decode(str(row.value), validate=True)
+    except ValueError as failure:
+        log.error("row not understood", row=_key(row), reason=str(failure))
+        return b""
--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -4,6 +4,7 @@
 
 from standins.hosted._advice import VALID_MS
 from standins.hosted._fleet import FleetOrder, HostedFleet
+from standins.hosted._foreign import FOREIGN_ENTRIES
 from standins.hosted._links import Link, Passage
 from standins.hosted._nodes import NODE_MODULE, SUSPENDABLE_MODULE, Node, Nodes
 from standins.hosted._store import HostedStore, StoredRow
@@ -12,6 +13,7 @@
 
 __all__ = [
     "CRASHING_PAYLOAD",
+    "FOREIGN_ENTRIES",
     "HOST",
     "MAX_ATTEMPTS",
     "NODE_MODULE",
