No start brings a worker over its room, also one that shrank meanwhile

Cause: a place was kept although the room had shrunk while it was recorded; a start on its way was no longer counted once its job was cancelled; runs that an earlier owner's ended jobs had left took room that nobody counted. Test first: tests/test_room.py, four of six fail with the code as it was.

--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -30,6 +30,8 @@
     tasks: set[Task] = field(default_factory=set)
     suspects: set[Task] = field(default_factory=set)
     """Those of its tasks that may have brought an earlier worker down."""
+    unknown_runs: bool = False
+    """It carries runs that take room and are not counted here; they are being stopped."""
     reserved: bool = False
     """It gets no new tasks but one suspect, see `_crashes`."""
     silent_at: float = 0.0
@@ -90,7 +92,17 @@
     def open(self, now: float) -> bool:
         """Whether the worker may be given tasks now."""
         ready = self.listed and self.worker.state is WorkerState.READY
-        return ready and self.reachable and not self.evacuating and now >= self.avoid_until
+        answers = self.reachable and not self.unknown_runs
+        return ready and answers and not self.evacuating and now >= self.avoid_until
+
+    def over_full(self) -> bool:
+        """Whether what is counted here exceeds the room, which may have shrunk since."""
+        room = self.worker.capacity
+        return (
+            self.cpu_millis > room.cpu_millis
+            or self.memory_mb > room.memory_mb
+            or self.accelerators > room.accelerators
+        )
 
     def fits(self, spec: StepRecord) -> bool:
         """Whether one more task of a step has room."""
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -18,6 +18,8 @@
 from pumicespur.utils import METRICS, monotonic
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from pumicespur.jobs._holding import PoolHolder
     from pumicespur.jobs._job import Task
     from pumicespur.jobs._lease import EarlierLeases
@@ -178,6 +180,7 @@
                 self.owner.note_end(self.id, end, now)
         running = {(run.task, run.run): run for run in account.running}
         self._note_running(running, sent_at, now)
+        self._note_unknown_runs(running)
         await self._settle(running, sent_at)
         await self._stop_foreign(running, now)
         await self._stop_stalled(now)
@@ -188,7 +191,7 @@
         for task in list(self.load.tasks):
             found = running.get((task.name, task.run))
             if task.job.ended or task.worker != self.id:
-                if found is None:
+                if found is None and not self._may_arrive(task):
                     self.load.remove(task)
                     self.owner.wake()
                 continue
@@ -205,6 +208,21 @@
             task.checkpoint = found.checkpoint
             task.figure = found.figure
 
+    def _may_arrive(self, task: Task) -> bool:
+        """Whether a start is on its way or its fate is unknown: it may still take its room."""
+        return task in self.pending or task in self.unsettled
+
+    def _note_unknown_runs(self, running: Iterable[tuple[TaskName, int]]) -> None:
+        """Note whether the worker carries runs whose room is not counted.
+
+        Such are those of jobs that had ended before this process took the pool.
+        """
+        counted = {(task.name, task.run) for task in self.load.tasks}
+        unknown = any(run not in counted for run in running)
+        if self.load.unknown_runs and not unknown:
+            self.owner.wake()
+        self.load.unknown_runs = unknown
+
     async def _stop_stalled(self, now: float) -> None:
         """Stop tasks that stand still, so that they go on elsewhere from their checkpoint."""
         for task in list(self.load.tasks):
@@ -295,6 +313,9 @@
         if task.job.ended or deadline is None or self.gone or not self.owner.may_extend(now):
             self._free_if_same(task, run, "not ordered")
             return
+        if self.load.over_full():
+            self._free_if_same(task, run, "the worker's room has shrunk")
+            return
         task.state = TaskState.STARTING
         order = StartOrder(
             task.name, run, task.job.record.payload, task.checkpoint, deadline, task.ticket
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -71,6 +71,8 @@
     rack: str
     history: list[Run]
     cpu: int = 4000
+    rooms: list[tuple[float, int]] = field(default_factory=list)
+    """Changes of the room: monotonic time and thousandths of a core."""
     memory_mb: int = 8000
     task_s: float = 0.05
     faults: WorkerFaults = field(default_factory=WorkerFaults)
@@ -133,6 +135,11 @@
             }
         ).encode()
 
+    def resize(self, cpu: int) -> None:
+        """Have another room from now on; what runs goes on."""
+        self.cpu = cpu
+        self.rooms.append((monotonic(), cpu))
+
     async def crash(self) -> None:
         """End this life with all that it runs."""
         self.alive = False
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -132,6 +132,12 @@
         """Let a new worker write itself into the store."""
         self.store.put(("servers", "", worker.id), worker.description())
 
+    def resize_worker(self, instance: str, cpu: int) -> None:
+        """Let a worker's room shrink or grow, which its entry shows."""
+        worker = self.workers[instance]
+        worker.resize(cpu)
+        self.store.put(("servers", "", worker.id), worker.description())
+
     async def crash_worker(self, instance: str) -> None:
         """End a worker without a word; the store drops its entry."""
         worker = self.workers.pop(instance)
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,129 @@
+"""Tests of a worker's room, which may shrink while tasks are on their way to it.
+
+What operators would see: a worker that starts whatever it is told is brought over its room, and
+all that it runs becomes slow. The room had shrunk while a place was being recorded, or a run that
+was being stopped was no longer counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+from typing import Any
+
+from expression import Ok, Result
+
+from pumicespur.jobs._job import TaskState
+from pumicespur.jobs._lease import EarlierLeases
+from pumicespur.jobs._placement import put
+from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
+from pumicespur.model import Account, Capacity, Running, TaskName
+from pumicespur.schema.jobs_pb import StepRecord
+from pumicespur.utils import monotonic
+from tests.base import quiet_loop
+from tests.test_jobs import make_record, make_worker, submit
+from tests.test_node import STEP, NodeCase, job_id
+from tests.test_watch import ScriptedHolder
+
+ROOM = 1000
+
+
+class ShrinkingRoomTest(unittest.IsolatedAsyncioTestCase):
+    """One worker with room for two tasks, and three that are placed one by one."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.holder = ScriptedHolder()
+        self.worker = make_worker("w", cpu=ROOM)
+        self.watch = WorkerWatch(self.holder, self.worker, EarlierLeases(0.0))
+        self.watch.load.reachable = True
+        self.watch.lease.note(0.0, monotonic())
+        self.job = submit(self.holder.pool, make_record(StepRecord(count=3, cpu_millis=500)))
+
+    def shrink(self, cpu: int) -> None:
+        smaller = replace(self.worker, capacity=Capacity(cpu, 8000))
+        self.holder.pool.add_worker(smaller)
+
+    async def account(self, *runs: Running) -> None:
+        answer = Account(monotonic() * 1000, list(runs), [])
+        await self.watch._take_in(answer, monotonic())
+
+    async def test_start_is_taken_back_when_the_room_shrank_meanwhile(self) -> None:
+        first, second, _ = self.job.tasks
+        for task in (first, second):
+            put(task, self.watch.load)
+        await self.watch.start(first, 1)
+        self.shrink(500)
+        await self.watch.start(second, 1)
+        self.assertEqual(1, self.holder.orders.starts)
+        self.assertIs(TaskState.WAITING, second.state)
+        self.assertEqual(500, self.watch.load.cpu_millis)
+
+    async def test_room_that_grows_again_is_used(self) -> None:
+        self.shrink(500)
+        self.assertEqual(1, len(self.holder.pool.place(monotonic(), 0.0)))
+        self.shrink(ROOM)
+        self.assertEqual(1, len(self.holder.pool.place(monotonic(), 0.0)))
+
+    async def test_start_on_its_way_counts_after_its_job_was_cancelled(self) -> None:
+        task = self.job.tasks[0]
+        put(task, self.watch.load)
+        released = asyncio.Event()
+
+        async def slow_start(*_: Any) -> Result[None, Any]:
+            await released.wait()
+            return Ok(None)
+
+        self.holder.orders.start = slow_start
+        ordering = asyncio.create_task(self.watch.start(task, 1))
+        await asyncio.sleep(0)
+        self.holder.pool.cancel(self.job)
+        await self.account()
+        self.assertEqual(500, self.watch.load.cpu_millis)
+        released.set()
+        await ordering
+
+    async def test_start_without_an_answer_counts_after_its_job_was_cancelled(self) -> None:
+        task = self.job.tasks[0]
+        put(task, self.watch.load)
+        task.state = TaskState.STARTING
+        self.watch.unsettled[task] = UnansweredStart(1, monotonic() + 60)
+        self.holder.pool.cancel(self.job)
+        await self.account()
+        self.assertEqual(500, self.watch.load.cpu_millis)
+
+    async def test_run_of_which_nothing_is_known_closes_the_worker_until_it_is_gone(self) -> None:
+        await self.account(Running(TaskName("f" * 16 + ".0.0.0"), 1, "", 5, 0.0))
+        self.assertEqual([], self.holder.pool.place(monotonic(), 0.0))
+        await self.account()
+        self.assertEqual(2, len(self.holder.pool.place(monotonic(), 0.0)))
+
+
+class ShrunkWorkerTest(NodeCase):
+    """All workers but one shrink to a single task each, and grow again."""
+
+    async def test_it_gets_no_more_than_it_holds(self) -> None:
+        for worker in self.world.workers.values():
+            worker.task_s = 0.2
+        for name in ("m-0", "m-1"):
+            self.world.resize_worker(name, 500)
+        await asyncio.sleep(1.0)
+        shrunk = {self.world.workers[name].id for name in ("m-0", "m-1")}
+        jobs = [job_id(number) for number in range(6)]
+        for job in jobs:
+            await self.world.submit(self.node, job, [STEP])
+        for job in jobs:
+            await self.world.wait_state(self.node, job, "completed")
+        for name in shrunk:
+            runs = [run for run in self.world.history if run.worker == name]
+            for run in runs:
+                beside = [r for r in runs if r.started_at <= run.started_at < (r.ended_at or 0)]
+                self.assertEqual(1, len(beside))
+        self.world.resize_worker("m-0", 4000)
+        await asyncio.sleep(1.0)
+        jobs = [job_id(100 + number) for number in range(6)]
+        for job in jobs:
+            await self.world.submit(self.node, job, [STEP])
+        for job in jobs:
+            await self.world.wait_state(self.node, job, "completed")
