The soak brings workers down, shrinks them, suspends nodes and writes foreign entries

Judged besides: a task that brings workers down is started five times at most and its job given up, no other job with it; no start brings a worker over its room.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 from soak._plan import Deployment, FaultKind, Plan, draw_plan, load_plan, save_plan
 from soak._run import Outcome, play
 from soak.mutant import Mutant
-from standins.hosted import NODE_MODULE
+from standins.hosted import SUSPENDABLE_MODULE
 
 app = App(name="soak", help=__doc__)
 
@@ -40,13 +40,14 @@
     nodes: int = 3,
     workers: int = 6,
     at_once: int = 2,
+    kinds: list[FaultKind] | None = None,
     keep: Path = KEEP,
-    module: str = NODE_MODULE,
+    module: str = SUSPENDABLE_MODULE,
 ) -> int:
     """Play seeds one after the other, some beside each other; fresh ones if none is named."""
     first = int(time.time()) % 10_000_000 if seed is None else seed
     deployment = Deployment(nodes=nodes, workers=workers)
-    plans = [draw_plan(first + n, length_s, deployment) for n in range(count)]
+    plans = [draw_plan(first + n, length_s, deployment, kinds or ()) for n in range(count)]
     outcomes = asyncio.run(_play_all(plans, at_once, keep, module))
     failed = [outcome.plan.seed for outcome in outcomes if outcome.findings]
     print(f"{count - len(failed)} seeds held, {len(failed)} failed: {failed}")
@@ -100,6 +101,8 @@
     Mutant.BUDGETS_IGNORED: (FaultKind.WAVE, FaultKind.WORKER_DRAINS),
     Mutant.READINGS_BROKEN_OFF: (FaultKind.STORE_LINK_THIN, FaultKind.CONFIGURE_OFTEN),
     Mutant.CHANGES_REPLAYED: (FaultKind.STORE_LINK_THIN, FaultKind.CONFIGURE_OFTEN),
+    Mutant.LOSSES_FORGOTTEN: (FaultKind.CRASHING_JOB,),
+    Mutant.ROOM_NOT_READ_AGAIN: (FaultKind.WORKER_SHRINKS, FaultKind.WORKER_SHRINKS),
 }
 """Faults that show what each mutant lacks when they overlap."""
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from pumicespur.utils import monotonic
-from standins.hosted import HOST
+from standins.hosted import CRASHING_PAYLOAD, HOST
 
 if TYPE_CHECKING:
     from soak._plan import Plan
@@ -42,6 +42,12 @@
 PROBE_S = 0.2
 """Pause between looks at whether every node serves what was added."""
 
+GIVEN_UP_S = 12.0
+"""Time in which a job that brings workers down is given up, unless much else goes wrong."""
+
+TASK_CPU = 500
+"""What each task asks for, in thousandths of a core."""
+
 MAX_LASTING = 3
 """Lasting jobs that one caller keeps open; each takes a few workers."""
 
@@ -51,6 +57,8 @@
 
     SHORT = "short"
     LASTING = "lasts"
+    CRASHING = CRASHING_PAYLOAD
+    """Its first task brings down each worker that starts it."""
 
 
 @dataclass(frozen=True)
@@ -168,6 +176,16 @@
                 self.probes.append(await self._send("GET", f"/{due[-1]}/", None, name))
             await asyncio.sleep(PROBE_S)
 
+    async def crash_workers(self) -> None:
+        """Hand in a job that brings workers down, and wait until it is given up."""
+        await self._submit(JobKind.CRASHING, [{"count": 2, "cpu": TASK_CPU, "memMb": 100}])
+        job = self.jobs[-1]
+        until = monotonic() + GIVEN_UP_S
+        while job.accepted_at is not None and monotonic() < until:
+            if (await self.ask(job)).state == "failed":
+                return
+            await asyncio.sleep(PROBE_S)
+
     async def ask(self, job: SentJob) -> Exchange:
         """Ask for the state of a job."""
         seen = await self._send("GET", f"/quick/{job.id}", None)
@@ -192,7 +210,12 @@
             await asyncio.sleep(self.random.uniform(0.05, 0.3))
 
     def _short_steps(self) -> list[dict[str, Any]]:
-        first = {"count": self.random.randint(1, 4), "cpu": 500, "memMb": 100, "estimatedMs": 250}
+        first = {
+            "count": self.random.randint(1, 4),
+            "cpu": TASK_CPU,
+            "memMb": 100,
+            "estimatedMs": 250,
+        }
         if self.random.random() < SPECULATIVE_SHARE:
             first["speculative"] = True
         if self.random.random() < 0.5:
@@ -221,7 +244,7 @@
 def _lasting_step() -> dict[str, Any]:
     return {
         "count": 3,
-        "cpu": 500,
+        "cpu": TASK_CPU,
         "memMb": 100,
         "longRunning": True,
         "may_miss": 1,
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.utils import monotonic
-from soak._callers import UNANSWERED, JobKind
+from soak._callers import TASK_CPU, UNANSWERED, JobKind
 from soak._world import MAINTENANCE_S
 from standins.hosted import MAX_ATTEMPTS
 
@@ -39,6 +39,12 @@
 SETTLED_S = 2.0
 """Calm that time-bound promises ask for beforehand."""
 
+CRASHING_STARTS = 5
+"""Starts of a task that brings workers down: three, and two more until it is given up."""
+
+ROOM_S = 1.5
+"""Time after which a room that has shrunk is known, in calm."""
+
 SPECULATION_S = 1.0
 """Time after a confirmed end in which a speculative task may still start elsewhere."""
 
@@ -71,6 +77,8 @@
         for check in (
             self._once(runs),
             self._attempts(runs),
+            self._crashes(runs),
+            self._rooms(),
             self._asked_for(),
             self._steps_in_order(runs),
             self._states(runs),
@@ -113,6 +121,31 @@
             if len(failed) >= MAX_ATTEMPTS and found[-1].started_at > failed[-1].started_at:
                 yield Finding("attempts are bounded", task)
 
+    def _crashes(self, runs: dict[str, list[Run]]) -> Iterator[Finding]:
+        for job in self.jobs.values():
+            found = runs.get(f"{job.id}.0.0.0", [])
+            if job.kind is JobKind.CRASHING and len(found) > CRASHING_STARTS:
+                yield Finding("a task that brings workers down is given up", str(found[-1]))
+
+    def _rooms(self) -> Iterator[Finding]:
+        """Judge that no start brings a worker over its room, as far as that could be known."""
+        by_worker = defaultdict(list)
+        for run in self.world.history:
+            by_worker[run.worker].append(run)
+        for worker, runs in by_worker.items():
+            for run in runs:
+                beside = [r for r in runs if _is_at_work(r, run.started_at)]
+                if len(beside) * TASK_CPU > self._room(worker, run.started_at):
+                    yield Finding("no start brings a worker over its room", str(run))
+
+    def _room(self, worker: str, at: float) -> float:
+        """Return the largest room that a worker had lately, or ever if it could not be known."""
+        rooms = self.world.rooms[worker]
+        if self.injector.calm_since(at) > at - ROOM_S:
+            return max(cpu for _, cpu in rooms)
+        since = max((began for began, _ in rooms if began <= at - ROOM_S), default=0.0)
+        return max(cpu for began, cpu in rooms if began >= since)
+
     def _asked_for(self) -> Iterator[Finding]:
         jobs = self.jobs
         for run in self.world.history:
@@ -145,7 +178,8 @@
                     yield Finding("a completed job has ended", str(seen))
                 if seen.state == "cancelled" and seen.ended_at < cancel_at:
                     yield Finding("only callers cancel", str(seen))
-                if seen.state == "failed" and not _has_failed(runs, job):
+                crashes = job.kind is JobKind.CRASHING
+                if seen.state == "failed" and not crashes and not _has_failed(runs, job):
                     yield Finding("a failed job has used its attempts", str(seen))
 
     def _cancelled_stay_so(self) -> Iterator[Finding]:
@@ -190,7 +224,7 @@
 
     def _is_away(self, found: list[Run], at: float) -> bool:
         """Whether a task was away by an order, or for longer than any cause excuses."""
-        if any(r.started_at <= at and (r.ended_at is None or r.ended_at > at) for r in found):
+        if any(_is_at_work(run, at) for run in found):
             return False
         ended = [r for r in found if r.ended_at is not None and r.ended_at <= at]
         if not ended:
@@ -264,6 +298,8 @@
                 continue
             if job.kind is JobKind.SHORT and job.exchanges[-1].state not in ("completed", "failed"):
                 yield Finding("accepted jobs complete", f"{job.id} {job.exchanges[-1]}")
+            if job.kind is JobKind.CRASHING and job.exchanges[-1].state != "failed":
+                yield Finding("a job that brings workers down is given up", str(job.exchanges[-1]))
             if job.kind is JobKind.LASTING:
                 missing = {f"{job.id}.0.0.{n}" for n in range(job.size_of(0))} - running
                 if missing:
@@ -277,6 +313,10 @@
     return found
 
 
+def _is_at_work(run: Run, at: float) -> bool:
+    return run.started_at <= at and (run.ended_at is None or run.ended_at > at)
+
+
 def _runs_of(runs: dict[str, list[Run]], job: SentJob, step: int) -> list[Run]:
     names = [f"{job.id}.0.{step}.{n}" for n in range(job.size_of(step))]
     return [run for name in names for run in runs.get(name, [])]
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,11 +11,12 @@
 
 from pumicespur.utils import monotonic
 from soak._plan import FaultKind
-from standins.hosted import Passage
+from standins.hosted import FOREIGN_ENTRIES, WORKER_CPU, Passage
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
+    from soak._callers import Caller
     from soak._plan import Fault
     from soak._world import NodeLinks, SoakWorld
     from standins.hosted import HostedWorker, Link, Node
@@ -23,6 +24,9 @@
 END_S = 6.0
 """Time for a node to end after SIGTERM; its own grace period is 3 s."""
 
+SHRUNK_CPU = 1000
+"""Room of a worker that has shrunk: two tasks."""
+
 SLOW_CLOCK = 0.98
 """Speed of a worker's clock at the least (users' protocol page: 2% slow)."""
 
@@ -48,10 +52,12 @@
         FaultKind.CONFIGURE,
         FaultKind.CONFIGURE_OFTEN,
         FaultKind.STORE_LINK_THIN,
+        FaultKind.FOREIGN_ENTRIES,
+        FaultKind.WORKER_SHRINKS,
         FaultKind.WAVE,
     }
 )
-"""Planned work, and links that are merely thin: every promise holds meanwhile."""
+"""Planned work, and what is no fault to those that watch for it: every promise holds meanwhile."""
 
 
 @dataclass
@@ -75,8 +81,9 @@
 class Injector:
     """Carries out faults against one world."""
 
-    def __init__(self, world: SoakWorld) -> None:
+    def __init__(self, world: SoakWorld, callers: Sequence[Caller] = ()) -> None:
         self.world = world
+        self.callers = callers
         self.spans: list[Span] = []
         self.waves: list[WaveOrder] = []
 
@@ -104,10 +111,14 @@
         match fault.kind:
             case FaultKind.KILL_NODE | FaultKind.STOP_NODE | FaultKind.KILL_ALL_NODES:
                 await self._end_nodes(fault)
-            case FaultKind.PAUSE_NODE | FaultKind.RELOAD_NODE:
+            case FaultKind.PAUSE_NODE | FaultKind.SUSPEND_NODE | FaultKind.RELOAD_NODE:
                 await self._signal_node(fault)
             case FaultKind.CONFIGURE | FaultKind.WAVE:
                 self._operate(fault)
+            case FaultKind.FOREIGN_ENTRIES:
+                await self._write_foreign_entries(fault)
+            case FaultKind.CRASHING_JOB if self.callers:
+                await self.callers[fault.target % len(self.callers)].crash_workers()
             case FaultKind.CONFIGURE_OFTEN:
                 for _ in range(1 + int(fault.for_s / OFTEN_S)):
                     self.world.reconfigure(ROUTES_MORE)
@@ -169,10 +180,21 @@
             self._change_settings(node)
             self._send(node, signal.SIGHUP)
             return
-        self._send(node, signal.SIGSTOP)
+        if fault.kind is FaultKind.SUSPEND_NODE and node.process.poll() is None:
+            node.suspend()
+        else:
+            self._send(node, signal.SIGSTOP)
         await asyncio.sleep(fault.for_s)
         self._send(node, signal.SIGCONT)
 
+    async def _write_foreign_entries(self, fault: Fault) -> None:
+        rows = [("servers", "", f"foreign-{n}") for n in range(len(FOREIGN_ENTRIES))]
+        for row, entry in zip(rows, FOREIGN_ENTRIES, strict=True):
+            self.world.store.put(row, entry)
+        await asyncio.sleep(fault.for_s)
+        for row in rows:
+            self.world.store.remove(row)
+
     def _send(self, node: Node, number: signal.Signals) -> None:
         if node.process.poll() is None:
             node.send_signal(number)
@@ -254,6 +276,8 @@
                 await self._replace(worker, fault.for_s)
             case FaultKind.WORKER_DRAINS:
                 await self._drain(worker, fault.for_s)
+            case FaultKind.WORKER_SHRINKS:
+                await self._while(fault, lambda on: self._resize(worker, on))
             case FaultKind.WORKER_CLOCK_SLOW:
                 worker.slow_clock(SLOW_CLOCK)
             case FaultKind.WORKER_SILENT:
@@ -266,6 +290,10 @@
             case _:
                 await self._while(fault, lambda on: setattr(worker.faults, "fail_all", on))
 
+    def _resize(self, worker: HostedWorker, shrunk: bool) -> None:
+        if self.world.workers.get(worker.instance) is worker:
+            self.world.resize_worker(worker.instance, SHRUNK_CPU if shrunk else WORKER_CPU)
+
     async def _while(self, fault: Fault, switch: Callable[[bool], None]) -> None:
         switch(True)
         await asyncio.sleep(fault.for_s)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -13,7 +13,7 @@
 from soak._faults import Injector
 from soak._plan import save_plan
 from soak._world import INSTANCES_PER_RACK, SoakWorld
-from standins.hosted import NODE_MODULE
+from standins.hosted import SUSPENDABLE_MODULE
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -41,7 +41,7 @@
     took_s: float
 
 
-async def play(plan: Plan, keep: Path, node_module: str = NODE_MODULE) -> Outcome:
+async def play(plan: Plan, keep: Path, node_module: str = SUSPENDABLE_MODULE) -> Outcome:
     """Play a plan; if a promise broke, keep the plan and all logs in a folder below `keep`."""
     started = monotonic()
     world = SoakWorld(node_module)
@@ -50,7 +50,7 @@
     try:
         await _set_up(plan, world)
         callers += [Caller(n, plan, world) for n in range(plan.deployment.callers)]
-        injector = Injector(world)
+        injector = Injector(world, callers)
         checker = Checker(world, callers, injector)
         await _disturb(plan, callers, injector, checker)
         await _settle(callers, checker)
@@ -105,8 +105,8 @@
     while monotonic() < until:
         for caller in callers:
             for job in caller.jobs:
-                open_short = job.kind is JobKind.SHORT and job.exchanges[-1].state not in ENDED
-                if job.accepted_at is not None and job.cancel_sent_at is None and open_short:
+                ends = job.kind is not JobKind.LASTING and job.exchanges[-1].state not in ENDED
+                if job.accepted_at is not None and job.cancel_sent_at is None and ends:
                     await caller.ask(job)
         trial = Checker(checker.world, callers, checker.injector)
         trial.check_settled()
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import sys
+from dataclasses import replace
 from enum import Enum
 from typing import Any
 
 from pumicespur.commands import node
-from pumicespur.jobs import _availability, _journal, _lease, _service, _watch
+from pumicespur.jobs import _availability, _journal, _lease, _load, _pool, _service, _watch
 from pumicespur.node import _follow
 from pumicespur.platform import _table
 from pumicespur.store import Transaction
@@ -27,10 +28,14 @@
     BUDGETS_IGNORED = "budgets-ignored"
     READINGS_BROKEN_OFF = "readings-broken-off"
     CHANGES_REPLAYED = "changes-replayed"
+    LOSSES_FORGOTTEN = "losses-forgotten"
+    ROOM_NOT_READ_AGAIN = "room-not-read-again"
 
 
 TRANSACTION = _journal.Journal._transaction
 TAKE_IN = _watch.WorkerWatch._take_in
+FITS = _load.WorkerLoad.fits
+ROOMS: dict[Any, Any] = {}
 SUBMIT = _service.JobService.submit
 
 
@@ -77,10 +82,21 @@
             _replace(_availability, "away_beside", lambda *arguments: 0)
         case Mutant.READINGS_BROKEN_OFF:
             _replace(_table.PlatformTable, "renew_readings", _break_off)
+        case Mutant.LOSSES_FORGOTTEN:
+            _replace(_pool, "is_hopeless", lambda task: False)
+        case Mutant.ROOM_NOT_READ_AGAIN:
+            _replace(_load.WorkerLoad, "fits", _fit_at_first)
         case Mutant.CHANGES_REPLAYED:
             _replace(_follow.TableFollower, "_is_late", lambda *arguments: False)
 
 
+def _fit_at_first(self: _load.WorkerLoad, spec: Any) -> bool:
+    self.worker = replace(
+        self.worker, capacity=ROOMS.setdefault(self.worker.id, self.worker.capacity)
+    )
+    return FITS(self, spec)
+
+
 def _replace(owner: object, name: str, value: object) -> None:
     setattr(owner, name, value)
 
--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -8,7 +8,7 @@
 from standins.hosted._links import Link, Passage
 from standins.hosted._nodes import NODE_MODULE, SUSPENDABLE_MODULE, Node, Nodes
 from standins.hosted._store import HostedStore, StoredRow
-from standins.hosted._workers import CRASHING_PAYLOAD, HostedWorker, Run
+from standins.hosted._workers import CRASHING_PAYLOAD, WORKER_CPU, HostedWorker, Run
 from standins.hosted._world import HOST, MAX_ATTEMPTS, World
 
 __all__ = [
@@ -19,6 +19,7 @@
     "NODE_MODULE",
     "SUSPENDABLE_MODULE",
     "VALID_MS",
+    "WORKER_CPU",
     "FleetOrder",
     "HostedFleet",
     "HostedStore",
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -19,6 +19,9 @@
 LAST = 10**9
 """A duration that no test outlives, in seconds."""
 
+WORKER_CPU = 4000
+"""Room of a worker, in thousandths of a core."""
+
 CRASHING_PAYLOAD = "crashes"
 """The first task of each step of a job with this payload brings down the worker that starts it."""
 
@@ -70,9 +73,9 @@
     instance: str
     rack: str
     history: list[Run]
-    cpu: int = 4000
-    rooms: list[tuple[float, int]] = field(default_factory=list)
-    """Changes of the room: monotonic time and thousandths of a core."""
+    cpu: int = WORKER_CPU
+    rooms: list[tuple[float, int]] = field(default_factory=lambda: [(0.0, WORKER_CPU)])
+    """What the room was since when: monotonic time and thousandths of a core."""
     memory_mb: int = 8000
     task_s: float = 0.05
     faults: WorkerFaults = field(default_factory=WorkerFaults)
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -54,6 +54,8 @@
         self.task_s = TASK_S
         """How long a short task of a new worker takes."""
         self.served: list[Served] = []
+        self.rooms: dict[str, list[tuple[float, int]]] = {}
+        """By worker, also those that are gone: what its room was since when."""
         self.crashes: set[asyncio.Task[None]] = set()
         """Workers that a task has brought down and that are not back yet."""
         self.session: aiohttp.ClientSession | None = None
@@ -123,6 +125,7 @@
         worker.on_crash = lambda: self._crash_under_task(worker)
         await worker.serve()
         self.workers[instance] = worker
+        self.rooms[worker.id] = worker.rooms
         self.fleet.pools[instance] = pool
         self.fleet.racks[instance] = rack
         self.fleet.workers[instance] = worker.id
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,12 +10,12 @@
 from typing import cast
 
 from soak._callers import Caller, Exchange, JobKind, SentJob
-from soak._checker import Checker
+from soak._checker import CRASHING_STARTS, ROOM_S, Checker
 from soak._faults import Injector
 from soak._plan import Deployment, Plan, draw_plan, load_plan, save_plan
 from soak._run import play
 from soak._world import SoakWorld
-from standins.hosted import NODE_MODULE, Link, Passage, Run
+from standins.hosted import NODE_MODULE, WORKER_CPU, Link, Passage, Run
 from tests.base import quiet_loop
 
 REGRESSIONS = Path(__file__).parent.parent / "soak" / "regressions"
@@ -102,6 +102,8 @@
         quiet_loop()
         self.world = SoakWorld(NODE_MODULE)
         self.job = SentJob(JOB, JobKind.SHORT, [{"count": 1}])
+        for number in range(100):
+            self.world.rooms[f"w-{number}"] = [(0.0, WORKER_CPU)]
         self.see("POST", 200)
         caller = cast("Caller", type("OneJob", (), {"jobs": [self.job], "probes": []})())
         self.checker = Checker(self.world, [caller], Injector(self.world))
@@ -153,6 +155,28 @@
         self.see("GET", 410)
         self.assertIn("an accepted job is known", self.found())
 
+    def test_start_on_a_worker_whose_room_has_shrunk(self) -> None:
+        self.world.rooms["w-1"] = [(0.0, 4000), (10.0, 500)]
+        self.ran(1, 9.0, 20.0, "done")
+        beside = Run(f"{JOB}.0.0.1", 1, "w-1", "short", "", 1, 10.0 + ROOM_S / 2, 20.0, "done")
+        self.world.history.append(beside)
+        self.assertNotIn("no start brings a worker over its room", self.found())
+        beside.started_at = 10.0 + 2 * ROOM_S
+        self.assertIn("no start brings a worker over its room", self.found())
+
+    def test_crashing_task_that_is_started_on_and_on(self) -> None:
+        self.job.kind = JobKind.CRASHING
+        for number in range(CRASHING_STARTS):
+            self.ran(number, float(number), number + 0.1, "gone")
+        self.assertNotIn("a task that brings workers down is given up", self.found())
+        self.ran(99, 99.0, 99.1, "gone")
+        self.assertIn("a task that brings workers down is given up", self.found())
+
+    def test_job_that_is_given_up_for_its_neighbour(self) -> None:
+        self.ran(1, 1.0, 1.1, "gone")
+        self.see("GET", 200, "failed")
+        self.assertIn("a failed job has used its attempts", self.found())
+
 
 class PlayTest(unittest.IsolatedAsyncioTestCase):
     """Real processes under faults."""
