--- a/pumicespur/jobs/_crashes.py
+++ b/pumicespur/jobs/_crashes.py
@@ -120,45 +120,44 @@
 
 
 def _may_try(load: WorkerLoad, task: Task, now: float) -> bool:
-    """Whether a worker may be kept for a task, now or once others on it have ended."""
+    """Whether a worker may be kept for a task until its new tasks have shown that they run."""
     group = task.group
-    if load.reserved or _has_trial(load):
-        return False
-    if not load.allows(group) or not load.fits_empty(task.spec):
+    if load.reserved or _has_trial(load) or not load.takes(group, now):
         return False
     if task.spec.same_rack and group.rack is not None and load.worker.rack != group.rack:
         return False
     return not group.job.advised or bool(group.ticket(load.worker.id, now))
 
 
-def _trial_order(load: WorkerLoad, task: Task) -> tuple[bool, bool, int, float, str]:
-    """Order workers: with room, on another instance than before, few new tasks, little to lose."""
+def _trial_order(load: WorkerLoad, task: Task) -> tuple[bool, int, float, str]:
+    """Order workers: another instance than before, few new tasks to wait for, little to lose."""
     before = any(loss.instance == load.instance for loss in task.losses)
     new = sum(1 for other in load.tasks if other.standing is Standing.NEW)
-    return (not load.fits(task.spec), before, new, load.share(), load.worker.id)
+    return (before, new, load.share(), load.worker.id)
 
 
-def note_running(task: Task, ran_s: float) -> None:
-    """Take in that the present run is known to have gone on for some time, in seconds."""
+def note_running(load: WorkerLoad, task: Task, ran_s: float) -> None:
+    """Take in that a task's present run is known to have gone on for some time, in seconds."""
     if task.standing is Standing.NEW and ran_s >= PROVEN_S:
         task.standing = Standing.PROVEN
     if ran_s >= SETTLED_S:
         task.standing = Standing.SETTLED
         task.losses.clear()
+        load.suspects.discard(task)
 
 
-def blame(load: WorkerLoad, pending: Collection[Task], *, together: bool) -> list[Task]:
+def blame(load: WorkerLoad, pending: Collection[Task], *, single: bool) -> list[Task]:
     """Note the loss of a worker with the tasks that may have caused it; return these.
 
     Starts that are `pending` have no answer yet, which may tell that they did not arrive.
-    `together` tells that other workers of its rack were lost at the same time without cause.
+    `single` tells that the worker is known to have ended, and no others with it without cause.
     """
     ordered = [task for task in load.tasks if _was_ordered(task, load) and task not in pending]
     new = [task for task in ordered if task.standing is Standing.NEW]
     if not new and load.leaving:
         return []
     blamed = new or [task for task in ordered if task.standing is Standing.PROVEN]
-    alone = len(new) == 1 and not together and not load.leaving
+    alone = len(new) == 1 and single and not load.leaving
     for task in blamed:
         task.losses.append(Loss(load.worker.id, load.instance, alone))
     return blamed
--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -114,15 +114,6 @@
             and self.accelerators + spec.accelerators <= room.accelerators
         )
 
-    def fits_empty(self, spec: StepRecord) -> bool:
-        """Whether one task of a step would have room if nothing else were here."""
-        room = self.worker.capacity
-        return (
-            (spec.fills or spec.cpu_millis <= room.cpu_millis)
-            and spec.memory_mb <= room.memory_mb
-            and spec.accelerators <= room.accelerators
-        )
-
     def allows(self, group: StepGroup) -> bool:
         """Whether the step's label and spread permit one more of its tasks here."""
         spec = group.spec
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -136,15 +136,20 @@
         if not explained and not load.leaving:
             self.silences.append(Silence(load.worker.id, load.worker.rack, now))
 
-    def lose_runs(self, load: WorkerLoad, pending: Collection[Task] = ()) -> list[Task]:
-        """Note that a worker's runs are lost; return the tasks that may be the cause."""
+    def lose_runs(
+        self, load: WorkerLoad, pending: Collection[Task] = (), *, ended: bool = True
+    ) -> list[Task]:
+        """Note that a worker's runs are lost; return the tasks that may be the cause.
+
+        `ended` tells that the worker's life is over and it was not merely silent for too long.
+        """
         together = any(
             silence.worker != load.worker.id
             and silence.rack == load.worker.rack
             and abs(silence.at - load.silent_at) <= TOGETHER_S
             for silence in self.silences
         )
-        blamed = blame(load, pending, together=together)
+        blamed = blame(load, pending, single=ended and not together)
         for task in blamed:
             self._weigh_losses(task)
         return blamed
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -9,7 +9,7 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.jobs._crashes import TRIAL_LOOK_S, note_running
+from pumicespur.jobs._crashes import TRIAL_LOOK_S, count_suspects, note_running
 from pumicespur.jobs._job import Loss, TaskState
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs._lease import WorkerLease
@@ -131,7 +131,7 @@
         """Extend the lease and read the account; return whether to look again at once."""
         settings = self.owner.settings.workers
         wait_s = settings.watch_s if self.lease.clock_ms is not None else 0.0
-        if self.load.suspects or self.load.reserved:
+        if self.load.reserved or count_suspects(self.load):
             wait_s = min(wait_s, TRIAL_LOOK_S)
         if self.seen > self.recorded or self.unsettled or self.failures:
             wait_s = 0.0
@@ -199,7 +199,7 @@
                 continue
             if task.state is TaskState.STARTING:
                 self._confirm(task)
-            note_running(task, sent_at - task.seen_at)
+            note_running(self.load, task, sent_at - task.seen_at)
             if task.percent != found.percent:
                 task.progressed_at = now
             task.percent = found.percent
@@ -386,7 +386,8 @@
         if not self.load.listed:
             self.end("not listed and its lease is over")
             return
-        self._lose_runs("its lease is over")
+        # It may be cut off and come back, so that nothing is proved yet.
+        self._lose_runs("its lease is over", ended=False)
         for task in list(self.load.tasks):
             self.unsettled.pop(task, None)
             self.load.remove(task)
@@ -399,16 +400,16 @@
             return
         self.gone = True
         log.info("worker gone", pool=self.owner.pool.pool, worker=self.id, reason=reason)
-        self._lose_runs(reason)
+        self._lose_runs(reason, ended=True)
         self.owner.pool.drop_worker(self.id)
         self.owner.wake()
 
-    def _lose_runs(self, reason: str) -> None:
+    def _lose_runs(self, reason: str, *, ended: bool) -> None:
         """Note and log what the worker takes along, and which of it may have brought it down."""
         lost = [task for task in self.load.tasks if task.wants(self.id, task.run)]
         if self.failures == 0:
             self.owner.pool.note_silence(self.load, monotonic())
-        blamed = self.owner.pool.lose_runs(self.load, self.pending)
+        blamed = self.owner.pool.lose_runs(self.load, self.pending, ended=ended)
         self.blamed = self.blamed or bool(blamed)
         for task in lost:
             log.warning(
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -32,6 +32,7 @@
     note_running,
 )
 from pumicespur.jobs._job import Loss, Standing, Task, TaskState, make_job
+from pumicespur.jobs._load import WorkerLoad
 from pumicespur.model import InstanceId, WorkerId
 from pumicespur.schema.jobs_pb import JobPhase, ProgressRecord, StepRecord
 from standins.hosted import CRASHING_PAYLOAD, Run
@@ -40,7 +41,6 @@
 from tests.test_node import STEP, NodeCase, job_id
 
 if TYPE_CHECKING:
-    from pumicespur.jobs._load import WorkerLoad
     from pumicespur.jobs._pool import PoolState
 
 CRASHER = job_id(500)
@@ -166,10 +166,10 @@
     pool.drop_worker(worker)
 
 
-def prove(*tasks: Task) -> None:
-    """Let runs go on for longer than a program takes to start."""
+def prove(*tasks: Task, ran_s: float = PROVEN_S) -> None:
+    """Let runs go on, by default for longer than a program takes to start."""
     for task in tasks:
-        note_running(task, PROVEN_S)
+        note_running(WorkerLoad(make_worker("any")), task, ran_s)
 
 
 class BlameTest(unittest.TestCase):
@@ -203,7 +203,7 @@
 
     def test_a_run_that_has_gone_on_for_long_is_not_the_cause(self) -> None:
         prove(self.new, self.newer)
-        note_running(self.old, SETTLED_S)
+        prove(self.old, ran_s=SETTLED_S)
         lose(self.pool, self.worker)
         self.assertEqual([0, 1, 1], self.losses())
 
@@ -218,6 +218,13 @@
         lose(self.pool, self.worker)
         self.assertEqual([1, 1, 0], self.losses())
 
+    def test_silence_alone_proves_nothing(self) -> None:
+        prove(self.old, self.new)
+        load = self.pool.loads[WorkerId("w-1")]
+        self.pool.note_silence(load, 0.0)
+        self.pool.lose_runs(load, ended=False)
+        self.assertFalse(self.newer.losses[0].alone)
+
     def test_a_rack_that_is_lost_has_a_cause_of_its_own(self) -> None:
         self.pool.add_worker(make_worker("w-2")).reachable = True
         prove(self.old, self.new)
@@ -310,7 +317,7 @@
 
     def test_one_that_runs_for_long_is_cleared(self) -> None:
         task, *_ = run_all(self.pool)
-        note_running(task, SETTLED_S)
+        prove(task, ran_s=SETTLED_S)
         self.assertEqual([], task.losses)
 
     def test_a_worker_is_kept_until_its_new_tasks_have_shown_that_they_run(self) -> None:
