--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -4,7 +4,7 @@
 
 from standins.hosted._advice import VALID_MS
 from standins.hosted._fleet import FleetOrder, HostedFleet
-from standins.hosted._foreign import FOREIGN_ENTRIES
+from standins.hosted._foreign import FOREIGN_ENTRIES, USUAL_ENTRY
 from standins.hosted._links import Link, Passage
 from standins.hosted._nodes import NODE_MODULE, SUSPENDABLE_MODULE, Node, Nodes
 from standins.hosted._store import HostedStore, StoredRow
@@ -18,6 +18,7 @@
     "MAX_ATTEMPTS",
     "NODE_MODULE",
     "SUSPENDABLE_MODULE",
+    "USUAL_ENTRY",
     "VALID_MS",
     "WORKER_CPU",
     "FleetOrder",
--- a/standins/hosted/_foreign.py
+++ b/standins/hosted/_foreign.py
@@ -4,7 +4,7 @@
 
 import json
 
-USUAL = {
+USUAL_ENTRY: dict[str, object] = {
     "backend": "main",
     "address": "127.0.0.1:9",
     "zone": "hall",
@@ -17,11 +17,13 @@
 
 
 def _changed(**changes: object) -> bytes:
-    return json.dumps({**USUAL, **changes}).encode()
+    return json.dumps({**USUAL_ENTRY, **changes}).encode()
 
 
 def _without(field: str) -> bytes:
-    return json.dumps({name: value for name, value in USUAL.items() if name != field}).encode()
+    return json.dumps(
+        {name: value for name, value in USUAL_ENTRY.items() if name != field}
+    ).encode()
 
 
 FOREIGN_ENTRIES = (
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,29 +12,19 @@
 
 from pumicespur.model import WorkerState
 from pumicespur.platform import decode_worker
-from standins.hosted import FOREIGN_ENTRIES
+from standins.hosted import FOREIGN_ENTRIES, USUAL_ENTRY
 from tests.test_node import STEP, NodeCase, job_id
 
-ENTRY: dict[str, Any] = {
-    "backend": "main",
-    "address": "10.0.0.1:80",
-    "zone": "hall",
-    "state": "ready",
-    "capacity": {"cpu": 4000, "memMb": 8000},
-    "labels": ["a", "r1-1"],
-    "machine": "m-1",
-}
-
 
 class WorkerEntryTest(unittest.TestCase):
     """A worker's description, and what is none."""
 
     def refused(self, **changes: Any) -> bool:
-        entry = {k: v for k, v in {**ENTRY, **changes}.items() if v is not None}
+        entry = {k: v for k, v in {**USUAL_ENTRY, **changes}.items() if v is not None}
         return decode_worker("w", json.dumps(entry).encode()).is_error()
 
     def test_description_is_read(self) -> None:
-        worker = decode_worker("w", json.dumps(ENTRY).encode()).ok
+        worker = decode_worker("w", json.dumps(USUAL_ENTRY).encode()).ok
         self.assertEqual(("main", "r1-1"), (worker.pool, worker.rack))
         self.assertIs(WorkerState.READY, worker.state)
 
