--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -9,6 +9,7 @@
 
 from pumicespur.utils import monotonic
 from soak._callers import TASK_CPU, UNANSWERED, JobKind
+from soak._histories import all_done, by_task, done_at, has_failed, is_at_work, runs_of
 from soak._world import MAINTENANCE_S
 from standins.hosted import MAX_ATTEMPTS
 
@@ -73,7 +74,7 @@
 
     def check(self) -> None:
         """Judge what holds at any moment."""
-        runs = _by_task(self.world.history)
+        runs = by_task(self.world.history)
         for check in (
             self._once(runs),
             self._attempts(runs),
@@ -134,7 +135,7 @@
             by_worker[run.worker].append(run)
         for worker, runs in by_worker.items():
             for run in runs:
-                beside = [r for r in runs if _is_at_work(r, run.started_at)]
+                beside = [r for r in runs if is_at_work(r, run.started_at)]
                 if len(beside) * TASK_CPU > self._room(worker, run.started_at):
                     yield Finding("no start brings a worker over its room", str(run))
 
@@ -161,8 +162,8 @@
         for job in self.jobs.values():
             for number, step in enumerate(job.steps):
                 for earlier in step.get("dependsOn", []):
-                    ended = _done_at(runs, job, earlier)
-                    for run in _runs_of(runs, job, number):
+                    ended = done_at(runs, job, earlier)
+                    for run in runs_of(runs, job, number):
                         if ended is None or run.started_at < ended:
                             yield Finding("steps run in order", str(run))
 
@@ -174,12 +175,12 @@
                 unknown = seen.method == "GET" and seen.status == 410
                 if unknown and accepted_at is not None and seen.sent_at > accepted_at:
                     yield Finding("an accepted job is known", str(seen))
-                if seen.state == "completed" and not _all_done(runs, job):
+                if seen.state == "completed" and not all_done(runs, job):
                     yield Finding("a completed job has ended", str(seen))
                 if seen.state == "cancelled" and seen.ended_at < cancel_at:
                     yield Finding("only callers cancel", str(seen))
                 crashes = job.kind is JobKind.CRASHING
-                if seen.state == "failed" and not crashes and not _has_failed(runs, job):
+                if seen.state == "failed" and not crashes and not has_failed(runs, job):
                     yield Finding("a failed job has used its attempts", str(seen))
 
     def _cancelled_stay_so(self) -> Iterator[Finding]:
@@ -224,7 +225,7 @@
 
     def _is_away(self, found: list[Run], at: float) -> bool:
         """Whether a task was away by an order, or for longer than any cause excuses."""
-        if any(_is_at_work(run, at) for run in found):
+        if any(is_at_work(run, at) for run in found):
             return False
         ended = [r for r in found if r.ended_at is not None and r.ended_at <= at]
         if not ended:
@@ -306,45 +307,6 @@
                     yield Finding("lasting tasks are at work", str(sorted(missing)))
 
 
-def _by_task(history: Iterable[Run]) -> dict[str, list[Run]]:
-    found: dict[str, list[Run]] = defaultdict(list)
-    for run in sorted(history, key=lambda run: run.started_at):
-        found[run.task].append(run)
-    return found
-
-
-def _is_at_work(run: Run, at: float) -> bool:
-    return run.started_at <= at and (run.ended_at is None or run.ended_at > at)
-
-
-def _runs_of(runs: dict[str, list[Run]], job: SentJob, step: int) -> list[Run]:
-    names = [f"{job.id}.0.{step}.{n}" for n in range(job.size_of(step))]
-    return [run for name in names for run in runs.get(name, [])]
-
-
-def _done_at(runs: dict[str, list[Run]], job: SentJob, step: int) -> float | None:
-    """Return when the last task of a step was done, None while one is not."""
-    ends = []
-    for place in range(job.size_of(step)):
-        done = [r for r in runs.get(f"{job.id}.0.{step}.{place}", []) if r.how == "done"]
-        if not done:
-            return None
-        ends.append(min(run.ended_at or 0.0 for run in done))
-    return max(ends)
-
-
-def _all_done(runs: dict[str, list[Run]], job: SentJob) -> bool:
-    return all(_done_at(runs, job, number) is not None for number in range(len(job.steps)))
-
-
-def _has_failed(runs: dict[str, list[Run]], job: SentJob) -> bool:
-    return any(
-        sum(1 for run in found if run.how == "failed") >= MAX_ATTEMPTS
-        for task, found in runs.items()
-        if task.startswith(job.id)
-    )
-
-
 def _within_limit(orders: list[FleetOrder], at_once: int) -> Iterator[Finding]:
     for order in orders:
         down = [o for o in orders if o.at <= order.at < o.at + MAINTENANCE_S]
