A foreign entry neither hides a namesake nor ends the worker whose instance it names

Cause: a row in another part of the table counted as the worker of that name, and an entry of an unknown pool counted as the newer life of the instance that it names, which would have started that worker's tasks beside it once its own entry had lapsed. Test first: both cases fail with the code as it was.

--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -205,8 +205,12 @@
         self.spawn(watch.run)
 
     def _has_successor(self, watch: WorkerWatch) -> bool:
+        """Whether a newer life runs on a worker's instance, by an entry that names a known pool."""
         instance = watch.load.worker.instance
-        return bool(instance) and any(w.instance == instance for w in self.view.workers.values())
+        pools = self.view.configuration.pools
+        return bool(instance) and any(
+            w.instance == instance and w.pool in pools for w in self.view.workers.values()
+        )
 
     def _watch_of(self, task: Task) -> WorkerWatch | None:
         return self.watches.get(task.worker) if task.worker else None
--- a/pumicespur/node/_workers.py
+++ b/pumicespur/node/_workers.py
@@ -86,7 +86,11 @@
         if whole:
             self.view.workers.clear()
         for row in rows:
-            identity = WorkerId(row.key.split("/", 2)[2])
+            _, part, name = row.key.split("/", 2)
+            if part:
+                # Workers write into the empty part; a row elsewhere says nothing of a namesake.
+                continue
+            identity = WorkerId(name)
             if not row.version:
                 self.view.workers.pop(identity, None)
                 continue
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,14 +5,23 @@
 import asyncio
 import json
 import unittest
-from typing import Any
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any, cast
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pumicespur.model import WorkerState
+from pumicespur.jobs import PoolOwner
+from pumicespur.jobs._load import WorkerLoad
+from pumicespur.model import Configuration, PoolId, PoolSettings, WorkerState
+from pumicespur.node._workers import WorkerList
 from pumicespur.platform import decode_worker
+from pumicespur.schema.node_pb import StoreSettings
+from pumicespur.store import Row
+from pumicespur.view import NodeView
 from standins.hosted import FOREIGN_ENTRIES, USUAL_ENTRY
+from tests.test_jobs import make_worker
 from tests.test_node import STEP, NodeCase, job_id
 
 
@@ -66,6 +75,47 @@
         self.assertTrue(decode_worker("w", b'{"more":' + b"[" * 100_000).is_error())
 
 
+class WorkerListTest(unittest.TestCase):
+    """Rows of the workers' table as an owner takes them in."""
+
+    def setUp(self) -> None:
+        self.view = NodeView()
+        keeper: Any = SimpleNamespace(sync_workers=lambda: None)
+        self.list = WorkerList(StoreSettings(), self.view, cast("Any", None), keeper)
+
+    def take(self, key: str, value: bytes) -> None:
+        self.list._take([Row(key, value, 1)], False)
+
+    def test_entry_that_can_not_be_read_takes_the_place_of_the_one_before(self) -> None:
+        self.take("servers//w", json.dumps(USUAL_ENTRY).encode())
+        self.assertEqual(["w"], list(self.view.workers))
+        self.take("servers//w", b"\xff")
+        self.assertEqual([], list(self.view.workers))
+
+    def test_row_of_another_part_says_nothing_of_a_namesake(self) -> None:
+        self.take("servers//w", json.dumps(USUAL_ENTRY).encode())
+        self.take("servers/elsewhere/w", b"\xff")
+        self.take("servers/elsewhere/v", json.dumps(USUAL_ENTRY).encode())
+        self.assertEqual(["w"], list(self.view.workers))
+
+
+class SuccessorEntryTest(unittest.TestCase):
+    """An entry that names the instance of a worker whose own entry has lapsed."""
+
+    def has_successor(self, pool: str) -> bool:
+        worker = make_worker("w")
+        entry = replace(make_worker("other"), instance=worker.instance, pool=PoolId(pool))
+        known = {PoolId("main"): PoolSettings(PoolId("main"), True, False)}
+        view = NodeView(Configuration(1, {}, known), workers={entry.id: entry})
+        owner: Any = SimpleNamespace(view=view)
+        watch: Any = SimpleNamespace(load=WorkerLoad(worker))
+        return PoolOwner._has_successor(owner, watch)
+
+    def test_it_ends_the_worker_only_if_it_names_a_pool_that_is_known(self) -> None:
+        self.assertTrue(self.has_successor("main"))
+        self.assertFalse(self.has_successor("nowhere"))
+
+
 class ForeignEntriesTest(NodeCase):
     """Entries of other writers stand between those of the workers."""
 
