--- a/standins/hosted/_nodes.py
+++ b/standins/hosted/_nodes.py
@@ -12,13 +12,13 @@
 from pathlib import Path
 
 from pumicespur.utils import monotonic
-from standins.hosted.suspendable import MARK_SUFFIX
+from standins.suspendable import MARK_SUFFIX
 
 END_S = 10.0
 NODE_MODULE = "pumicespur.commands.node"
 """Module that is run, with its arguments."""
 
-SUSPENDABLE_MODULE = "standins.hosted.suspendable"
+SUSPENDABLE_MODULE = "standins.suspendable"
 """The same role on a machine that can be suspended."""
 
 SETTINGS = """
--- a/standins/hosted/suspendable.py
+++ b/standins/suspendable.py
@@ -1,13 +1,19 @@
 """The role `node` on a machine that can be suspended: its steady clock leaves such times out.
 
-Run as `python -m standins.hosted.suspendable` in place of the role's own module. The process is
-stopped meanwhile, which by itself no clock leaves out; a file beside the settings tells since when.
+Run as `python -m standins.suspendable` in place of the role's own module. The process is stopped
+meanwhile, which by itself no clock leaves out; a file beside the settings tells since when.
 """
 
 from __future__ import annotations
 
-import os
 import signal
+
+if __name__ == "__main__":
+    # As the role's own module does: a process that still loads has nothing to read again. This
+    # module lies in a package that loads nothing, so that the signal can't come before.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import os
 import sys
 import time
 from pathlib import Path
@@ -46,7 +52,6 @@
 
 def main() -> int:
     """Run the role with the settings that the environment names; return the exit status."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     install(Path(os.environ[SETTINGS_VARIABLE]).with_suffix(MARK_SUFFIX))
     # The program is loaded only with the clock in place.
     from pumicespur.commands import node
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -21,7 +21,7 @@
 CHILD = """
 import sys
 from pathlib import Path
-from standins.hosted import suspendable
+from standins import suspendable
 suspendable.install(Path(sys.argv[1]))
 import time
 import anyio
