Callers show a key of their client account; jobs are their account's from acceptance on

Ruled out: a fault of how configurations are followed; routes were always judged by the newest. Change: accounts are read with the configuration, keys are looked up by digest before the body is read; asking, listing and cancelling alike. A job is not there for another account. Where a newer configuration is known of, an unknown key draws 503 and not 401. find() now has the second try that only the callers' way had.

--- a/pumicespur/jobs/_describe.py
+++ b/pumicespur/jobs/_describe.py
@@ -23,6 +23,7 @@
         "job": name,
         "pool": pool,
         "route": progress.route,
+        "account": progress.account,
         "phase": progress.phase.name.lower(),
         "reason": "" if failure is None else explain_failure(failure),
         "lost_workers": [] if failure is None else list(failure.lost_workers),
--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -11,7 +11,7 @@
 from pumicespur.jobs._job import ENDED_PHASES
 from pumicespur.jobs._keys import submission_parts, submissions_table
 from pumicespur.jobs._sweep import SubmissionSweep
-from pumicespur.model import JobId
+from pumicespur.model import AccountId, JobId, RouteName
 from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, HistoryGone, Page, Row
 from pumicespur.utils import monotonic
@@ -104,7 +104,7 @@
         if record.ended:
             return
         if JobId(record.id) in self.ended:
-            self.sweep.empty(JobId(record.id))
+            self.sweep.empty(JobId(record.id), RouteName(record.route), AccountId(record.account))
             return
         job = self.pool.add_job(record, self.view.configuration, progress.get(record.id))
         if job is not None:
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -6,7 +6,16 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from pumicespur.model import InstanceId, JobId, RouteName, TaskName, WorkerId, task_name
+from pumicespur.model import (
+    ANYONE,
+    AccountId,
+    InstanceId,
+    JobId,
+    RouteName,
+    TaskName,
+    WorkerId,
+    task_name,
+)
 from pumicespur.schema.jobs_pb import (
     FailureRecord,
     JobPhase,
@@ -179,6 +188,8 @@
     """Time of day by which the job ought to be completed, in milliseconds since 1970."""
     rest_ms: list[float] = field(default_factory=list)
     """For each step the longest chain from its start to the job's end, in milliseconds."""
+    account: AccountId = ANYONE
+    """Whose it is, whatever becomes of the key that it came with."""
     advised: bool = False
     """Its tasks need tickets of the advising service."""
     phase: JobPhase = JobPhase.QUEUED
@@ -224,7 +235,11 @@
     def progress(self, now_ms: int) -> ProgressRecord:
         """Write how far the job is."""
         record = ProgressRecord(
-            phase=self.phase, changed_ms=now_ms, route=self.route, failure=self.failure
+            phase=self.phase,
+            changed_ms=now_ms,
+            route=self.route,
+            account=self.account,
+            failure=self.failure,
         )
         if self.ended:
             return record
@@ -288,6 +303,7 @@
         max_attempts=route.max_attempts if route else 1,
         deadline_ms=record.accepted_ms + objective_ms + stretch * max(rest_ms, default=0.0),
         rest_ms=rest_ms,
+        account=AccountId(record.account),
         advised=route is not None and route.advice is not None,
     )
     for repeat in range(max(1, record.repeats)):
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -346,7 +346,7 @@
             self.intake.ended[job.id] = now
             self.pool.jobs.pop(job.id, None)
             self._stop_all(job)
-            self.intake.sweep.empty(job.id)
+            self.intake.sweep.empty(job.id, job.route, job.account)
         for watch, number in batch.acknowledged:
             watch.note_recorded(number)
         for task, run, worker in batch.starts:
--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -9,9 +9,10 @@
 from expression import Error, Ok, Result
 from logbook import Logger
 
+from pumicespur.jobs._access import is_there_for
 from pumicespur.jobs._job import ENDED_PHASES
 from pumicespur.jobs._keys import progress_key, submission_key
-from pumicespur.model import Cancellation, JobId, Submission
+from pumicespur.model import AccountId, Cancellation, JobId, Submission
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, Condition, Conflict, Row, Transaction, Write
 from pumicespur.utils import monotonic
@@ -55,26 +56,25 @@
     async def _submit(self, route: Route, record: JobRecord, give_up_at: float) -> Submission:
         pool = route.pool
         job = JobId(record.id)
-        conditions = [Condition(submission_key(pool, job), 0)]
-        write = Write(submission_key(pool, job), record.to_binary())
+        key = submission_key(pool, job)
+        transaction = Transaction([Condition(key, 0)], [Write(key, record.to_binary())])
         for earlier in self.other_pools(route, True):
-            found = await self._phase(earlier, job, give_up_at)
+            found = await self._find(earlier, job, give_up_at)
             if found.is_error():
                 return Submission.NOT_TAKEN
             if found.ok is not None:
-                log.info("job accepted", job=job, route=route.name, pool=earlier, repeat=True)
-                return Submission.ACCEPTED
+                return _repeat(route, record, found.ok)
         lost = False
         pause_s = RETRY_S
         while True:
-            answer = await self.table.transact(Transaction(conditions, [write]))
+            answer = await self.table.transact(transaction)
             match answer:
                 case Result(tag="ok", ok=version):
                     log.info("job accepted", job=job, route=route.name, pool=pool, version=version)
                     return Submission.ACCEPTED
-                case Result(error=Conflict()):
-                    log.info("job accepted", job=job, route=route.name, pool=pool, repeat=True)
-                    return Submission.ACCEPTED
+                case Result(error=Conflict(rows=rows)):
+                    known = [JobRecord.from_binary(row.value) for row in rows if row.key == key]
+                    return _repeat(route, record, *known)
                 case Result(error=fault):
                     lost = lost or isinstance(fault, AnswerLost)
                     if monotonic() + pause_s >= give_up_at:
@@ -95,88 +95,92 @@
         return outcome
 
     async def state(
-        self, route: Route, job: JobId, give_up_at: float
+        self, route: Route, caller: AccountId, job: JobId, give_up_at: float
     ) -> Result[JobPhase | None, Fault]:
-        """Read how far a job is; None tells that there is no such job."""
+        """Read how far a job is; None tells that there is no such job for the caller."""
         with anyio.CancelScope(deadline=give_up_at):
-            return await self._state(route, job, give_up_at)
+            found = await self.find([route.pool, *self.other_pools(route, False)], job, give_up_at)
+            return found.map(
+                lambda known: (
+                    None
+                    if known is None or not is_there_for(caller, route, known[1])
+                    else known[1].phase
+                )
+            )
         return Error(AnswerLost("no answer in time"))
 
-    async def _state(
-        self, route: Route, job: JobId, give_up_at: float
-    ) -> Result[JobPhase | None, Fault]:
-        for pool in (route.pool, *self.other_pools(route, False)):
-            found = await self._phase(pool, job, give_up_at)
-            if found.is_error() or found.ok is not None:
-                return found
+    async def find(
+        self, pools: Sequence[PoolId], job: JobId, give_up_at: float
+    ) -> Result[tuple[PoolId, ProgressRecord] | None, Fault]:
+        """Look a job up in some pools; None if it is in none of them."""
+        for pool in pools:
+            found = await self._find(pool, job, give_up_at)
+            match found:
+                case Result(tag="ok", ok=progress):
+                    if progress is not None:
+                        return Ok((pool, progress))
+                case Result(error=fault):
+                    return Error(fault)
         return Ok(None)
 
-    async def _phase(
+    async def _find(
         self, pool: PoolId, job: JobId, give_up_at: float
-    ) -> Result[JobPhase | None, Fault]:
+    ) -> Result[ProgressRecord | None, Fault]:
+        """Read how far a job of a pool is; one that has no progress yet is queued."""
         for _ in range(2):
             # A job that ends between the two reads has its progress row at the second try.
             progress = await self._read(progress_key(pool, job), give_up_at)
             match progress:
                 case Result(tag="ok", ok=row) if row.version:
-                    return Ok(ProgressRecord.from_binary(row.value).phase)
+                    return Ok(ProgressRecord.from_binary(row.value))
                 case Result(error=fault):
                     return Error(fault)
             submission = await self._read(submission_key(pool, job), give_up_at)
             match submission:
                 case Result(tag="ok", ok=row) if row.version:
-                    return Ok(JobPhase.QUEUED)
+                    record = JobRecord.from_binary(row.value)
+                    return Ok(
+                        ProgressRecord(
+                            phase=JobPhase.QUEUED, route=record.route, account=record.account
+                        )
+                    )
                 case Result(error=fault):
                     return Error(fault)
         return Ok(None)
 
-    async def find(
-        self, pools: Sequence[PoolId], job: JobId, give_up_at: float
-    ) -> Result[tuple[PoolId, ProgressRecord] | None, Fault]:
-        """Look a job up for an operator, who need not know its route; None if it is in no pool."""
-        for pool in pools:
-            progress = await self._read(progress_key(pool, job), give_up_at)
-            match progress:
-                case Result(tag="ok", ok=row) if row.version:
-                    return Ok((pool, ProgressRecord.from_binary(row.value)))
-                case Result(error=fault):
-                    return Error(fault)
-            submission = await self._read(submission_key(pool, job), give_up_at)
-            match submission:
-                case Result(tag="ok", ok=row) if row.version:
-                    route = JobRecord.from_binary(row.value).route
-                    return Ok((pool, ProgressRecord(phase=JobPhase.QUEUED, route=route)))
-                case Result(error=fault):
-                    return Error(fault)
-        return Ok(None)
-
-    async def cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
+    async def cancel(
+        self, route: Route, caller: AccountId, job: JobId, give_up_at: float
+    ) -> Cancellation:
         """Record that a job is not wanted any more; its owner stops it."""
         with anyio.CancelScope(deadline=give_up_at):
-            return await self._cancel(route, job, give_up_at)
+            return await self._cancel(route, caller, job, give_up_at)
         return Cancellation.UNKNOWN
 
-    async def _cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
+    async def _cancel(
+        self, route: Route, caller: AccountId, job: JobId, give_up_at: float
+    ) -> Cancellation:
         for pool in (route.pool, *self.other_pools(route, False)):
-            outcome = await self._cancel_in(pool, route, job, give_up_at)
+            outcome = await self._cancel_in(pool, route, caller, job, give_up_at)
             if outcome is not Cancellation.NO_SUCH_JOB:
                 return outcome
         return Cancellation.NO_SUCH_JOB
 
     async def _cancel_in(
-        self, pool: PoolId, route: Route, job: JobId, give_up_at: float
+        self, pool: PoolId, route: Route, caller: AccountId, job: JobId, give_up_at: float
     ) -> Cancellation:
         key = submission_key(pool, job)
         while True:
             found = await self._read(key, give_up_at)
             match found:
                 case Result(tag="ok", ok=row) if row.version and not _has_ended(row):
+                    if not is_there_for(caller, route, JobRecord.from_binary(row.value)):
+                        return Cancellation.NO_SUCH_JOB
                     answer = await self._write_cancellation(row)
                     if answer.is_ok():
                         log.info("job cancelled", job=job, route=route.name, version=answer.ok)
                         return Cancellation.DONE
                 case Result(tag="ok"):
-                    return await self._cancel_missing(pool, job, give_up_at)
+                    return await self._cancel_missing(pool, route, caller, job, give_up_at)
             if monotonic() + MAX_RETRY_S >= give_up_at:
                 return Cancellation.UNKNOWN
             await anyio.sleep(RETRY_S * random.uniform(0.5, 1.0))
@@ -190,15 +194,20 @@
             Transaction([Condition(row.key, row.version)], [Write(row.key, record.to_binary())])
         )
 
-    async def _cancel_missing(self, pool: PoolId, job: JobId, give_up_at: float) -> Cancellation:
+    async def _cancel_missing(
+        self, pool: PoolId, route: Route, caller: AccountId, job: JobId, give_up_at: float
+    ) -> Cancellation:
         """Answer for a job without its own row: it has ended or never was."""
         found = await self._read(progress_key(pool, job), give_up_at)
         match found:
             case Result(tag="ok", ok=row) if row.version:
-                phase = ProgressRecord.from_binary(row.value).phase
-                if phase is JobPhase.CANCELLED:
+                progress = ProgressRecord.from_binary(row.value)
+                if not is_there_for(caller, route, progress):
+                    return Cancellation.NO_SUCH_JOB
+                if progress.phase is JobPhase.CANCELLED:
                     return Cancellation.DONE
-                return Cancellation.NO_SUCH_JOB if phase in ENDED_PHASES else Cancellation.UNKNOWN
+                ended = progress.phase in ENDED_PHASES
+                return Cancellation.NO_SUCH_JOB if ended else Cancellation.UNKNOWN
             case Result(tag="ok"):
                 return Cancellation.NO_SUCH_JOB
             case _:
@@ -217,5 +226,15 @@
             pause_s = min(MAX_RETRY_S, pause_s * 2)
 
 
+def _repeat(route: Route, record: JobRecord, *known: JobRecord | ProgressRecord) -> Submission:
+    """Answer for an id that is recorded already: the same job again, if it is the caller's."""
+    caller = AccountId(record.account)
+    if not all(is_there_for(caller, route, job) for job in known):
+        log.warning("job refused", job=record.id, route=route.name, reason="id of another account")
+        return Submission.FOREIGN
+    log.info("job accepted", job=record.id, route=route.name, repeat=True)
+    return Submission.ACCEPTED
+
+
 def _has_ended(row: Row) -> bool:
     return JobRecord.from_binary(row.value).ended
--- a/pumicespur/jobs/_sweep.py
+++ b/pumicespur/jobs/_sweep.py
@@ -14,7 +14,7 @@
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
-    from pumicespur.model import JobId, PoolId
+    from pumicespur.model import AccountId, JobId, PoolId, RouteName
     from pumicespur.platform import PlatformTable
 
 log = Logger(__name__)
@@ -45,12 +45,13 @@
         """Those of them whose submission is known to be gone. Only then may the progress go,
         which alone tells a successor that the job has ended."""
 
-    def empty(self, job: JobId) -> None:
+    def empty(self, job: JobId, route: RouteName, account: AccountId) -> None:
         """Drop what is no longer needed of a job whose end is recorded; its id stays taken.
 
-        A removal that is pending stays.
+        Whose it was is kept, so that another account can't use the id. A removal that is pending
+        stays.
         """
-        record = JobRecord(id=job, ended=True)
+        record = JobRecord(id=job, route=route, account=account, ended=True)
         write = Write(submission_key(self.pool, job), record.to_binary())
         self.pending.setdefault(job, write)
 
--- a/pumicespur/model/__init__.py
+++ b/pumicespur/model/__init__.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+from pumicespur.model._accounts import (
+    ANYONE,
+    AccountId,
+    ClientAccount,
+    KeyDigest,
+    digest_signs,
+    key_digest,
+)
 from pumicespur.model._configuration import (
     Advice,
     CallerLimits,
@@ -43,7 +51,9 @@
 )
 
 __all__ = [
+    "ANYONE",
     "Account",
+    "AccountId",
     "OtherLife",
     "Refused",
     "StartOrder",
@@ -52,6 +62,7 @@
     "CallerLimits",
     "Cancellation",
     "Capacity",
+    "ClientAccount",
     "Configuration",
     "DataHall",
     "Epoch",
@@ -59,6 +70,7 @@
     "InstanceId",
     "InstanceState",
     "JobId",
+    "KeyDigest",
     "PoolId",
     "PoolSettings",
     "ProcessId",
@@ -78,6 +90,8 @@
     "Worker",
     "WorkerId",
     "WorkerState",
+    "digest_signs",
+    "key_digest",
     "task_id",
     "task_name",
 ]
--- a/pumicespur/model/_configuration.py
+++ b/pumicespur/model/_configuration.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from pumicespur.model._accounts import AccountId, ClientAccount, KeyDigest
     from pumicespur.model._ids import InstanceId, PoolId, RouteName
 
 
@@ -33,6 +34,8 @@
     """A job is in time within this many times its longest chain of work."""
     latency_objective_s: float
     advice: Advice | None = None
+    public: bool = True
+    """Callers need no key."""
 
 
 @dataclass(frozen=True)
@@ -62,6 +65,8 @@
     routes: dict[RouteName, Route]
     pools: dict[PoolId, PoolSettings]
     limits: CallerLimits = CallerLimits()
+    accounts: dict[AccountId, ClientAccount] = field(default_factory=dict)
+    keys: dict[KeyDigest, AccountId] = field(default_factory=dict, repr=False)
     by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
 
     def __post_init__(self) -> None:
--- a/pumicespur/model/_outcomes.py
+++ b/pumicespur/model/_outcomes.py
@@ -12,6 +12,8 @@
     NOT_TAKEN = "not taken"
     """It is recorded nowhere and never will be."""
     UNKNOWN = "unknown"
+    FOREIGN = "of another account"
+    """A job of another account has the id."""
 
 
 class Cancellation(Enum):
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -18,6 +18,7 @@
 from pumicespur.node._hearing import count_waiting
 from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._keeper import OwnershipKeeper
+from pumicespur.node._refusals import KeyRefusals
 from pumicespur.node._reload import SettingsFile
 from pumicespur.node._tables import REPORTS_TABLE, newest_key
 from pumicespur.node._workers import WorkerList
@@ -43,7 +44,7 @@
     from anyio.abc import TaskStatus
 
     from pumicespur.config import NodeSettings
-    from pumicespur.model import Configuration, Route
+    from pumicespur.model import Configuration, KeyDigest, Route
     from pumicespur.store import Fault, Row
 
 log = Logger(__name__)
@@ -97,6 +98,7 @@
         self.incarnation = uuid.uuid4().hex
         self.operators_rows: dict[str, int] = {}
         """Versions of the operators' rows that are known, by key."""
+        self.refusals = KeyRefusals()
         self.outdated = False
         """What was last told about the configuration."""
         self.told_use_at = monotonic()
@@ -220,7 +222,8 @@
         """Return what is recorded of a job; None if there is no such job."""
         give_up_at = monotonic() + JOB_LOOKUP_S
         found = await self.jobs.find(self.view.pools(), JobId(name), give_up_at)
-        return found.map(lambda job: None if job is None else describe_progress(name, *job))
+        refused = self.refusals.describe(JobId(name), self.view)
+        return found.map(lambda job: refused if job is None else describe_progress(name, *job))
 
     def _on_operators_rows(self, rows: Sequence[Row], whole: bool) -> None:
         for row in rows:
@@ -278,6 +281,14 @@
             )
         return outdated
 
+    def newer_configuration_known(self) -> bool:
+        """Tell whether others have a configuration in force that is not here yet."""
+        return bool(self.view.missing)
+
+    def note_refused(self, job: JobId, digest: KeyDigest | None, version: int) -> None:
+        """Remember that a call was refused for its key, by which configuration."""
+        self.refusals.note(job, digest, version)
+
     def store_answers(self) -> bool:
         """Tell whether the store answered lately, or no call has failed since it did."""
         return self.table.silent_s(monotonic()) < REFUSE_AFTER_S
--- /dev/null
+++ b/pumicespur/node/_refusals.py
@@ -0,0 +1,61 @@
+"""Calls that were refused for their key, so that an operator can tell a caller why."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pumicespur.model import digest_signs
+
+if TYPE_CHECKING:
+    from pumicespur.model import JobId, KeyDigest
+    from pumicespur.view import NodeView
+
+REFUSALS_KEPT = 2_000
+"""Refused calls that are remembered: some minutes of a caller that tries ten times a second."""
+
+
+@dataclass(frozen=True)
+class KeyRefusal:
+    """One refused call: the key it came with, and the configuration that it was judged by."""
+
+    digest: KeyDigest | None
+    version: int
+
+
+class KeyRefusals:
+    """The newest refused calls of this process, by the id that they were for."""
+
+    def __init__(self) -> None:
+        self.newest: OrderedDict[JobId, KeyRefusal] = OrderedDict()
+
+    def note(self, job: JobId, digest: KeyDigest | None, version: int) -> None:
+        """Remember a call that was refused."""
+        self.newest.pop(job, None)
+        self.newest[job] = KeyRefusal(digest, version)
+        while len(self.newest) > REFUSALS_KEPT:
+            self.newest.popitem(last=False)
+
+    def describe(self, job: JobId, view: NodeView) -> dict[str, object] | None:
+        """Tell why the newest call for an id was refused here; None if none was."""
+        refusal = self.newest.get(job)
+        if refusal is None:
+            return None
+        return {
+            "job": job,
+            "refused": _reason(refusal, view),
+            "key": None if refusal.digest is None else digest_signs(refusal.digest),
+            "configuration_version": refusal.version,
+        }
+
+
+def _reason(refusal: KeyRefusal, view: NodeView) -> str:
+    if refusal.digest is None:
+        return "no key was shown"
+    taken = view.taken_keys.get(refusal.digest)
+    if taken is not None:
+        return f"the key was taken away by configuration {taken}"
+    if refusal.digest in view.configuration.keys:
+        return f"the key was not known yet; configuration {view.configuration.version} has it"
+    return "no configuration of this process's life has held the key"
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -10,12 +10,20 @@
 from logbook import Logger
 
 from pumicespur.listeners import bound_to, listen_at
-from pumicespur.model import Cancellation, JobId, Submission
+from pumicespur.model import (
+    ANYONE,
+    AccountId,
+    Cancellation,
+    JobId,
+    Submission,
+    digest_signs,
+    key_digest,
+)
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, StepRecord
 from pumicespur.utils import METRICS, monotonic, now_ms
 
 if TYPE_CHECKING:
-    from pumicespur.model import Configuration, Route
+    from pumicespur.model import Configuration, KeyDigest, Route
     from pumicespur.store import Fault
 
 log = Logger(__name__)
@@ -24,6 +32,9 @@
 DEADLINE_HEADER = "X-Pumicespur-Deadline-Ms"
 """Time that a caller waits for an answer, in milliseconds."""
 
+BEARER = "Bearer"
+"""The scheme in which callers show their keys (RFC 6750)."""
+
 ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdef")
 ANSWER_RESERVE_S = 0.15
@@ -83,11 +94,13 @@
         """Record a job."""
 
     async def state(
-        self, route: Route, job: JobId, give_up_at: float
+        self, route: Route, caller: AccountId, job: JobId, give_up_at: float
     ) -> Result[JobPhase | None, Fault]:
-        """Read how far a job is; None tells that there is no such job."""
+        """Read how far a job is; None tells that there is no such job for the caller."""
 
-    async def cancel(self, route: Route, job: JobId, give_up_at: float) -> Cancellation:
+    async def cancel(
+        self, route: Route, caller: AccountId, job: JobId, give_up_at: float
+    ) -> Cancellation:
         """Record that a job is not wanted any more."""
 
 
@@ -107,6 +120,12 @@
     def configuration_outdated(self) -> bool:
         """Tell whether the configuration in force is too old to answer by."""
 
+    def newer_configuration_known(self) -> bool:
+        """Tell whether others have a configuration in force that is not here yet."""
+
+    def note_refused(self, job: JobId, digest: KeyDigest | None, version: int) -> None:
+        """Remember that a call was refused for its key, by which configuration."""
+
     def store_answers(self) -> bool:
         """Tell whether the store answered lately; without it nothing can be taken or told."""
 
@@ -172,24 +191,52 @@
         if route is None:
             return _refuse(404, "no such route")
         name = path[len(route.path_prefix) :]
-        if not name and request.method == "GET":
-            return await self._count(route)
-        if len(name) != ID_LENGTH or not set(name) <= HEX_DIGITS:
+        if (name or request.method != "GET") and not is_job_id(name):
             return _refuse(404, "no such job")
+        caller = self._caller(request, route, configuration, JobId(name))
+        if caller is None:
+            if self.context.newer_configuration_known():
+                # The key may be one of those that it adds.
+                return _refuse(503, "a newer configuration is on its way; nothing was done")
+            return _refuse(401, "no key that is in force")
+        if not name:
+            return await self._count(route)
         if not self.context.store_answers():
             return _refuse(503, "the store does not answer; nothing was done")
         give_up_at = monotonic() + _patience_s(request, route)
         match request.method:
             case "POST":
                 limit = configuration.limits.max_body_bytes
-                return await self._submit(request, route, JobId(name), give_up_at, limit)
+                record = JobRecord(id=name, route=route.name, account=caller)
+                return await self._submit(request, route, record, give_up_at, limit)
             case "GET":
-                return await self._state(route, JobId(name), give_up_at)
+                return await self._state(route, caller, JobId(name), give_up_at)
             case "DELETE":
-                return await self._cancel(route, JobId(name), give_up_at)
+                return await self._cancel(route, caller, JobId(name), give_up_at)
             case _:
                 return _refuse(405, "no such method")
 
+    def _caller(
+        self, request: web.BaseRequest, route: Route, configuration: Configuration, job: JobId
+    ) -> AccountId | None:
+        """Return whose call it is; None if it needs a key and has none that is in force."""
+        if route.public:
+            return ANYONE
+        key = bearer_key(request.headers.get("Authorization", ""))
+        digest = None if key is None else key_digest(key)
+        caller = None if digest is None else configuration.keys.get(digest)
+        if caller is None:
+            self.context.note_refused(job, digest, configuration.version)
+            log.warning(
+                "call refused",
+                job=job,
+                route=route.name,
+                method=request.method,
+                key=None if digest is None else digest_signs(digest),
+                version=configuration.version,
+            )
+        return caller
+
     async def _count(self, route: Route) -> web.Response:
         waiting = await self.context.waiting_jobs(route)
         if waiting is None:
@@ -197,19 +244,24 @@
         return _json(200, {"pending": waiting})
 
     async def _submit(
-        self, request: web.BaseRequest, route: Route, job: JobId, give_up_at: float, limit: int
+        self,
+        request: web.BaseRequest,
+        route: Route,
+        record: JobRecord,
+        give_up_at: float,
+        limit: int,
     ) -> web.Response:
         if (request.content_length or 0) > limit:
             return _refuse(413, f"more than {limit} bytes")
         body = await request.read()
         if len(body) > limit:
             return _refuse(413, f"more than {limit} bytes")
-        match decode_job(job, route, body):
+        match decode_job(record, body):
             case Result(tag="error", error=reason):
-                log.warning("job refused", job=job, route=route.name, reason=reason)
+                log.warning("job refused", job=record.id, route=route.name, reason=reason)
                 return _refuse(400, reason)
-            case Result(ok=record):
-                outcome = await self.context.jobs.submit(route, record, give_up_at)
+            case Result(ok=job):
+                outcome = await self.context.jobs.submit(route, job, give_up_at)
                 METRICS.jobs.inc({"outcome": outcome.value})
         match outcome:
             case Submission.ACCEPTED:
@@ -218,9 +270,13 @@
                 return _refuse(503, "the job was not taken")
             case Submission.UNKNOWN:
                 return _refuse(504, "whether the job was taken is not known; ask again")
+            case Submission.FOREIGN:
+                return _refuse(409, "the id can't be used")
 
-    async def _state(self, route: Route, job: JobId, give_up_at: float) -> web.Response:
-        answer = await self.context.jobs.state(route, job, give_up_at)
+    async def _state(
+        self, route: Route, caller: AccountId, job: JobId, give_up_at: float
+    ) -> web.Response:
+        answer = await self.context.jobs.state(route, caller, job, give_up_at)
         match answer:
             case Result(tag="ok", ok=None):
                 return _refuse(410, "no such job")
@@ -230,8 +286,10 @@
                 log.warning("state not read", job=job, route=route.name, reason=str(fault))
                 return _refuse(503, "the state can't be read at present")
 
-    async def _cancel(self, route: Route, job: JobId, give_up_at: float) -> web.Response:
-        outcome = await self.context.jobs.cancel(route, job, give_up_at)
+    async def _cancel(
+        self, route: Route, caller: AccountId, job: JobId, give_up_at: float
+    ) -> web.Response:
+        outcome = await self.context.jobs.cancel(route, caller, job, give_up_at)
         match outcome:
             case Cancellation.DONE:
                 return _json(200, {"state": "cancelled"})
@@ -241,8 +299,19 @@
                 return _refuse(504, "whether the job is cancelled is not known; ask again")
 
 
-def decode_job(job: JobId, route: Route, body: bytes) -> Result[JobRecord, str]:
-    """Read a submitted job, or tell what is wrong with it."""
+def is_job_id(name: str) -> bool:
+    """Tell whether a job may have a name."""
+    return len(name) == ID_LENGTH and set(name) <= HEX_DIGITS
+
+
+def bearer_key(header: str) -> str | None:
+    """Return the key of an `Authorization` header; None if there is none in its proper form."""
+    scheme, _, key = header.partition(" ")
+    return key.strip() or None if scheme.lower() == BEARER.lower() else None
+
+
+def decode_job(job: JobRecord, body: bytes) -> Result[JobRecord, str]:
+    """Read what a caller submits for a job, or tell what is wrong with it."""
     try:
         found = _JOB.decode(body)
     except msgspec.MsgspecError as failure:
@@ -254,18 +323,13 @@
             return Error(f"steps[{number}].count: is {step.count}, needs at least 1")
         if any(not 0 <= earlier < number for earlier in step.depends_on):
             return Error(f"steps[{number}].dependsOn: names a step that is not an earlier one")
-    return Ok(
-        JobRecord(
-            id=job,
-            route=route.name,
-            payload=found.payload,
-            steps=[_step(step) for step in found.steps],
-            repeats=found.repeats,
-            first_due_ms=int(found.first_ms),
-            interval_ms=int(found.interval_ms),
-            accepted_ms=now_ms(),
-        )
-    )
+    job.payload = found.payload
+    job.steps = [_step(step) for step in found.steps]
+    job.repeats = found.repeats
+    job.first_due_ms = int(found.first_ms)
+    job.interval_ms = int(found.interval_ms)
+    job.accepted_ms = now_ms()
+    return Ok(job)
 
 
 def _step(step: _Step) -> StepRecord:
@@ -310,4 +374,6 @@
     response = _json(status, {"error": reason})
     if status in (503, 504):
         response.headers["Retry-After"] = COME_BACK_S
+    if status == 401:
+        response.headers["WWW-Authenticate"] = BEARER
     return response
--- a/pumicespur/platform/_declarations.py
+++ b/pumicespur/platform/_declarations.py
@@ -9,12 +9,15 @@
 from expression import Error, Ok, Result
 
 from pumicespur.model import (
+    AccountId,
     Advice,
     CallerLimits,
     Capacity,
+    ClientAccount,
     Configuration,
     DataHall,
     InstanceId,
+    KeyDigest,
     PoolId,
     PoolSettings,
     Rack,
@@ -24,6 +27,7 @@
     Worker,
     WorkerId,
     WorkerState,
+    key_digest,
 )
 
 CONFIGURATION_KEY = "op//config"
@@ -37,6 +41,9 @@
 Amount = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
 """How much there is of something; messages between processes carry no more."""
 
+LimitAmount = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""The most that an account may have; larger than any fleet, exact in JSON."""
+
 RACK_LABEL_DIGITS = frozenset("0123456789-")
 
 
@@ -58,6 +65,8 @@
     max_attempts: int = msgspec.field(name="maxAttempts", default=1)
     stretch: float = 1.0
     advice: _Advice | None = None
+    public: bool | None = None
+    """Missing where the operators declare no accounts, so that nobody has a key."""
 
 
 class _Service(msgspec.Struct):
@@ -66,6 +75,25 @@
     spare: bool = False
 
 
+class _AccountLimit(msgspec.Struct):
+    cpu: LimitAmount = 0
+    """Thousandths of a core."""
+    memory_mb: LimitAmount = msgspec.field(name="memMb", default=0)
+    gpu: LimitAmount = 0
+
+    def decode(self) -> Capacity:
+        return Capacity(self.cpu, self.memory_mb, self.gpu)
+
+
+class _Account(msgspec.Struct):
+    name: Annotated[str, msgspec.Meta(min_length=1)]
+    keys: list[Annotated[str, msgspec.Meta(min_length=1)]] = msgspec.field(
+        name="apiKeys", default=[]
+    )
+    weight: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    limit: _AccountLimit = msgspec.field(name="upperLimit", default_factory=_AccountLimit)
+
+
 class _Limits(msgspec.Struct):
     body_bytes: int = msgspec.field(name="maxBodyBytes", default=262_144)
     idle_ms: float = msgspec.field(name="idleTimeoutMs", default=15_000)
@@ -76,6 +104,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    accounts: list[_Account] = msgspec.field(name="tenants", default=[])
 
 
 class _Wave(msgspec.Struct):
@@ -135,12 +164,18 @@
             return Error(reason)
         case Result(ok=found):
             pass
-    routes = {RouteName(route.name): _route(route) for route in found.routes}
+    match _digests(found.accounts):
+        case Result(tag="error", error=reason):
+            return Error(f"configuration: {reason}")
+        case Result(ok=keys):
+            pass
+    accounts = {AccountId(a.name): _account(a) for a in found.accounts}
+    routes = {RouteName(route.name): _route(route, not accounts) for route in found.routes}
     pools = {
         PoolId(s.name): PoolSettings(PoolId(s.name), s.guarded, s.spare) for s in found.services
     }
     limits = CallerLimits(found.limits.body_bytes, found.limits.idle_ms / 1000)
-    return Ok(Configuration(found.version, routes, pools, limits))
+    return Ok(Configuration(found.version, routes, pools, limits, accounts, keys))
 
 
 def decode_wave(value: bytes) -> Result[Wave, str]:
@@ -202,7 +237,27 @@
     return Rack("")
 
 
-def _route(route: _Route) -> Route:
+def _digests(accounts: list[_Account]) -> Result[dict[KeyDigest, AccountId], str]:
+    """Return whose each key is, or where a name or key stands twice; no key is shown."""
+    found: dict[KeyDigest, AccountId] = {}
+    names: set[str] = set()
+    for place, account in enumerate(accounts):
+        if account.name in names:
+            return Error(f"$.tenants[{place}].name: {account.name!r} stands twice")
+        names.add(account.name)
+        for number, key in enumerate(account.keys):
+            owner = found.setdefault(key_digest(key), AccountId(account.name))
+            if owner != account.name:
+                return Error(f"$.tenants[{place}].apiKeys[{number}]: is also a key of {owner!r}")
+    return Ok(found)
+
+
+def _account(account: _Account) -> ClientAccount:
+    return ClientAccount(AccountId(account.name), account.weight, account.limit.decode())
+
+
+def _route(route: _Route, public: bool) -> Route:
+    """Translate a route; `public` holds where the route does not say."""
     advice = None
     if route.advice is not None:
         told = route.advice
@@ -218,4 +273,5 @@
         stretch=route.stretch,
         latency_objective_s=route.objective_ms / 1000,
         advice=advice,
+        public=public if route.public is None else route.public,
     )
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -163,7 +163,8 @@
                 written.map(lambda found: self._note_clock(found.now_ms, sent_at))
                 return written.map(lambda found: found.ver)
             case Result(tag="ok", ok=Answer(status=412, body=content)):
-                return Error(Conflict(tuple(_key(row) for row in _ROWS.decode(content).rows)))
+                rows = tuple(_row(row) for row in _ROWS.decode(content).rows)
+                return Error(Conflict(tuple(row.key for row in rows), rows))
             case Result(tag="ok", ok=Answer(status=status, body=content)):
                 return Error(_refusal(status, content))
             case Result(error=fault):
--- a/pumicespur/store/_faults.py
+++ b/pumicespur/store/_faults.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    from pumicespur.store._rows import Row
 
 
 @dataclass(frozen=True)
@@ -11,6 +14,8 @@
     """Nothing was written: the conditions on these keys did not hold."""
 
     keys: tuple[str, ...]
+    rows: tuple[Row, ...] = ()
+    """The rows of these keys as they are, where the platform tells them."""
 
 
 @dataclass(frozen=True)
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -11,11 +11,14 @@
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
-    from pumicespur.model import Route, Wave, Worker
+    from pumicespur.model import KeyDigest, Route, Wave, Worker
     from pumicespur.schema.jobs_pb import DutyReport, HeartbeatRecord, OwnerRecord, PoolReport
 
 log = Logger(__name__)
 
+TAKEN_KEYS_KEPT = 10_000
+"""Keys of which it is remembered that they were taken away; 1 MB at most."""
+
 
 @dataclass
 class SeenProcess:
@@ -62,6 +65,8 @@
     owners: dict[PoolId, SeenOwner] = field(default_factory=dict)
     earlier_pools: dict[RouteName, set[PoolId]] = field(default_factory=dict)
     """Pools that a route had in earlier configurations of this process's life."""
+    taken_keys: dict[KeyDigest, int] = field(default_factory=dict, repr=False)
+    """Keys that were in force in this process's life, by the version that took them away."""
     steady_since: float = field(default_factory=monotonic)
     """Since when the store has told of heartbeats without a gap (monotonic seconds)."""
 
@@ -74,15 +79,26 @@
             version=configuration.version,
             before=self.configuration.version,
             routes=len(configuration.routes),
+            accounts=len(configuration.accounts),
+            keys=len(configuration.keys),
         )
         for name, route in configuration.routes.items():
             before = self.configuration.routes.get(name)
             if before is not None and before.pool != route.pool:
                 self.earlier_pools.setdefault(name, set()).add(before.pool)
+        self._note_taken_keys(configuration)
         self.configuration = configuration
         self.missing = {v: at for v, at in self.missing.items() if v > configuration.version}
         return True
 
+    def _note_taken_keys(self, configuration: Configuration) -> None:
+        for digest in self.configuration.keys.keys() - configuration.keys.keys():
+            self.taken_keys[digest] = configuration.version
+        for digest in self.taken_keys.keys() & configuration.keys.keys():
+            del self.taken_keys[digest]
+        while len(self.taken_keys) > TAKEN_KEYS_KEPT:
+            del self.taken_keys[next(iter(self.taken_keys))]
+
     def note_newer(self, version: int, now: float) -> None:
         """Hear that another process has a configuration in force."""
         if version > self.configuration.version:
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -50,6 +50,8 @@
         """The present worker of each instance."""
         self.version = 0
         """Version of the newest configuration."""
+        self.accounts: list[dict[str, Any]] = []
+        """The client accounts of the next configuration, as operators write them."""
         self.numbers = itertools.count(1)
         self.task_s = TASK_S
         """How long a short task of a new worker takes."""
@@ -115,6 +117,8 @@
             {"name": "idle", "spare": True},
         ]
         content = {"version": version, "routes": made, "services": pools, "limits": {}}
+        if self.accounts:
+            content["tenants"] = self.accounts
         self.store.put(("op", "", "config"), json.dumps(content).encode())
 
     async def add_worker(self, instance: str, rack: str = "r1-1", pool: str = "main") -> None:
@@ -176,10 +180,23 @@
         """Start a node against this platform."""
         return self.nodes.start(name, self.addresses, self.node_module)
 
-    async def call(self, node: Node, method: str, path: str, body: Any = None) -> tuple[int, Any]:
-        """Send one caller's request; return status and body."""
+    def set_account(self, name: str, *keys: str, weight: float = 10.0, cpu: int = 0) -> None:
+        """Declare an account, or replace what was declared, for the next configuration.
+
+        `cpu` is its limit in thousandths of a core.
+        """
+        limit = {"cpu": cpu, "memMb": 0, "gpu": 0}
+        account = {"name": name, "apiKeys": list(keys), "weight": weight, "upperLimit": limit}
+        self.accounts = [a for a in self.accounts if a["name"] != name] + [account]
+
+    async def call(
+        self, node: Node, method: str, path: str, body: Any = None, key: str = ""
+    ) -> tuple[int, Any]:
+        """Send one caller's request, with a key if one is given; return status and body."""
         assert self.session is not None
         headers = {"Host": HOST, "X-Pumicespur-Deadline-Ms": "3000"}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
         try:
             async with self.session.request(
                 method, f"http://{node.address('callers')}{path}", json=body, headers=headers
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -28,6 +28,7 @@
 from pumicespur.jobs._sweep import SubmissionSweep
 from pumicespur.jobs._watch import is_stalled
 from pumicespur.model import (
+    ANYONE,
     Capacity,
     Configuration,
     DataHall,
@@ -595,7 +596,7 @@
     async def test_jobs_of_one_part_share_a_call(self) -> None:
         # Each ended job cost a call, in the part that callers waited for.
         for number in range(1000):
-            self.sweep.empty(JobId(f"job-{number}"))
+            self.sweep.empty(JobId(f"job-{number}"), ROUTE.name, ANYONE)
         await self.sweep.sweep()
         self.assertEqual(len(submission_parts(PoolId("main"))), len(self.calls))
         parts = {write.key.rpartition("/")[0] for write in self.calls[0].writes}
@@ -603,7 +604,7 @@
         self.assertFalse(self.sweep.pending)
 
     async def test_what_is_not_confirmed_is_written_again(self) -> None:
-        self.sweep.empty(JobId("job"))
+        self.sweep.empty(JobId("job"), ROUTE.name, ANYONE)
         self.answers = Error(Unavailable("busy"))
         await self.sweep.sweep()
         self.assertTrue(self.sweep.pending)
@@ -612,7 +613,7 @@
         self.assertFalse(self.sweep.pending)
 
     async def test_removal_follows_an_emptying_that_is_pending(self) -> None:
-        self.sweep.empty(JobId("job"))
+        self.sweep.empty(JobId("job"), ROUTE.name, ANYONE)
         self.sweep.remove(JobId("job"))
         await self.sweep.sweep()
         self.assertEqual([None], [write.value for write in self.calls[0].writes])
@@ -620,7 +621,7 @@
     async def test_removal_that_is_pending_stays(self) -> None:
         # An owner that reads all submissions anew finds those that are to be removed again.
         self.sweep.remove(JobId("job"))
-        self.sweep.empty(JobId("job"))
+        self.sweep.empty(JobId("job"), ROUTE.name, ANYONE)
         await self.sweep.sweep()
         self.assertEqual(["job"], self.sweep.take_removed())
 
