Accounts' limits hold over all pools: each pool holds a part, and hands on what it does not use

Ruled out: the total in one row of the commit that places (the platform's transactions have one part, and pools have different owners); parts dealt out by the fleet's holder (nothing flows while it is replaced). Change: escrow as a bounded counter. A pool's part of each limit is a share, so that a limit that changes needs no new division. Parts move by giving first (recorded with the giver's commit, told only then) and taking after; both are sums that only rise, one writer each. What may have been started counts until it is known to be over, also runs that earlier owners left and those of jobs that have ended.

--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -4,16 +4,18 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from pumicespur.jobs._job import TaskState
 
 if TYPE_CHECKING:
+    from pumicespur.jobs._account_use import Use
     from pumicespur.jobs._estimates import Estimates
     from pumicespur.jobs._job import Job, StepGroup
+    from pumicespur.jobs._limits import PoolLimits
     from pumicespur.jobs._pool import PoolState
-    from pumicespur.model import Capacity
+    from pumicespur.model import AccountId, Capacity
     from pumicespur.schema.jobs_pb import StepRecord
 
 REMEMBER_S = 3.0
@@ -198,11 +200,32 @@
         return self.figures[-1].cpu_millis < FALLING_SHARE * most
 
 
+class LimitRooms:
+    """What accounts may still start; no number of workers helps what waits beyond that."""
+
+    def __init__(self, limits: PoolLimits) -> None:
+        self.limits = limits
+        self.planned: dict[AccountId, Use] = {}
+
+    def take(self, account: AccountId, spec: StepRecord, count: int) -> int:
+        """Return how many of some waiting tasks their account's limit has room for."""
+        if not account or not count:
+            return count
+        limit = self.limits.limit_of(account)
+        planned = self.planned.get(account)
+        if planned is None:
+            planned = self.planned[account] = replace(self.limits.use.of(account))
+        fitting = planned.fitting(limit, spec, count)
+        planned.add(spec, fitting)
+        return fitting
+
+
 def current_demand(pool: PoolState, now_ms: float) -> PoolDemand:
     """Return what tasks ask for whose turn has come."""
     short = DemandSum()
     lasting = DemandSum()
     waiting = DemandSum()
+    rooms = LimitRooms(pool.limits)
     for job in pool.jobs.values():
         if job.ended:
             continue
@@ -211,9 +234,10 @@
             if not pool.fits_anywhere(spec):
                 # No number of workers helps a task that is larger than each of them.
                 continue
-            idle = len(group.waiting())
+            idle = rooms.take(job.account, spec, len(group.waiting()))
             share = 1.0 if spec.long_running else WAITING_SHARE
-            count = len(group.tasks) - group.done - idle + share * idle
+            begun = len(group.tasks) - group.done - len(group.waiting())
+            count = begun + share * idle
             (lasting if spec.long_running else short).add(spec, count)
             if not spec.long_running:
                 waiting.add(spec, idle)
--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -70,6 +70,8 @@
             progress[job] = record
             if record.phase in ENDED_PHASES:
                 self.ended[job] = record.changed_ms
+                for run in record.left:
+                    self.pool.inherit(AccountId(record.account), run)
         for row in await self._read_all():
             self._take(row, progress)
 
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -19,6 +19,7 @@
 from pumicespur.schema.jobs_pb import (
     FailureRecord,
     JobPhase,
+    LeftRun,
     LossRecord,
     ProgressRecord,
     TaskRecord,
@@ -242,6 +243,7 @@
             failure=self.failure,
         )
         if self.ended:
+            record.left = self.left_runs()
             return record
         done = 0
         for task in self.tasks:
@@ -252,6 +254,21 @@
         record.done = done.to_bytes((done.bit_length() + 7) // 8, "little")
         return record
 
+    def left_runs(self) -> list[LeftRun]:
+        """Return the runs that were ordered and are not known to be over."""
+        return [
+            LeftRun(
+                task=task.name,
+                run=task.run,
+                worker=task.worker,
+                cpu_millis=task.spec.cpu_millis,
+                memory_mb=task.spec.memory_mb,
+                accelerators=task.spec.accelerators,
+            )
+            for task in self.tasks
+            if task.worker
+        ]
+
     def restore(self, progress: ProgressRecord) -> None:
         """Take over what an earlier owner recorded."""
         self.phase = progress.phase or JobPhase.QUEUED
--- a/pumicespur/jobs/_keys.py
+++ b/pumicespur/jobs/_keys.py
@@ -10,8 +10,10 @@
 import zlib
 from typing import TYPE_CHECKING
 
+from pumicespur.model import key_digest
+
 if TYPE_CHECKING:
-    from pumicespur.model import JobId, PoolId
+    from pumicespur.model import AccountId, JobId, PoolId
 
 OWNERS_TABLE = "owners"
 
@@ -50,3 +52,14 @@
 def commit_key(pool: PoolId) -> str:
     """Return the row that each commit of an owner replaces."""
     return f"commits/{pool}/last"
+
+
+PARTS_TABLE = "parts"
+
+FOUNDERS_KEY = "founders//parts"
+"""The row that tells which pools held equal parts of every account's limit at first."""
+
+
+def part_key(pool: PoolId, account: AccountId) -> str:
+    """Return the row of a pool's part of an account's limit; names may be longer than keys."""
+    return f"{PARTS_TABLE}/{pool}/{key_digest(account).hex()}"
--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from pumicespur.jobs._account_use import AccountUse
 from pumicespur.model import InstanceId, WorkerState
 
 if TYPE_CHECKING:
@@ -27,6 +28,8 @@
     """One worker as its pool's owner counts it."""
 
     worker: Worker
+    use: AccountUse = field(default_factory=AccountUse)
+    """What accounts have running in the pool."""
     tasks: set[Task] = field(default_factory=set)
     suspects: set[Task] = field(default_factory=set)
     """Those of its tasks that may have brought an earlier worker down."""
@@ -63,7 +66,7 @@
         self.tasks.add(task)
         if task.losses:
             self.suspects.add(task)
-        self._count(task.spec, 1)
+        self._count(task, 1)
 
     def remove(self, task: Task) -> None:
         """Count a task no longer."""
@@ -71,9 +74,11 @@
             return
         self.tasks.remove(task)
         self.suspects.discard(task)
-        self._count(task.spec, -1)
+        self._count(task, -1)
 
-    def _count(self, spec: StepRecord, sign: int) -> None:
+    def _count(self, task: Task, sign: int) -> None:
+        spec = task.spec
+        self.use.add(task.job.account, spec, sign)
         if not spec.fills:
             self.cpu_millis += sign * spec.cpu_millis
         self.memory_mb += sign * spec.memory_mb
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -15,6 +15,7 @@
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import progress_key
 from pumicespur.jobs._pace import choose_paces
+from pumicespur.jobs._parts import PartKeeper
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
 from pumicespur.jobs._size import PoolSize
@@ -34,7 +35,7 @@
     from pumicespur.jobs._lease import EarlierLeases
     from pumicespur.model import TaskEnd, Worker
     from pumicespur.platform import PlatformTable, WorkerOrders
-    from pumicespur.schema.jobs_pb import PoolReport
+    from pumicespur.schema.jobs_pb import PartRecord, PoolReport
     from pumicespur.view import NodeView
 
 log = Logger(__name__)
@@ -45,6 +46,9 @@
 JOBS_PER_COMMIT = 45
 """Two rows for each job that ends, and the owner's own, stay under 100 entries."""
 
+PARTS_PER_COMMIT = 40
+"""One row each, beside those of the jobs."""
+
 IDLE_COMMIT_S = 1.0
 """An owner with nothing to record proves this often that it still owns the pool."""
 
@@ -72,6 +76,7 @@
     ended: list[Job] = field(default_factory=list)
     starts: list[tuple[Task, int, WorkerId]] = field(default_factory=list)
     acknowledged: list[tuple[WorkerWatch, int]] = field(default_factory=list)
+    parts: list[PartRecord] = field(default_factory=list)
 
 
 class PoolOwner:
@@ -103,6 +108,7 @@
         self.intake = JobIntake(
             self.pool, table, view, settings.store.watch_s, self.wake, self.size.note_arrival
         )
+        self.parts = PartKeeper(self.pool.limits, table, view, tell)
         self.stopping = False
         self.stopped = anyio.Event()
         self.ready = False
@@ -127,6 +133,7 @@
         """Own the pool until it is lost, or given up after `stop`."""
         try:
             await self.journal.load()
+            await self.parts.load()
             await self.intake.load()
             self._tell_taken()
             await self._wait_for_workers()
@@ -201,6 +208,7 @@
                     watch.load.add(task)
                     watch.unsettled[task] = UnansweredStart(task.run, self.ownership.acquired_at)
                 watch.blamed |= any(loss.worker == worker.id for loss in task.losses)
+        self.pool.adopt_inherited(watch.load)
         self.watches[worker.id] = watch
         self.spawn(watch.run)
 
@@ -230,6 +238,8 @@
                     instance = InstanceId(task.worker)
                     self.pool.lose_run(task, Loss(task.worker, instance, alone=False))
                     self.pool.free(task)
+        for worker in self.pool.inherited.keys() - self.watches.keys():
+            self.pool.settle_inherited(worker)
         self.wake()
 
     def note_end(self, worker: WorkerId, end: TaskEnd, now: float) -> None:
@@ -259,7 +269,9 @@
             self.changed = anyio.Event()
             if not self.stopping:
                 self._evacuate()
+                self.parts.hear(monotonic())
                 self.pool.place(monotonic(), now_ms())
+                self.parts.tell_news()
                 self.size.note(monotonic())
                 self._pace()
             batch = self._collect()
@@ -305,6 +317,8 @@
         """Gather what changed; ends are acknowledged only when every change is in."""
         batch = Batch()
         now = now_ms()
+        batch.parts = self.pool.limits.take_changed(PARTS_PER_COMMIT)
+        batch.writes = [self.parts.write(record) for record in batch.parts]
         dirty = sorted(self.pool.dirty, key=lambda job: job.id)[:JOBS_PER_COMMIT]
         for job in dirty:
             self.pool.dirty.discard(job)
@@ -342,6 +356,7 @@
 
     def _carry_out(self, batch: Batch) -> None:
         now = now_ms()
+        self.parts.note_recorded(batch.parts)
         for job in batch.ended:
             self.intake.ended[job.id] = now
             self.pool.jobs.pop(job.id, None)
@@ -354,7 +369,7 @@
                 self.spawn(self.watches[worker].start, task, run)
             elif task.run == run and task.worker == worker:
                 self.pool.free(task)
-        if self.pool.dirty:
+        if self.pool.dirty or self.pool.limits.changed:
             self.wake()
 
     def stop_gang(self, group: StepGroup, run: int) -> None:
@@ -374,4 +389,5 @@
         """Tell the other processes about the pool."""
         report = report_pool(self.pool, self.token)
         self.size.report(report)
+        report.parts = self.parts.report()
         return report
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterable, Sequence
 
     from pumicespur.jobs._job import Job, StepGroup, Task
+    from pumicespur.jobs._limits import PoolLimits
     from pumicespur.jobs._load import WorkerLoad
     from pumicespur.model import Rack
 
@@ -51,17 +52,31 @@
     return now_ms + LATE_SHARE * group.job.rest_ms[group.number] > group.job.deadline_ms
 
 
-def place_group(group: StepGroup, loads: Sequence[WorkerLoad], now: float) -> list[Task]:
+def place_group(
+    group: StepGroup, loads: Sequence[WorkerLoad], limits: PoolLimits, now: float
+) -> list[Task]:
     """Choose workers for a group's waiting tasks; gangs are placed whole or not at all."""
     placed: list[Task] = []
-    if group.spec.gang and len(group.waiting()) < len(group.tasks):
+    waiting = group.waiting()
+    account = group.job.account
+    together = len(group.tasks) if group.spec.gang else 1
+    if len(waiting) < together:
         return []
-    for task in group.waiting():
+    # Once an earlier group of the account has shown that there is room, nobody looks again.
+    blocked = account in limits.lacking
+    if blocked and not limits.allows(account, group.spec, now, together):
+        limits.note_blocked(account, group.spec, len(waiting), together)
+        return []
+    for task in waiting:
         load = choose_worker(task, loads, now)
         if load is None and is_tried_alone(task, now):
             continue
         if load is None:
             break
+        left = together - len(placed) if group.spec.gang else 1
+        if not limits.allows(account, group.spec, now, left):
+            limits.note_blocked(account, group.spec, len(waiting) - len(placed), left)
+            break
         put(task, load)
         task.ticket = group.ticket(load.worker.id, now)
         placed.append(task)
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from logbook import Logger
 
@@ -18,30 +18,32 @@
 from pumicespur.jobs._describe import explain_failure
 from pumicespur.jobs._estimates import Estimates
 from pumicespur.jobs._job import Standing, TaskState, make_job
+from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._load import WorkerLoad
 from pumicespur.jobs._placement import order_groups, place_group
-from pumicespur.model import JobId, RouteName, RunEnd
+from pumicespur.model import JobId, RouteName, RunEnd, TaskName, WorkerId
 from pumicespur.schema.jobs_pb import FailureRecord, JobPhase
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Container, Sequence
 
     from pumicespur.jobs._job import Job, Loss, Task
     from pumicespur.model import (
+        AccountId,
         Capacity,
         Configuration,
         PoolId,
         Rack,
         TaskEnd,
-        TaskName,
         Worker,
-        WorkerId,
     )
-    from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord, StepRecord
+    from pumicespur.schema.jobs_pb import JobRecord, LeftRun, ProgressRecord, StepRecord
 
 log = Logger(__name__)
 
+RunKey: TypeAlias = tuple[TaskName, int]
+"""A task and the number of its run."""
 
 SILENCES_KEPT_S = 30.0
 """How long a silence is remembered: longer than the lease of a worker that fell silent with it."""
@@ -56,6 +58,19 @@
     at: float
 
 
+@dataclass(frozen=True)
+class InheritedRun:
+    """A run that an earlier owner ordered, and whose it is."""
+
+    account: AccountId
+    record: LeftRun
+
+    @property
+    def key(self) -> RunKey:
+        """Return what tells the run from others."""
+        return TaskName(self.record.task), self.record.run
+
+
 @dataclass(eq=False)
 class PoolState:
     """Jobs and workers of a pool; `dirty` holds the jobs whose progress is not recorded yet."""
@@ -68,9 +83,16 @@
     """Tasks placed since the last commit."""
     silences: list[Silence] = field(default_factory=list)
     estimates: Estimates = field(default_factory=Estimates)
+    limits: PoolLimits = field(init=False)
+    inherited: dict[WorkerId, list[InheritedRun]] = field(default_factory=dict)
+    """Runs that earlier owners left behind, as long as they are not counted on their workers."""
     rooms: set[Capacity] | None = None
     """The different capacities of the workers; None after a change until they are asked for."""
 
+    def __post_init__(self) -> None:
+        """Hold the limits of all accounts whole until other pools are known."""
+        self.limits = PoolLimits(self.pool)
+
     def add_job(
         self, record: JobRecord, configuration: Configuration, progress: ProgressRecord | None
     ) -> Job | None:
@@ -81,9 +103,34 @@
         job = make_job(record, configuration.routes.get(RouteName(record.route)), self.estimates)
         if progress is not None:
             job.restore(progress)
+            for run in job.left_runs():
+                self.inherit(job.account, run)
         self.jobs[job.id] = job
         return job
 
+    def inherit(self, account: AccountId, run: LeftRun) -> None:
+        """Count a run that an earlier owner left behind."""
+        if account:
+            inherited = InheritedRun(account, run)
+            self.inherited.setdefault(WorkerId(run.worker), []).append(inherited)
+            self.limits.use.add(account, run, 1)
+
+    def adopt_inherited(self, load: WorkerLoad) -> None:
+        """Leave the runs that are counted on their worker now to it."""
+        counted = {(task.name, task.run) for task in load.tasks}
+        left = [run.key for run in self.inherited.get(load.worker.id, ())]
+        self.settle_inherited(load.worker.id, {key for key in left if key not in counted})
+
+    def settle_inherited(self, worker: WorkerId, keep: Container[RunKey] = ()) -> None:
+        """Count a worker's inherited runs no longer, but for those that are still going on."""
+        left = self.inherited.pop(worker, [])
+        still = [run for run in left if run.key in keep]
+        for run in left:
+            if run not in still:
+                self.limits.use.add(run.account, run.record, -1)
+        if still:
+            self.inherited[worker] = still
+
     def cancel(self, job: Job) -> None:
         """End a job because its caller asked for it."""
         if not job.ended:
@@ -99,7 +146,7 @@
         """Count a worker, or take its newest description."""
         load = self.loads.get(worker.id)
         if load is None:
-            load = WorkerLoad(worker)
+            load = WorkerLoad(worker, self.limits.use)
             self.loads[worker.id] = load
             self.rooms = None
         if load.worker.capacity != worker.capacity:
@@ -126,7 +173,9 @@
                 task.release()
             self.dirty.add(job)
         if load is not None:
-            load.tasks.clear()
+            for task in list(load.tasks):
+                load.remove(task)
+        self.settle_inherited(worker)
 
     def note_silence(self, load: WorkerLoad, now: float) -> None:
         """Note that a worker stopped answering."""
@@ -251,8 +300,9 @@
         placed: list[Task] = []
         groups = order_groups(self.jobs.values(), now_ms)
         reserve_workers(groups, loads, now)
+        self.limits.begin_round()
         for group in groups:
-            placed += place_group(group, loads, now)
+            placed += place_group(group, loads, self.limits, now)
         for task in placed:
             self.dirty.add(task.job)
             if task.job.phase is JobPhase.QUEUED:
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -179,6 +179,7 @@
                 self.seen = end.number
                 self.owner.note_end(self.id, end, now)
         running = {(run.task, run.run): run for run in account.running}
+        self.owner.pool.settle_inherited(self.id, running)
         self._note_running(running, sent_at, now)
         self._note_unknown_runs(running)
         await self._settle(running, sent_at)
@@ -388,6 +389,7 @@
             return
         # It may be cut off and come back, so that nothing is proved yet.
         self._lose_runs("its lease is over", ended=False)
+        self.owner.pool.settle_inherited(self.id)
         for task in list(self.load.tasks):
             self.unsettled.pop(task, None)
             self.load.remove(task)
--- a/pumicespur/node/_hearing.py
+++ b/pumicespur/node/_hearing.py
@@ -228,6 +228,9 @@
                 self._take_report(row, now)
         if self.duties.fleet is not None:
             self.duties.fleet.wake()
+        if any(p.parts for seen in self.view.reports.values() for p in seen.report.pools):
+            for owner in self.duties.pool_owners():
+                owner.wake()
 
     def _take_report(self, row: Row, now: float) -> None:
         report = DutyReport.from_binary(row.value)
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -121,17 +121,22 @@
         """Return the pools that need an owner."""
         return [pool.id for pool in self.configuration.pools.values() if not pool.spare]
 
+    def fresh_reports(self, max_age_s: float) -> dict[PoolId, PoolReport]:
+        """Return what the owners of pools told lately, each under the newest token."""
+        now = monotonic()
+        newest: dict[PoolId, PoolReport] = {}
+        for seen in self.reports.values():
+            if now - seen.seen_at > max_age_s:
+                continue
+            for report in seen.report.pools:
+                known = newest.get(PoolId(report.pool))
+                if known is None or report.fencing_token > known.fencing_token:
+                    newest[PoolId(report.pool)] = report
+        return newest
+
     def fresh_report(self, pool: PoolId, max_age_s: float) -> PoolReport | None:
         """Return what the owner of a pool told lately, under the newest token."""
-        now = monotonic()
-        reports = [
-            report
-            for seen in self.reports.values()
-            if now - seen.seen_at <= max_age_s
-            for report in seen.report.pools
-            if report.pool == pool
-        ]
-        return max(reports, key=lambda report: report.fencing_token, default=None)
+        return self.fresh_reports(max_age_s).get(pool)
 
     def evacuations(self, max_age_s: float) -> set[WorkerId]:
         """Return the workers that the newest holder of the fleet's duty wants emptied."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -20,6 +20,7 @@
 from pumicespur.jobs._job import Job, Task, TaskState, longest_chains_ms, make_job
 from pumicespur.jobs._keys import submission_parts
 from pumicespur.jobs._lease import EarlierLeases, WorkerLease
+from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._load import EJECT_AFTER, WorkerLoad
 from pumicespur.jobs._pace import choose_paces
 from pumicespur.jobs._placement import order_groups, place_group, put
@@ -339,9 +340,9 @@
         job = submit(pool, make_record(StepRecord(count=1, cpu_millis=1)))
         load = pool.loads[WorkerId("w-1")]
         load.evacuating = True
-        self.assertEqual([], place_group(job.groups[0], [load], 0.0))
+        self.assertEqual([], place_group(job.groups[0], [load], PoolLimits(POOL), 0.0))
         load.evacuating, load.reachable = False, False
-        self.assertEqual([], place_group(job.groups[0], [load], 0.0))
+        self.assertEqual([], place_group(job.groups[0], [load], PoolLimits(POOL), 0.0))
 
 
 class AvailabilityTest(unittest.TestCase):
--- /dev/null
+++ b/tests/test_limit_model.py
@@ -0,0 +1,465 @@
+"""A model check of accounts' limits: the real decisions under every kind of disorder.
+
+Several pools, each with an owner that runs the real pool state and limits, share two accounts.
+Reports come late or never, commits are held up, owners are replaced or frozen, orders are carried
+out late, workers fall silent, limits rise and fall. Whatever the order, what runs of an account
+never exceeds the highest limit that any owner may judge by, and once all is calm an account that
+uses less than half of its limit starts its next task wherever it waits. The mutants take one
+guard out each; the check has to find them.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+from unittest.mock import patch
+
+from pumicespur.jobs._job import Job, TaskState
+from pumicespur.jobs._ledger import Ledger
+from pumicespur.jobs._limits import OtherPart, PoolLimits
+from pumicespur.jobs._pool import PoolState
+from pumicespur.model import (
+    AccountId,
+    Capacity,
+    ClientAccount,
+    JobId,
+    PoolId,
+    RunEnd,
+    TaskEnd,
+    TaskName,
+    Worker,
+    WorkerId,
+)
+from pumicespur.schema.jobs_pb import (
+    JobRecord,
+    PartRecord,
+    PartReport,
+    ProgressRecord,
+    StepRecord,
+)
+from tests.test_jobs import CONFIGURATION, make_worker
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._load import WorkerLoad
+
+POOLS = [PoolId("a"), PoolId("b"), PoolId("c")]
+ACCOUNTS = [AccountId("one"), AccountId("two")]
+LIMITS = (6_000, 8_000, 12_000)
+TASK_CPU = (700, 1_000, 2_500, 5_000)
+PLANS = 200
+STEPS = 220
+CALM_ROUNDS = 60
+
+
+@dataclass(eq=False)
+class Run:
+    """A run on a worker."""
+
+    task: TaskName
+    number: int
+    account: AccountId
+    cpu: int
+
+
+@dataclass(eq=False)
+class ModelWorker:
+    """A worker: what it runs, the newest token it has seen, ends that nobody has noted."""
+
+    worker: Worker
+    token: int = 0
+    runs: list[Run] = field(default_factory=list)
+    ended: list[TaskEnd] = field(default_factory=list)
+    silent: bool = False
+
+
+@dataclass
+class Store:
+    """What is recorded of one pool."""
+
+    token: int = 0
+    progress: dict[str, bytes] = field(default_factory=dict)
+    parts: dict[str, bytes] = field(default_factory=dict)
+    submissions: dict[str, bytes] = field(default_factory=dict)
+
+
+class Owner:
+    """One owner of a pool, with the real decisions and a model of what surrounds them."""
+
+    def __init__(self, world: ModelWorld, pool: PoolId) -> None:
+        self.world = world
+        self.store = world.stores[pool]
+        self.store.token += 1
+        self.token = self.store.token
+        self.limit = world.limit
+        self.state = PoolState(pool)
+        self.state.limits.set_founders(POOLS)
+        self._judge()
+        records = [PartRecord.from_binary(row) for row in self.store.parts.values()]
+        self.state.limits.restore(records)
+        ended = set()
+        for name, row in self.store.progress.items():
+            progress = ProgressRecord.from_binary(row)
+            if progress.left or name not in self.store.submissions:
+                ended.add(name)
+                for run in progress.left:
+                    self.state.inherit(AccountId(progress.account), run)
+        for name, row in self.store.submissions.items():
+            if name not in ended:
+                kept = self.store.progress.get(name)
+                known = None if kept is None else ProgressRecord.from_binary(kept)
+                self._add(JobRecord.from_binary(row), known)
+        for worker in world.workers[pool]:
+            load = self.state.add_worker(worker.worker)
+            load.reachable = False
+            for job in self.state.jobs.values():
+                for task in job.tasks:
+                    if task.worker == worker.worker.id:
+                        load.add(task)
+            self.state.adopt_inherited(load)
+
+    def _add(self, record: JobRecord, progress: ProgressRecord | None) -> Job | None:
+        return self.state.add_job(record, CONFIGURATION, progress)
+
+    def _judge(self) -> None:
+        limit = Capacity(self.limit, 0)
+        self.state.limits.set_accounts({a: ClientAccount(a, 1.0, limit) for a in ACCOUNTS})
+
+    def hear_configuration(self) -> None:
+        """Have the newest configuration in force."""
+        self.limit = self.world.limit
+        self._judge()
+
+    def round(self, now: float, held_up: bool) -> None:
+        """Place, record, then order; `held_up` breaks off before anything is recorded."""
+        for name, row in self.store.submissions.items():
+            if JobId(name) not in self.state.jobs and name not in self.store.progress:
+                self._add(JobRecord.from_binary(row), None)
+        self.state.limits.hear(self.world.heard(self), now)
+        self.state.place(now, 0.0)
+        if held_up or self.token != self.store.token:
+            return
+        parts = self.state.limits.take_changed(100)
+        for part in parts:
+            self.store.parts[part.account] = part.to_binary()
+        ended = [job for job in self.state.dirty if job.ended]
+        for job in self.state.dirty:
+            self.store.progress[job.id] = job.progress(0).to_binary()
+        self.state.dirty.clear()
+        self.state.limits.note_recorded(parts)
+        for job in ended:
+            self.state.jobs.pop(job.id, None)
+            self.store.submissions.pop(job.id, None)
+            self._stop(job)
+        fresh, self.state.fresh = self.state.fresh, []
+        for task in fresh:
+            if task.state is TaskState.PLACED and task.worker and not task.job.ended:
+                task.state = TaskState.STARTING
+                run = Run(task.name, task.run, task.job.account, task.spec.cpu_millis)
+                self.world.order(self, task.worker, run)
+
+    def _stop(self, job: Job) -> None:
+        names = {task.name for task in job.tasks}
+        for worker in self.world.workers[self.state.pool]:
+            if not worker.silent and self.world.chance.random() < 0.7:
+                worker.runs = [run for run in worker.runs if run.task not in names]
+
+    def look(self, worker: ModelWorker) -> None:
+        """Hear a worker's account, as it is at this moment."""
+        if worker.silent or self.token < worker.token:
+            return
+        worker.token = self.token
+        load = self.state.loads[worker.worker.id]
+        load.reachable = True
+        ended, worker.ended = worker.ended, []
+        for end in ended:
+            self.state.note_end(worker.worker.id, end, 0.0)
+        running = {(run.task, run.number) for run in worker.runs}
+        self.state.settle_inherited(worker.worker.id, running)
+        late = {(run.task, run.number) for _, _, run in self.world.late}
+        for task in list(load.tasks):
+            key = (task.name, task.run)
+            if key in running:
+                task.state = TaskState.RUNNING
+            elif key not in late and (task.state is not TaskState.PLACED or task.job.ended):
+                self._settle(load, task.job, key)
+        for run in list(worker.runs):
+            wanted = self.state.task(run.task)
+            if wanted is None or not wanted.wants(worker.worker.id, run.number):
+                worker.runs.remove(run)
+
+    def _settle(self, load: WorkerLoad, job: Job, key: tuple[TaskName, int]) -> None:
+        task = job.by_name[key[0]]
+        if job.ended or task.worker != load.worker.id:
+            load.remove(task)
+        else:
+            self.state.free(task)
+
+
+class ModelWorld:
+    """Pools, owners, workers and the messages between them."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.now = 0.0
+        self.limit = LIMITS[1]
+        self.stores = {pool: Store() for pool in POOLS}
+        self.workers = {
+            pool: [ModelWorker(make_worker(f"{pool}-{n}", cpu=20_000)) for n in range(2)]
+            for pool in POOLS
+        }
+        self.late: list[tuple[int, ModelWorker, Run]] = []
+        """Orders under a token that a worker may still carry out."""
+        self.told: dict[PoolId, list[PartReport]] = {pool: [] for pool in POOLS}
+        self.heard_from: dict[tuple[PoolId, PoolId], list[PartReport]] = {}
+        self.owners = {pool: Owner(self, pool) for pool in POOLS}
+        self.frozen: list[Owner] = []
+        self.jobs = 0
+        self.broken: list[str] = []
+
+    def heard(self, owner: Owner) -> dict[AccountId, list[OtherPart]]:
+        """Return what an owner has heard of the others' parts."""
+        found: dict[AccountId, list[OtherPart]] = {}
+        for pool in POOLS:
+            for report in self.heard_from.get((owner.state.pool, pool), []):
+                found.setdefault(AccountId(report.account), []).append(OtherPart(pool, report))
+        return found
+
+    def tell(self, owner: Owner) -> None:
+        """Let an owner write its report; a frozen one's may come too."""
+        reports = owner.state.limits.reports()
+        self.told[owner.state.pool] = [
+            PartReport.from_binary(report.to_binary()) for report in reports
+        ]
+
+    def deliver(self, to: PoolId, since: PoolId) -> None:
+        """Let a pool's owner hear another's newest report."""
+        if to != since:
+            self.heard_from[to, since] = self.told[since]
+
+    def order(self, owner: Owner, worker: WorkerId, run: Run) -> None:
+        """Send an order to start: carried out now, later, or refused."""
+        target = next(w for w in self.workers[owner.state.pool] if w.worker.id == worker)
+        fates = ("now",) if self.calm else ("now", "now", "late", "refused")
+        match self.chance.choice(fates):
+            case "now" if not target.silent:
+                self.carry_out(owner.token, target, run)
+            case "refused" if not target.silent:
+                task = owner.state.task(run.task)
+                if task is not None and task.run == run.number:
+                    owner.state.free(task)
+            case _:
+                self.late.append((owner.token, target, run))
+
+    def carry_out(self, token: int, worker: ModelWorker, run: Run) -> None:
+        """Start a run unless the worker has seen a newer token, and judge the start."""
+        if token < worker.token:
+            return
+        worker.token = token
+        worker.runs.append(run)
+        total = sum(
+            other.cpu
+            for workers in self.workers.values()
+            for w in workers
+            for other in w.runs
+            if other.account == run.account
+        )
+        highest = max(o.limit for o in [*self.owners.values(), *self.frozen])
+        if total > self.highest(highest):
+            self.broken.append(f"{run.account} runs {total} of {highest}")
+
+    def highest(self, in_force: int) -> int:
+        """Return what may run: what a limit in force allows, or what ran before it fell."""
+        return max(in_force, self.limit, self.recent)
+
+    calm = False
+    recent = 0
+    """The highest limit since all that ran under it has ended."""
+
+    def end_run(self, worker: ModelWorker) -> None:
+        """Let a run end."""
+        if worker.runs:
+            run = worker.runs.pop(self.chance.randrange(len(worker.runs)))
+            how = self.chance.choice((RunEnd.DONE, RunEnd.FAILED, RunEnd.LAPSED))
+            worker.ended.append(TaskEnd(1, run.task, run.number, how, ""))
+
+    def submit(self, pool: PoolId, count: int, cpu: int) -> None:
+        """Let an account hand a job in."""
+        self.jobs += 1
+        account = self.chance.choice(ACCOUNTS)
+        step = StepRecord(count=count, cpu_millis=cpu)
+        record = JobRecord(id=f"{self.jobs:016x}", route="quick", steps=[step], account=account)
+        self.stores[pool].submissions[record.id] = record.to_binary()
+
+    def step(self) -> None:
+        """Let one thing happen."""
+        pool = self.chance.choice(POOLS)
+        owner = self.owners[pool]
+        worker = self.chance.choice(self.workers[pool])
+        self.now += 0.05
+        match self.chance.randrange(14):
+            case 0 | 1:
+                owner.round(self.now, held_up=False)
+            case 2:
+                self.hold_up(owner)
+            case 3 | 4:
+                self.tell(owner)
+                self.deliver(self.chance.choice(POOLS), pool)
+            case 5:
+                self.deliver(self.chance.choice(POOLS), pool)
+            case 6:
+                self.submit(pool, self.chance.randrange(1, 8), self.chance.choice(TASK_CPU))
+            case 7:
+                owner.look(worker)
+            case 8 | 9:
+                self.end_run(worker)
+                owner.look(worker)
+            case 10 if self.late:
+                self.carry_out(*self.late.pop(self.chance.randrange(len(self.late))))
+            case 11 if self.chance.random() < 0.4:
+                self.replace(pool)
+            case 12 if owner.state.jobs:
+                owner.state.cancel(self.chance.choice(list(owner.state.jobs.values())))
+            case 13:
+                self.disturb(worker)
+
+    def hold_up(self, owner: Owner) -> None:
+        """Let a commit take long; reports are written meanwhile, and the owner may be replaced."""
+        owner.round(self.now, held_up=True)
+        self.tell(owner)
+        for pool in POOLS:
+            self.deliver(pool, owner.state.pool)
+        if self.chance.random() < 0.3:
+            self.replace(owner.state.pool)
+
+    def replace(self, pool: PoolId) -> None:
+        """Let a pool have a new owner; the one before may run on without knowing it."""
+        self.frozen.append(self.owners[pool])
+        self.owners[pool] = Owner(self, pool)
+
+    def disturb(self, worker: ModelWorker) -> None:
+        """Change what surrounds the owners."""
+        match self.chance.randrange(4):
+            case 0:
+                worker.silent = not worker.silent
+            case 1:
+                self.limit = self.chance.choice(LIMITS)
+                self.recent = max(self.recent, self.limit)
+            case 2:
+                for owner in self.owners.values():
+                    owner.hear_configuration()
+            case _ if self.frozen:
+                frozen = self.chance.choice(self.frozen)
+                frozen.round(self.now, held_up=False)
+
+    def calm_down(self) -> list[str]:
+        """Let all go well for a while; return what is still waiting without cause."""
+        self.calm = True
+        for workers in self.workers.values():
+            for worker in workers:
+                worker.silent = False
+        self.late.clear()
+        for _ in range(CALM_ROUNDS):
+            self.now += 0.3
+            for pool in POOLS:
+                owner = self.owners[pool]
+                owner.hear_configuration()
+                for worker in self.workers[pool]:
+                    owner.look(worker)
+                    owner.look(worker)
+                owner.round(self.now, held_up=False)
+                self.tell(owner)
+                for other in POOLS:
+                    self.deliver(other, pool)
+        return [text for pool in POOLS for text in self._starving(self.owners[pool])]
+
+    def _starving(self, owner: Owner) -> list[str]:
+        """Return the accounts whose next task waits while they use less than half."""
+        found = []
+        for job in owner.state.jobs.values():
+            running = sum(
+                run.cpu
+                for workers in self.workers.values()
+                for worker in workers
+                for run in worker.runs
+                if run.account == job.account
+            )
+            step = job.record.steps[0]
+            waits = any(task.state is TaskState.WAITING for task in job.tasks)
+            free = any(load.fits(step) for load in owner.state.loads.values())
+            if waits and free and max(running, step.cpu_millis) <= self.limit / 2:
+                found.append(f"{job.account} waits in {owner.state.pool} at {running}")
+        return found
+
+
+def play(seed: int) -> list[str]:
+    """Play one plan; return what was broken."""
+    world = ModelWorld(random.Random(seed))
+    world.recent = world.limit
+    for _ in range(STEPS):
+        world.step()
+    starving = world.calm_down()
+    return [*world.broken, *starving]
+
+
+def search() -> list[str]:
+    """Play many plans; return what the first broken one shows."""
+    for seed in range(PLANS):
+        found = play(seed)
+        if found:
+            return [f"seed {seed}: {text}" for text in found[:3]]
+    return []
+
+
+class LimitModelTest(unittest.TestCase):
+    """Many plans, and the mutants that must be found."""
+
+    def assert_found(self) -> None:
+        self.assertNotEqual([], search())
+
+    def test_limits_hold_and_nobody_starves(self) -> None:
+        self.assertEqual([], search())
+
+    def test_finds_a_part_taken_before_it_was_given(self) -> None:
+        report = PoolLimits._report
+
+        def hasty(limits: PoolLimits, account: AccountId) -> PartReport:
+            ledger = limits.part_of(account).ledger
+            ledger.recorded_given = dict(ledger.given)
+            return report(limits, account)
+
+        with patch.object(PoolLimits, "_report", hasty):
+            self.assert_found()
+
+    def test_finds_a_gift_that_is_taken_twice(self) -> None:
+        def take(ledger: Ledger, pool: PoolId, ever_given: int) -> bool:
+            ledger.taken[pool] = ledger.taken.get(pool, 0) + ever_given
+            return ever_given > 0
+
+        with patch.object(Ledger, "take", take):
+            self.assert_found()
+
+    def test_finds_a_part_that_dies_with_its_owner(self) -> None:
+        with patch.object(PoolLimits, "restore", lambda limits, records: None):
+            self.assert_found()
+
+    def test_finds_runs_of_an_earlier_owner_that_are_forgotten(self) -> None:
+        with patch.object(PoolState, "inherit", lambda pool, account, run: None):
+            self.assert_found()
+
+    def test_finds_stopped_runs_that_are_not_counted(self) -> None:
+        cancel = PoolState.cancel
+
+        def forgetful(pool: PoolState, job: Job) -> None:
+            cancel(pool, job)
+            for load in pool.loads.values():
+                for task in [task for task in load.tasks if task.job is job]:
+                    load.remove(task)
+
+        with patch.object(PoolState, "cancel", forgetful):
+            self.assert_found()
+
+    def test_finds_parts_that_nobody_hands_on(self) -> None:
+        with patch.object(PoolLimits, "_give", lambda *arguments: None):
+            self.assert_found()
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,389 @@
+"""Tests of accounts' limits: the parts that pools hold, and how they change hands."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pumicespur.jobs._account_use import AccountUse, Use
+from pumicespur.jobs._demand import current_demand
+from pumicespur.jobs._ledger import WHOLE, Ledger, founding_part
+from pumicespur.jobs._limits import KEEP_S, REPORTED_ACCOUNTS, OtherPart, PoolLimits
+from pumicespur.model import (
+    AccountId,
+    Capacity,
+    ClientAccount,
+    PoolId,
+    RunEnd,
+    WorkerId,
+)
+from pumicespur.schema.jobs_pb import (
+    JobPhase,
+    JobRecord,
+    PartReport,
+    ProgressRecord,
+    StepRecord,
+)
+from tests.test_jobs import CONFIGURATION, end, make_pool, make_worker, run_all, submit
+
+if TYPE_CHECKING:
+    from pumicespur.jobs._pool import PoolState
+
+A, B, C = PoolId("a"), PoolId("b"), PoolId("c")
+SMALL = AccountId("small")
+LIMIT = Capacity(10_000, 0)
+STEP = StepRecord(count=1, cpu_millis=1_000)
+
+
+def accounts(cpu: int = 10_000, memory_mb: int = 0) -> dict[AccountId, ClientAccount]:
+    """Declare one account."""
+    return {SMALL: ClientAccount(SMALL, 1.0, Capacity(cpu, memory_mb))}
+
+
+def make_limits(pool: PoolId, *founders: PoolId, cpu: int = 10_000) -> PoolLimits:
+    """Make the limits of one pool."""
+    limits = PoolLimits(pool)
+    limits.set_founders(founders)
+    limits.set_accounts(accounts(cpu))
+    return limits
+
+
+def record_all(limits: PoolLimits) -> None:
+    """Let all that changed reach the store."""
+    limits.note_recorded(limits.take_changed(1000))
+
+
+def exchange(*all_limits: PoolLimits, now: float = 0.0) -> None:
+    """Let each pool hear once what the others told, and record what changes."""
+    told = {limits.pool: limits.reports() for limits in all_limits}
+    for limits in all_limits:
+        others: dict[AccountId, list[OtherPart]] = {}
+        for pool, reports in told.items():
+            if pool != limits.pool:
+                for report in reports:
+                    name = AccountId(report.account)
+                    others.setdefault(name, []).append(OtherPart(pool, report))
+        limits.hear(others, now)
+        record_all(limits)
+
+
+def start(limits: PoolLimits, task: StepRecord, waiting: int, now: float = 0.0) -> int:
+    """Start what may start of some waiting tasks; return how many."""
+    limits.begin_round()
+    started = 0
+    while started < waiting and limits.allows(SMALL, task, now):
+        limits.use.add(SMALL, task, 1)
+        started += 1
+    if started < waiting:
+        limits.note_blocked(SMALL, task, waiting - started)
+    return started
+
+
+def held(*all_limits: PoolLimits) -> list[int]:
+    """Return what each pool holds."""
+    return [limits.part_of(SMALL).ledger.part for limits in all_limits]
+
+
+class LedgerTest(unittest.TestCase):
+    """Gifts between pools, recorded as sums that only rise."""
+
+    @given(st.integers(1, 40))
+    def test_founding_parts_add_up_to_the_whole(self, count: int) -> None:
+        pools = [PoolId(f"p{number}") for number in range(count)]
+        self.assertEqual(WHOLE, sum(founding_part(pool, pools) for pool in pools))
+        self.assertEqual(0, founding_part(PoolId("new"), pools))
+
+    def test_gift_told_twice_is_taken_once(self) -> None:
+        ledger = Ledger(SMALL, 100)
+        self.assertTrue(ledger.take(B, 30))
+        self.assertFalse(ledger.take(B, 30))
+        self.assertFalse(ledger.take(B, 20))
+        self.assertEqual(130, ledger.part)
+
+    def test_ledger_survives_being_written_and_read(self) -> None:
+        ledger = Ledger(SMALL, 100)
+        ledger.take(B, 30)
+        ledger.give(C, 50)
+        again = Ledger(SMALL, 100)
+        again.restore(ledger.record())
+        self.assertEqual(80, again.part)
+        self.assertEqual({C: 50}, again.recorded_given)
+
+    def test_gift_is_told_only_once_it_is_recorded(self) -> None:
+        giver, taker = make_limits(A, A, B), make_limits(B, A, B)
+        start(taker, STEP, 9)
+        giver.hear({SMALL: [OtherPart(B, taker.reports()[0])]}, 0.0)
+        self.assertGreater(giver.part_of(SMALL).ledger.given[B], 0)
+        self.assertEqual([], giver._report(SMALL).transfers)
+        record_all(giver)
+        self.assertNotEqual([], giver._report(SMALL).transfers)
+
+
+class UseTest(unittest.TestCase):
+    """What an account has running."""
+
+    def test_the_nearest_limit_counts(self) -> None:
+        use = Use(cpu_millis=500, memory_mb=900)
+        self.assertEqual(WHOLE * 9 // 10, use.share_of(Capacity(1000, 1000)))
+        self.assertEqual(WHOLE // 2, use.share_of(Capacity(1000, 0)))
+        self.assertEqual(0, use.share_of(Capacity(0, 0)))
+
+    def test_shares_are_rounded_up(self) -> None:
+        self.assertEqual(WHOLE // 3 + 1, Use(cpu_millis=1).share_of(Capacity(3, 0)))
+
+    def test_sum_that_is_back_at_nothing_is_forgotten(self) -> None:
+        use = AccountUse()
+        use.add(SMALL, STEP, 2)
+        use.add(SMALL, STEP, -2)
+        self.assertEqual({}, dict(use.sums))
+
+    @given(st.integers(1, 50), st.integers(1, 400), st.integers(0, 60))
+    def test_fitting_tasks_fit_and_one_more_does_not(
+        self, each: int, limit: int, most: int
+    ) -> None:
+        room, task = Capacity(limit, 0), StepRecord(cpu_millis=each)
+        count = Use().fitting(room, task, most)
+        self.assertLessEqual(count * each, limit)
+        self.assertTrue(count == most or (count + 1) * each > limit)
+
+
+class LimitTest(unittest.TestCase):
+    """Starts within one pool's part."""
+
+    def test_tasks_start_up_to_the_part(self) -> None:
+        self.assertEqual(5, start(make_limits(A, A, B), STEP, 20))
+        self.assertEqual(10, start(make_limits(A, A), STEP, 20))
+
+    def test_account_without_a_limit_or_name_is_not_held(self) -> None:
+        limits = make_limits(A, A, B, cpu=0)
+        self.assertEqual(50, start(limits, STEP, 50))
+        self.assertTrue(limits.allows(AccountId(""), STEP, 0.0))
+
+    def test_lowered_limit_stops_starts_and_raised_one_allows_them(self) -> None:
+        limits = make_limits(A, A)
+        start(limits, STEP, 8)
+        limits.set_accounts(accounts(4_000))
+        self.assertEqual(0, start(limits, STEP, 8))
+        limits.set_accounts(accounts(12_000))
+        self.assertEqual(4, start(limits, STEP, 8))
+
+    def test_dropped_account_keeps_its_last_limit(self) -> None:
+        limits = make_limits(A, A)
+        limits.set_accounts({})
+        self.assertEqual(10, start(limits, STEP, 20))
+
+    def test_task_larger_than_the_limit_runs_alone(self) -> None:
+        limits = make_limits(A, A)
+        huge = StepRecord(cpu_millis=15_000)
+        self.assertEqual(1, start(limits, huge, 3))
+        self.assertEqual(0, start(limits, STEP, 1))
+
+
+class FlowTest(unittest.TestCase):
+    """Parts go where work waits."""
+
+    def test_unused_parts_flow_after_one_exchange(self) -> None:
+        pools = [make_limits(pool, A, B, C) for pool in (A, B, C)]
+        self.assertEqual(3, start(pools[0], STEP, 9))
+        exchange(*pools)
+        exchange(*pools)
+        self.assertEqual(6, start(pools[0], STEP, 6))
+        self.assertEqual(WHOLE, sum(held(*pools)))
+
+    def test_whole_limit_elsewhere_comes_back_as_soon_as_it_is_unused(self) -> None:
+        first, second = make_limits(A, A, B), make_limits(B, A, B)
+        start(first, STEP, 10)
+        exchange(first, second)
+        exchange(first, second)
+        start(first, STEP, 5)
+        self.assertEqual([WHOLE, 0], held(first, second))
+        first.use.add(SMALL, STEP, -10)
+        first.begin_round()
+        self.assertEqual(0, start(second, STEP, 2))
+        exchange(first, second, now=KEEP_S + 0.1)
+        exchange(first, second, now=KEEP_S + 0.1)
+        self.assertEqual(2, start(second, STEP, 2))
+
+    def test_pool_whose_account_is_busy_elsewhere_gets_half_as_runs_end(self) -> None:
+        first, second = make_limits(A, A, B), make_limits(B, A, B)
+        start(first, STEP, 30)
+        exchange(first, second)
+        exchange(first, second)
+        start(first, STEP, 30)
+        start(second, STEP, 30)
+        for _ in range(10):
+            first.use.add(SMALL, STEP, -1)
+            start(first, STEP, 30)
+            exchange(first, second)
+            start(second, STEP, 30)
+        self.assertEqual([WHOLE // 2, WHOLE // 2], held(first, second))
+
+    def test_unused_part_is_kept_for_a_moment(self) -> None:
+        first, second = make_limits(A, A, B), make_limits(B, A, B)
+        start(first, STEP, 3)
+        first.use.add(SMALL, STEP, -3)
+        start(second, STEP, 9, now=0.5)
+        exchange(first, second, now=0.5)
+        self.assertEqual(WHOLE * 3 // 10, held(first)[0])
+        exchange(first, second, now=KEEP_S + 0.1)
+        self.assertLess(held(first)[0], WHOLE * 3 // 10)
+
+    def test_task_larger_than_every_part_still_starts(self) -> None:
+        pools = [make_limits(pool, A, B, C) for pool in (A, B, C)]
+        wide = StepRecord(cpu_millis=4_000)
+        started = 0
+        for _ in range(6):
+            started += sum(start(pool, wide, 2) for pool in pools)
+            exchange(*pools)
+        self.assertEqual(2, started)
+
+    def test_gift_that_is_under_way_is_not_given_twice(self) -> None:
+        giver, taker = make_limits(A, A, B), make_limits(B, A, B)
+        start(taker, STEP, 7)
+        told = {SMALL: [OtherPart(B, taker.reports()[0])]}
+        for _ in range(3):
+            giver.hear(told, 0.0)
+        self.assertEqual(WHOLE // 5, giver.part_of(SMALL).ledger.given[B])
+
+    def test_giver_goes_on_telling_until_the_gift_is_taken(self) -> None:
+        giver, taker = make_limits(A, A, B), make_limits(B, A, B)
+        start(taker, STEP, 7)
+        exchange(giver, taker)
+        again = make_limits(A, A, B)
+        again.restore([giver.part_of(SMALL).ledger.record()])
+        self.assertEqual([SMALL], [report.account for report in again.reports()])
+        exchange(again, taker)
+        self.assertEqual(2, start(taker, STEP, 2))
+        for _ in range(3):
+            exchange(again, taker)
+        self.assertEqual([], again.reports())
+        self.assertEqual([], taker.reports())
+
+    def test_reports_are_bounded(self) -> None:
+        limits = PoolLimits(A)
+        limits.set_founders([A, B])
+        names = [AccountId(f"account-{number:04}") for number in range(REPORTED_ACCOUNTS + 50)]
+        limits.set_accounts({name: ClientAccount(name, 1.0, Capacity(1, 0)) for name in names})
+        for name in names:
+            limits.note_blocked(name, STEP, 1)
+        self.assertEqual(REPORTED_ACCOUNTS, len(limits.reports()))
+
+
+class PoolLimitTest(unittest.TestCase):
+    """Limits within a pool's placement, and what counts against them."""
+
+    def setUp(self) -> None:
+        self.pool = make_pool(make_worker("w-1", cpu=20_000))
+        self.pool.limits.set_accounts(accounts(3_000))
+
+    def record(self, job: str, count: int = 5, **fields: int | bool) -> JobRecord:
+        step = StepRecord(count=count, cpu_millis=1_000)
+        for name, value in fields.items():
+            setattr(step, name, value)
+        return JobRecord(id=job * 16, route="quick", steps=[step], account=SMALL)
+
+    def used(self, pool: PoolState) -> int:
+        return pool.limits.use.of(SMALL).cpu_millis
+
+    def test_placement_stops_at_the_limit_and_others_go_on(self) -> None:
+        submit(self.pool, self.record("1"))
+        free = self.record("2")
+        free.account = ""
+        submit(self.pool, free)
+        placed = run_all(self.pool)
+        self.assertEqual(3, sum(1 for task in placed if task.job.account))
+        self.assertEqual(5, sum(1 for task in placed if not task.job.account))
+
+    def test_run_counts_until_its_end_is_listed(self) -> None:
+        job = submit(self.pool, self.record("1"))
+        task = run_all(self.pool)[0]
+        self.pool.cancel(job)
+        self.assertEqual(3_000, self.used(self.pool))
+        load = self.pool.loads[WorkerId("w-1")]
+        load.remove(task)
+        self.assertEqual(2_000, self.used(self.pool))
+
+    def test_run_that_ended_makes_room(self) -> None:
+        submit(self.pool, self.record("1"))
+        task = run_all(self.pool)[0]
+        assert task.worker is not None
+        self.pool.note_end(task.worker, end(task, RunEnd.DONE), 0.0)
+        self.assertEqual(1, len(run_all(self.pool)))
+
+    def test_gang_that_does_not_fit_is_not_begun(self) -> None:
+        submit(self.pool, self.record("1", gang=True))
+        self.assertEqual([], run_all(self.pool))
+        self.assertEqual(0, self.used(self.pool))
+        submit(self.pool, self.record("2", count=3, gang=True))
+        self.assertEqual(3, len(run_all(self.pool)))
+
+    def test_lost_worker_frees_what_it_ran(self) -> None:
+        submit(self.pool, self.record("1"))
+        run_all(self.pool)
+        self.pool.drop_worker(WorkerId("w-1"))
+        self.assertEqual(0, self.used(self.pool))
+
+    def test_account_that_nobody_can_carry_asks_for_no_part(self) -> None:
+        pool = make_pool(make_worker("w-1", cpu=2_000))
+        pool.limits.set_accounts(accounts(1_000))
+        submit(pool, self.record("1", count=9, cpu_millis=3_000))
+        run_all(pool)
+        self.assertEqual(set(), pool.limits.lacking)
+
+    def test_waiting_work_beyond_the_limit_asks_for_no_workers(self) -> None:
+        submit(self.pool, self.record("1", count=50))
+        self.assertEqual(3_000, current_demand(self.pool, 0.0).waiting.cpu_millis)
+
+
+class InheritedRunsTest(unittest.TestCase):
+    """Runs that an earlier owner ordered."""
+
+    def setUp(self) -> None:
+        self.before = make_pool(make_worker("w-1", cpu=20_000))
+        self.before.limits.set_accounts(accounts(3_000))
+        step = StepRecord(count=3, cpu_millis=1_000)
+        self.record = JobRecord(id="1" * 16, route="quick", steps=[step], account=SMALL)
+        self.job = submit(self.before, self.record)
+        run_all(self.before)
+        self.pool = make_pool()
+        self.pool.limits.set_accounts(accounts(3_000))
+
+    def used(self) -> int:
+        return self.pool.limits.use.of(SMALL).cpu_millis
+
+    def progress(self) -> ProgressRecord:
+        return ProgressRecord.from_binary(self.job.progress(0).to_binary())
+
+    def test_runs_of_a_live_job_count_before_and_after_their_worker_is_listed(self) -> None:
+        job = self.pool.add_job(self.record, CONFIGURATION, self.progress())
+        assert job is not None
+        self.assertEqual(3_000, self.used())
+        load = self.pool.add_worker(make_worker("w-1"))
+        for task in job.tasks:
+            load.add(task)
+        self.pool.adopt_inherited(load)
+        self.assertEqual(3_000, self.used())
+        self.assertEqual({}, self.pool.inherited)
+
+    def test_runs_of_an_ended_job_count_until_their_worker_lists_them_no_more(self) -> None:
+        self.before.cancel(self.job)
+        progress = self.progress()
+        self.assertEqual(JobPhase.CANCELLED, progress.phase)
+        for run in progress.left:
+            self.pool.inherit(AccountId(progress.account), run)
+        self.assertEqual(3_000, self.used())
+        still = {(task.name, task.run) for task in self.job.tasks[:1]}
+        self.pool.settle_inherited(WorkerId("w-1"), still)
+        self.assertEqual(1_000, self.used())
+        self.pool.settle_inherited(WorkerId("w-1"))
+        self.assertEqual(0, self.used())
+
+    def test_report_of_part_tells_what_is_used(self) -> None:
+        for run in self.progress().left or self.job.left_runs():
+            self.pool.inherit(SMALL, run)
+        self.pool.limits.asked = {SMALL}
+        report: PartReport = self.pool.limits.reports()[0]
+        self.assertEqual(WHOLE, report.used)
