--- a/tests/test_limit_model.py
+++ b/tests/test_limit_model.py
@@ -317,10 +317,10 @@
                 owner.look(worker)
             case 10 if self.late:
                 self.carry_out(*self.late.pop(self.chance.randrange(len(self.late))))
-            case 11 if self.chance.random() < 0.4:
+            case 11 if self.chance.random() < 0.8:
                 self.replace(pool)
             case 12 if owner.state.jobs:
-                owner.state.cancel(self.chance.choice(list(owner.state.jobs.values())))
+                self.cancel(owner)
             case 13:
                 self.disturb(worker)
 
@@ -333,6 +333,14 @@
         if self.chance.random() < 0.3:
             self.replace(owner.state.pool)
 
+    def cancel(self, owner: Owner) -> None:
+        """Let a job be cancelled; the owner may be replaced while its runs are being stopped."""
+        owner.state.cancel(self.chance.choice(list(owner.state.jobs.values())))
+        if self.chance.random() < 0.5:
+            owner.round(self.now, held_up=False)
+            self.replace(owner.state.pool)
+            self.owners[owner.state.pool].round(self.now, held_up=False)
+
     def replace(self, pool: PoolId) -> None:
         """Let a pool have a new owner; the one before may run on without knowing it."""
         self.frozen.append(self.owners[pool])
