What an account sends beyond its weight goes after the work of others

Cause: a hot account's jobs stood in line with everybody's, by their deadlines. Change: jobs are measured against the weight as they come (generic cell rate); those beyond it get the lead of late work taken off, ask for no instances of other pools, and are served when nothing else waits, or after a peak's length.

--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -72,8 +72,8 @@
                 self.ended[job] = record.changed_ms
                 for run in record.left:
                     self.pool.inherit(AccountId(record.account), run)
-        for row in await self._read_all():
-            self._take(row, progress)
+        for submitted, version in self._submitted(await self._read_all()):
+            self._take(submitted, version, progress)
 
     async def _read_all(self) -> list[Row]:
         """Read all submissions; changes are followed from the oldest page on."""
@@ -99,10 +99,12 @@
                     log.warning("store not read", pool=self.pool.pool, reason=str(fault))
                     await anyio.sleep(RETRY_S)
 
-    def _take(self, row: Row, progress: dict[str, ProgressRecord]) -> None:
-        if not row.version:
-            return
-        record = JobRecord.from_binary(row.value)
+    def _submitted(self, rows: list[Row]) -> list[tuple[JobRecord, int]]:
+        """Return jobs with their rows' versions, in the order in which they were handed in."""
+        found = [(JobRecord.from_binary(row.value), row.version) for row in rows if row.version]
+        return sorted(found, key=lambda entry: entry[0].accepted_ms)
+
+    def _take(self, record: JobRecord, version: int, progress: dict[str, ProgressRecord]) -> None:
         if record.ended:
             return
         if JobId(record.id) in self.ended:
@@ -118,11 +120,11 @@
                 pool=self.pool.pool,
                 steps=len(record.steps),
                 tasks=len(job.tasks),
-                row_version=row.version,
+                row_version=version,
             )
         known = self.pool.jobs.get(JobId(record.id))
         if record.cancelled and known is not None and not known.ended:
-            log.info("job cancelled", job=known.id, pool=self.pool.pool, row_version=row.version)
+            log.info("job cancelled", job=known.id, pool=self.pool.pool, row_version=version)
             self.pool.cancel(known)
         self.wake()
 
@@ -149,5 +151,5 @@
                     log.warning("submissions not followed", pool=pool, reason=str(fault))
                     await anyio.sleep(RETRY_S)
                     continue
-            for row in rows:
-                self._take(row, {})
+            for record, version in self._submitted(rows):
+                self._take(record, version, {})
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -191,6 +191,8 @@
     """For each step the longest chain from its start to the job's end, in milliseconds."""
     account: AccountId = ANYONE
     """Whose it is, whatever becomes of the key that it came with."""
+    beyond_share: bool = False
+    """Its account had handed in more than its weight when it came."""
     advised: bool = False
     """Its tasks need tickets of the advising service."""
     phase: JobPhase = JobPhase.QUEUED
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -25,6 +25,11 @@
 Without it, a peak makes every job a little late instead of some of them very late."""
 
 
+BEYOND_WAIT_MS = 10_000.0
+"""Lead that other work gets before what an account sends beyond its weight, as before late work:
+a peak's length. After that it goes first all the same, so that it is served."""
+
+
 LATE_SHARE = 0.5
 """Share of the expected rest of a job that must fit before its time; what callers declare and
 what is learnt from other tasks are rough."""
@@ -42,6 +47,8 @@
     deadline = job.deadline_ms + job.priority * PATIENT_WAIT_MS
     if is_late(group, now_ms):
         deadline += LATE_WAIT_MS
+    if job.beyond_share:
+        deadline += BEYOND_WAIT_MS
     return (deadline, job.id, group.repeat, group.number)
 
 
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -21,6 +21,7 @@
 from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._load import WorkerLoad
 from pumicespur.jobs._placement import order_groups, place_group
+from pumicespur.jobs._shares import ShareMeter
 from pumicespur.model import JobId, RouteName, RunEnd, TaskName, WorkerId
 from pumicespur.schema.jobs_pb import FailureRecord, JobPhase
 from pumicespur.utils import monotonic
@@ -86,6 +87,7 @@
     limits: PoolLimits = field(init=False)
     inherited: dict[WorkerId, list[InheritedRun]] = field(default_factory=dict)
     """Runs that earlier owners left behind, as long as they are not counted on their workers."""
+    shares: ShareMeter = field(default_factory=ShareMeter)
     rooms: set[Capacity] | None = None
     """The different capacities of the workers; None after a change until they are asked for."""
 
@@ -105,6 +107,11 @@
             job.restore(progress)
             for run in job.left_runs():
                 self.inherit(job.account, run)
+        account = configuration.accounts.get(job.account)
+        if account is not None:
+            job.beyond_share = self.shares.goes_beyond(
+                job.account, account.weight, record.accepted_ms
+            )
         self.jobs[job.id] = job
         return job
 
--- a/pumicespur/jobs/_size.py
+++ b/pumicespur/jobs/_size.py
@@ -68,8 +68,11 @@
         report.arriving_cpu_millis = self.arrivals.cpu_millis(now_ms())
 
     def note_arrival(self, job: Job) -> None:
-        """Count a job that was handed in, unless no worker could carry it."""
-        if all(self.pool.fits_anywhere(spec) for spec in job.record.steps):
+        """Count a job that was handed in, unless no worker could carry it.
+
+        What goes beyond its account's share is no reason to take instances from other pools.
+        """
+        if not job.beyond_share and all(self.pool.fits_anywhere(spec) for spec in job.record.steps):
             self.arrivals.note(job, self.pool.estimates)
 
     def _busy_workers(self, waiting: Demand) -> int:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,10 +12,12 @@
 from pumicespur.jobs._demand import current_demand
 from pumicespur.jobs._ledger import WHOLE, Ledger, founding_part
 from pumicespur.jobs._limits import KEEP_S, REPORTED_ACCOUNTS, OtherPart, PoolLimits
+from pumicespur.jobs._shares import ShareMeter
 from pumicespur.model import (
     AccountId,
     Capacity,
     ClientAccount,
+    Configuration,
     PoolId,
     RunEnd,
     WorkerId,
@@ -338,6 +340,53 @@
         self.assertEqual(3_000, current_demand(self.pool, 0.0).waiting.cpu_millis)
 
 
+class ShareTest(unittest.TestCase):
+    """Which jobs go after those of other accounts."""
+
+    def beyond(self, weight: float, times_ms: list[int]) -> list[bool]:
+        meter = ShareMeter()
+        return [meter.goes_beyond(SMALL, weight, at) for at in times_ms]
+
+    def test_so_many_in_a_second_are_within_the_share(self) -> None:
+        self.assertEqual([False] * 5 + [True] * 3, self.beyond(4.0, [1_000] * 8))
+
+    def test_share_comes_back_with_time(self) -> None:
+        self.assertTrue(self.beyond(4.0, [1_000] * 8)[-1])
+        self.assertFalse(self.beyond(4.0, [1_000] * 8 + [2_000])[-1])
+
+    def test_steady_caller_at_its_rate_never_goes_beyond(self) -> None:
+        self.assertFalse(any(self.beyond(4.0, list(range(0, 60_000, 250)))))
+
+    def test_without_a_weight_nothing_goes_beyond(self) -> None:
+        self.assertFalse(any(self.beyond(0.0, [0] * 50)))
+
+    def test_hot_account_makes_others_wait_no_longer(self) -> None:
+        pool = make_pool(make_worker("w-1", cpu=4_000))
+        hot, calm = AccountId("hot"), AccountId("calm")
+        configuration = Configuration(
+            1,
+            CONFIGURATION.routes,
+            {},
+            accounts={name: ClientAccount(name, 2.0, Capacity(0, 0)) for name in (hot, calm)},
+        )
+        step = StepRecord(count=1, cpu_millis=1_000)
+        for number in range(12):
+            owner = calm if number == 11 else hot
+            record = JobRecord(
+                id=f"{number:016x}",
+                route="quick",
+                steps=[step],
+                account=owner,
+                accepted_ms=1_000 + number,
+            )
+            pool.add_job(record, configuration, None)
+        placed = pool.place(0.0, 1_100.0)
+        self.assertIn(calm, [task.job.account for task in placed])
+        self.assertEqual(4, len(placed))
+        within = [job for job in pool.jobs.values() if not job.beyond_share]
+        self.assertEqual(4, len(within))
+
+
 class InheritedRunsTest(unittest.TestCase):
     """Runs that an earlier owner ordered."""
 
