--- a/pumicespur/jobs/_parts.py
+++ b/pumicespur/jobs/_parts.py
@@ -28,7 +28,7 @@
 RETRY_S = 0.2
 """Pause after a fault of the store."""
 
-REPORT_MAX_AGE_S = 3.0
+PARTS_MAX_AGE_S = 3.0
 """Oldest report by which parts are given and withheld; some heartbeats. What was given stands in
 the store and is taken by a report of any age."""
 
@@ -93,7 +93,7 @@
         """Take in what the owners of other pools told, and the newest accounts."""
         self.limits.set_accounts(self.view.configuration.accounts)
         others: defaultdict[AccountId, list[OtherPart]] = defaultdict(list)
-        for pool, report in self.view.fresh_reports(REPORT_MAX_AGE_S).items():
+        for pool, report in self.view.fresh_reports(PARTS_MAX_AGE_S).items():
             if pool == self.limits.pool:
                 continue
             for part in report.parts:
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -11,7 +11,15 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.jobs import JobService, PoolOwner, describe_progress
+from pumicespur.jobs import (
+    PARTS_MAX_AGE_S,
+    JobService,
+    PoolOwner,
+    count_accounts,
+    describe_accounts,
+    describe_hold,
+    describe_progress,
+)
 from pumicespur.listeners import bound_to
 from pumicespur.model import JobId, ProcessId
 from pumicespur.node._follow import CatchUp, TableFollower
@@ -186,8 +194,10 @@
             self._count_store_use()
             METRICS.configuration.set({"which": "in force"}, self.view.configuration.version)
             METRICS.configuration.set({"which": "newest heard"}, self.view.newest_heard())
+            METRICS.forget_accounts()
             for owner in self.keeper.duties.pool_owners():
                 METRICS.owned.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
+                count_accounts(owner.pool)
             await anyio.sleep(GAUGES_S)
 
     def _count_store_use(self) -> None:
@@ -212,7 +222,11 @@
             "processes": sorted(view.processes),
             "owners": {pool: owner.record.process for pool, owner in view.owners.items()},
             "owned": {
-                pool: {"jobs": len(owner.pool.jobs), "workers": len(owner.watches)}
+                pool: {
+                    "jobs": len(owner.pool.jobs),
+                    "workers": len(owner.watches),
+                    "accounts": describe_accounts(owner.pool),
+                }
                 for pool, owner in self.keeper.duties.owned.items()
                 if isinstance(owner, PoolOwner)
             },
@@ -223,7 +237,22 @@
         give_up_at = monotonic() + JOB_LOOKUP_S
         found = await self.jobs.find(self.view.pools(), JobId(name), give_up_at)
         refused = self.refusals.describe(JobId(name), self.view)
-        return found.map(lambda job: refused if job is None else describe_progress(name, *job))
+        return found.map(
+            lambda job: (
+                refused
+                if job is None
+                else describe_progress(name, *job) | self._describe_hold(JobId(name))
+            )
+        )
+
+    def _describe_hold(self, name: JobId) -> dict[str, object]:
+        """Tell what holds a job of a pool that this process owns, if its account's limit does."""
+        for owner in self.keeper.duties.pool_owners():
+            job = owner.pool.jobs.get(name)
+            if job is not None:
+                reports = self.view.fresh_reports(PARTS_MAX_AGE_S)
+                return describe_hold(owner.pool, job, reports)
+        return {}
 
     def _on_operators_rows(self, rows: Sequence[Row], whole: bool) -> None:
         for row in rows:
@@ -288,6 +317,7 @@
     def note_refused(self, job: JobId, digest: KeyDigest | None, version: int) -> None:
         """Remember that a call was refused for its key, by which configuration."""
         self.refusals.note(job, digest, version)
+        METRICS.refused_keys.inc({"why": "no key" if digest is None else "unknown key"})
 
     def store_answers(self) -> bool:
         """Tell whether the store answered lately, or no call has failed since it did."""
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -27,6 +27,17 @@
             "pumicespur_store_bytes", "Bytes sent to and received from the store, by table."
         )
         self.owned = Gauge("pumicespur_owned_jobs", "Open jobs of the pools owned, by pool.")
+        self.account_cpu = Gauge(
+            "pumicespur_account_cpu_millis",
+            "What accounts have running in the pools owned, by pool and account; the rest summed.",
+        )
+        self.account_part = Gauge(
+            "pumicespur_account_part",
+            "Share of its limit that a pool holds for an account, by pool and account.",
+        )
+        self.refused_keys = Counter(
+            "pumicespur_refused_keys_total", "Calls refused for their key, by why."
+        )
         self.broken_off = Counter(
             "pumicespur_readings_broken_off_total",
             "Readings of the store without an answer, by whether bytes were coming.",
@@ -50,6 +61,9 @@
             self.store_calls,
             self.store_bytes,
             self.owned,
+            self.account_cpu,
+            self.account_part,
+            self.refused_keys,
             self.broken_off,
             self.configuration,
             self.commits,
@@ -57,6 +71,11 @@
         ):
             self.registry.register(series)
 
+    def forget_accounts(self) -> None:
+        """Drop the series of all accounts, so that those that are set anew are all there are."""
+        for series in (self.account_cpu, self.account_part):
+            series.values.store.clear()
+
     def page(self) -> tuple[bytes, dict[str, str]]:
         """Return the text page and its headers."""
         content, headers = render(self.registry, ["text/plain"])
