--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,9 +7,10 @@
 
 import anyio
 
-from benchmarks import claims, control, decisions, entry, jobs, reports, routing
+from benchmarks import accounts, claims, control, decisions, entry, jobs, reports, routing
 
 BENCHMARKS = {
+    "accounts": accounts.main,
     "decisions": decisions.main,
     "jobs": jobs.main,
     "reports": reports.main,
