--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -103,6 +103,9 @@
     Mutant.CHANGES_REPLAYED: (FaultKind.STORE_LINK_THIN, FaultKind.CONFIGURE_OFTEN),
     Mutant.LOSSES_FORGOTTEN: (FaultKind.CRASHING_JOB,),
     Mutant.ROOM_NOT_READ_AGAIN: (FaultKind.WORKER_SHRINKS, FaultKind.WORKER_SHRINKS),
+    Mutant.KEYS_CHECKED_AT_HAND_IN: (FaultKind.TAKE_KEY,),
+    Mutant.KEYS_LOGGED: (FaultKind.TAKE_KEY,),
+    Mutant.LIMITS_IGNORED: (FaultKind.HOT_ACCOUNT, FaultKind.LIMIT_FALLS),
 }
 """Faults that show what each mutant lacks when they overlap."""
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from pumicespur.utils import monotonic
+from soak._accounts import KEYED_ROUTE, NAMES, KeyProbe
 from standins.hosted import CRASHING_PAYLOAD, HOST
 
 if TYPE_CHECKING:
@@ -29,7 +30,7 @@
 REPEATABLE = frozenset({UNANSWERED, 502, 504})
 """Outcomes after which callers send the same job again."""
 
-REFUSALS = frozenset({429, 503})
+REFUSALS = frozenset({401, 429, 503})
 
 LASTING_SHARE = 0.12
 CANCEL_SHARE = 0.12
@@ -39,6 +40,12 @@
 SPECULATIVE_SHARE = 0.3
 """Share of short jobs whose tasks may run beside themselves (users' sheets)."""
 
+KEYED_SHARE = 0.5
+"""Share of the short jobs that come with an account's key."""
+
+RUSH_JOBS = 12
+"""Jobs of a hot account: three seconds of its weight at once."""
+
 PROBE_S = 0.2
 """Pause between looks at whether every node serves what was added."""
 
@@ -87,6 +94,13 @@
     kind: JobKind
     steps: list[dict[str, Any]]
     exchanges: list[Exchange] = field(default_factory=list)
+    account: str = ""
+    """Whose it is; empty on the public route."""
+
+    @property
+    def path(self) -> str:
+        """Return where the job is handed in and asked for."""
+        return f"/{KEYED_ROUTE if self.account else 'quick'}/{self.id}"
 
     @property
     def submissions(self) -> list[Exchange]:
@@ -130,6 +144,9 @@
         self.jobs: list[SentJob] = []
         self.probes: list[Exchange] = []
         """Requests about routes that come and go."""
+        self.key_probes: list[KeyProbe] = []
+        self.account_random = random.Random(plan.seed * 1000 + number + 500)
+        """Draws of its own, so that seeds of plans without accounts act as before."""
         self.names = sorted(world.links)
         self.preferred = number % len(self.names)
         self.session = aiohttp.ClientSession(
@@ -188,21 +205,46 @@
 
     async def ask(self, job: SentJob) -> Exchange:
         """Ask for the state of a job."""
-        seen = await self._send("GET", f"/quick/{job.id}", None)
+        seen = await self._send("GET", job.path, None, key=self._key(job.account))
         job.exchanges.append(seen)
         return seen
 
     async def cancel(self, job: SentJob) -> None:
         """Cancel a job; the answer may tell that there is none."""
-        job.exchanges.append(await self._send("DELETE", f"/quick/{job.id}", None))
+        seen = await self._send("DELETE", job.path, None, key=self._key(job.account))
+        job.exchanges.append(seen)
 
-    async def _submit(self, kind: JobKind, steps: list[dict[str, Any]]) -> None:
+    def _key(self, account: str) -> str:
+        return self.world.book.current_key(account) if account else ""
+
+    async def rush(self, account: str) -> None:
+        """Hand in many jobs of one account at once."""
+        for _ in range(RUSH_JOBS):
+            await self._submit(JobKind.SHORT, [_rush_step()], account)
+
+    async def probe_keys(self) -> None:
+        """Call with keys that are in force, were, or never were, again and again."""
+        while True:
+            lives = self.world.book.lives
+            key = self.account_random.choice([*(life.key for life in lives), "key-unknown"])
+            path = f"/{KEYED_ROUTE}/{self.account_random.getrandbits(64):016x}"
+            node = self.account_random.choice(self.names)
+            seen = await self._send("GET", path, None, node, key)
+            self.key_probes.append(KeyProbe(key, seen))
+            await asyncio.sleep(PROBE_S / 2)
+
+    async def _submit(
+        self, kind: JobKind, steps: list[dict[str, Any]], account: str | None = None
+    ) -> None:
         name = f"{self.random.getrandbits(64):016x}"
-        job = SentJob(name, kind, steps)
+        if account is None:
+            keyed = kind is JobKind.SHORT and self.account_random.random() < KEYED_SHARE
+            account = self.account_random.choice(NAMES) if keyed else ""
+        job = SentJob(name, kind, steps, account=account)
         self.jobs.append(job)
         body = {"taskSpec": kind.value, "steps": steps}
         for _ in range(MAX_ATTEMPTS):
-            seen = await self._send("POST", f"/quick/{name}", body)
+            seen = await self._send("POST", job.path, body, key=self._key(account))
             job.exchanges.append(seen)
             if seen.status not in REPEATABLE:
                 return
@@ -222,11 +264,15 @@
             return [first]
         return [first, {**first, "count": self.random.randint(1, 3), "dependsOn": [0]}]
 
-    async def _send(self, method: str, path: str, body: Any, node: str = "") -> Exchange:
+    async def _send(
+        self, method: str, path: str, body: Any, node: str = "", key: str = ""
+    ) -> Exchange:
         """Send one request to a node or the preferred one; turn to the next one if it fails."""
         name = node or self.names[self.preferred % len(self.names)]
         life = self.world.nodes.nodes[name].process.pid
         headers = {"Host": HOST, "X-Pumicespur-Deadline-Ms": str(int(TIMEOUT_S * 1000))}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
         url = f"http://{self.world.links[name].callers.address}{path}"
         sent_at = monotonic()
         status, state, reason = UNANSWERED, "", ""
@@ -241,6 +287,10 @@
         return Exchange(method, path, name, life, sent_at, monotonic(), status, state, reason)
 
 
+def _rush_step() -> dict[str, Any]:
+    return {"count": 2, "cpu": TASK_CPU, "memMb": 100, "estimatedMs": 250}
+
+
 def _lasting_step() -> dict[str, Any]:
     return {
         "count": 3,
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.utils import monotonic
+from soak._accounts import keys_misjudged, runs_over_limit
 from soak._callers import TASK_CPU, UNANSWERED, JobKind
 from soak._histories import all_done, by_task, done_at, has_failed, is_at_work, runs_of
 from soak._world import MAINTENANCE_S
@@ -80,6 +81,8 @@
             self._attempts(runs),
             self._crashes(runs),
             self._rooms(),
+            self._limits(),
+            self._keys(),
             self._asked_for(),
             self._steps_in_order(runs),
             self._states(runs),
@@ -147,6 +150,23 @@
         since = max((began for began, _ in rooms if began <= at - ROOM_S), default=0.0)
         return max(cpu for began, cpu in rooms if began >= since)
 
+    def _known_since(self, at: float) -> float:
+        """Return since when declarations may have been in force at a time; all before a calm."""
+        calm = self.injector.calm_since(at) + SETTLED_S < at - CONFIGURED_S
+        return at - CONFIGURED_S if calm else float("-inf")
+
+    def _limits(self) -> Iterator[Finding]:
+        found = runs_over_limit(
+            self.world.book, self.jobs, self.world.history, self._known_since, TASK_CPU
+        )
+        for detail in found:
+            yield Finding("an account keeps to its limit", detail)
+
+    def _keys(self) -> Iterator[Finding]:
+        probes = [probe for caller in self.callers for probe in caller.key_probes]
+        for detail in keys_misjudged(self.world.book, probes, self._known_since):
+            yield Finding("keys count while they are in force", detail)
+
     def _asked_for(self) -> Iterator[Finding]:
         jobs = self.jobs
         for run in self.world.history:
@@ -289,8 +309,11 @@
             if node.process.poll() is not None and node.process.pid not in self.world.expected_ends:
                 yield Finding("processes end only when asked", f"{node.name} {node.process.pid}")
         for node in self.world.nodes.nodes.values():
-            if "Traceback" in node.log.read_text():
+            text = node.log.read_text()
+            if "Traceback" in text:
                 yield Finding("no process meets an error it does not expect", node.name)
+            if any(life.key in text for life in self.world.book.lives):
+                yield Finding("no key stands in a log", node.name)
 
     def _nothing_lost(self) -> Iterator[Finding]:
         running = {run.task for run in self.world.history if run.ended_at is None}
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.utils import monotonic
+from soak._accounts import LOW_LIMIT, NAMES, USUAL_LIMIT
 from soak._plan import FaultKind
 from soak._world import FOREIGN
 from standins.hosted import FOREIGN_ENTRIES, WORKER_CPU, Passage
@@ -55,12 +56,20 @@
         FaultKind.STORE_LINK_THIN,
         FaultKind.FOREIGN_ENTRIES,
         FaultKind.WORKER_SHRINKS,
+        FaultKind.ROTATE_KEY,
+        FaultKind.TAKE_KEY,
+        FaultKind.LIMIT_FALLS,
+        FaultKind.HOT_ACCOUNT,
         FaultKind.WAVE,
     }
 )
 """Planned work, and what is no fault to those that watch for it: every promise holds meanwhile."""
 
 
+def _account(fault: Fault) -> str:
+    return NAMES[fault.target % len(NAMES)]
+
+
 @dataclass
 class Span:
     """When a fault was in force, in monotonic seconds."""
@@ -116,6 +125,10 @@
                 await self._signal_node(fault)
             case FaultKind.CONFIGURE | FaultKind.WAVE:
                 self._operate(fault)
+            case FaultKind.ROTATE_KEY | FaultKind.TAKE_KEY | FaultKind.LIMIT_FALLS:
+                await self._change_account(fault)
+            case FaultKind.HOT_ACCOUNT if self.callers:
+                await self.callers[fault.target % len(self.callers)].rush(_account(fault))
             case FaultKind.FOREIGN_ENTRIES:
                 await self._write_foreign_entries(fault)
             case FaultKind.CRASHING_JOB if self.callers:
@@ -188,6 +201,25 @@
         await asyncio.sleep(fault.for_s)
         self._send(node, signal.SIGCONT)
 
+    async def _change_account(self, fault: Fault) -> None:
+        """Rotate a key, take one away, or lower a limit for a while."""
+        book, account = self.world.book, _account(fault)
+        match fault.kind:
+            case FaultKind.ROTATE_KEY:
+                book.add_key(account)
+                self.world.reconfigure()
+                await asyncio.sleep(fault.for_s)
+                book.drop_oldest_key(account)
+            case FaultKind.TAKE_KEY:
+                book.add_key(account)
+                book.drop_oldest_key(account)
+            case _:
+                book.set_limit(account, LOW_LIMIT)
+                self.world.reconfigure()
+                await asyncio.sleep(fault.for_s)
+                book.set_limit(account, USUAL_LIMIT)
+        self.world.reconfigure()
+
     async def _write_foreign_entries(self, fault: Fault) -> None:
         rows = [("servers", "", f"{FOREIGN}{n}") for n in range(len(FOREIGN_ENTRIES))]
         for row, entry in zip(rows, FOREIGN_ENTRIES, strict=True):
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -65,6 +65,10 @@
     CRASHING_JOB = "job that brings workers down"
     CONFIGURE = "new configuration"
     CONFIGURE_OFTEN = "large configurations in quick succession"
+    ROTATE_KEY = "key of an account rotated"
+    TAKE_KEY = "key of an account taken away"
+    LIMIT_FALLS = "limit of an account falls and rises"
+    HOT_ACCOUNT = "hot account"
     WAVE = "maintenance wave"
 
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -86,11 +86,13 @@
     async with asyncio.TaskGroup() as tasks:
         judge = tasks.create_task(_judge(checker))
         probe = tasks.create_task(callers[0].probe(CONFIGURED_S))
+        key_probe = tasks.create_task(callers[0].probe_keys())
         work = [tasks.create_task(caller.run(began + plan.length_s)) for caller in callers]
         faults = tasks.create_task(injector.run(plan.faults, began))
         await asyncio.gather(*work, faults)
         judge.cancel()
         probe.cancel()
+        key_probe.cancel()
 
 
 async def _judge(checker: Checker) -> None:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -5,9 +5,10 @@
 import base64
 import json
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from pumicespur.utils import monotonic
+from soak._accounts import KEYED_ROUTE, AccountBook
 from standins.hosted import HostedWorker, Link, World
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
         """Every process that was started."""
         self.expected_ends: set[int] = set()
         """Processes that the soak ended, by their ids."""
+        self.book = AccountBook()
         self.added: dict[str, float] = {}
         """Routes that every configuration from some time on has, and that time."""
 
@@ -62,6 +64,12 @@
         more = (f"more-{number}" for number in range(routes_more))
         self.configure(version, ("quick", f"v{version}", *self.added, *more))
 
+    def configure(self, version: int, routes: tuple[str, ...] = ("quick",), **fields: Any) -> None:
+        """Write a configuration with one route more that needs the key of an account."""
+        self.accounts = self.book.declared()
+        self.public_routes = frozenset(routes)
+        super().configure(version, (*routes, KEYED_ROUTE), **fields)
+
     async def close(self) -> None:
         """End all that was started, the links too."""
         for links in self.links.values():
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -11,9 +11,19 @@
 from typing import Any
 
 from pumicespur.commands import node
-from pumicespur.jobs import _availability, _journal, _lease, _load, _pool, _service, _watch
+from pumicespur.jobs import (
+    _availability,
+    _journal,
+    _lease,
+    _limits,
+    _load,
+    _pool,
+    _service,
+    _watch,
+)
+from pumicespur.model import ANYONE
 from pumicespur.node import _follow
-from pumicespur.platform import _table
+from pumicespur.platform import _callers, _table
 from pumicespur.store import Transaction
 
 
@@ -30,6 +40,9 @@
     CHANGES_REPLAYED = "changes-replayed"
     LOSSES_FORGOTTEN = "losses-forgotten"
     ROOM_NOT_READ_AGAIN = "room-not-read-again"
+    KEYS_CHECKED_AT_HAND_IN = "keys-checked-at-hand-in"
+    KEYS_LOGGED = "keys-logged"
+    LIMITS_IGNORED = "limits-ignored"
 
 
 TRANSACTION = _journal.Journal._transaction
@@ -37,6 +50,7 @@
 FITS = _load.WorkerLoad.fits
 ROOMS: dict[Any, Any] = {}
 SUBMIT = _service.JobService.submit
+CALLER = _callers.CallerServer._caller
 
 
 def _commit_without_conditions(self: _journal.Journal, writes: list[Any]) -> Any:
@@ -60,6 +74,15 @@
     self._free_if_same(task, start.run, "start did not arrive")
 
 
+def _check_at_hand_in(self: _callers.CallerServer, request: Any, *arguments: Any) -> Any:
+    return CALLER(self, request, *arguments) if request.method == "POST" else ANYONE
+
+
+def _log_key(self: _callers.CallerServer, request: Any, *arguments: Any) -> Any:
+    _callers.log.info("call", authorization=request.headers.get("Authorization"))
+    return CALLER(self, request, *arguments)
+
+
 def _break_off(self: _table.PlatformTable) -> None:
     for reading in list(self.readings):
         reading.give_up()
@@ -84,6 +107,12 @@
             _replace(_table.PlatformTable, "renew_readings", _break_off)
         case Mutant.LOSSES_FORGOTTEN:
             _replace(_pool, "is_hopeless", lambda task: False)
+        case Mutant.KEYS_CHECKED_AT_HAND_IN:
+            _replace(_callers.CallerServer, "_caller", _check_at_hand_in)
+        case Mutant.KEYS_LOGGED:
+            _replace(_callers.CallerServer, "_caller", _log_key)
+        case Mutant.LIMITS_IGNORED:
+            _replace(_limits.PoolLimits, "allows", lambda *arguments: True)
         case Mutant.ROOM_NOT_READ_AGAIN:
             _replace(_load.WorkerLoad, "fits", _fit_at_first)
         case Mutant.CHANGES_REPLAYED:
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -52,6 +52,8 @@
         """Version of the newest configuration."""
         self.accounts: list[dict[str, Any]] = []
         """The client accounts of the next configuration, as operators write them."""
+        self.public_routes: frozenset[str] = frozenset()
+        """Routes that need no key although there are accounts."""
         self.numbers = itertools.count(1)
         self.task_s = TASK_S
         """How long a short task of a new worker takes."""
@@ -107,6 +109,7 @@
                 "targetLatencyMs": 500,
                 "maxAttempts": MAX_ATTEMPTS,
                 "stretch": 2.0,
+                **({"public": True} if name in self.public_routes else {}),
                 **fields,
             }
             for name in routes
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -161,6 +161,17 @@
         self.assertIsNone(self.refusals.describe(JobId("0"), self.view))
 
 
+class VersionTest(unittest.TestCase):
+    """Which configuration a key is judged by."""
+
+    def test_older_configuration_never_comes_back(self) -> None:
+        view = NodeView()
+        for version, key in ((2, NEXT_KEY), (1, KEY), (2, KEY)):
+            keys = {key_digest(key): AccountId("a")}
+            view.take_configuration(Configuration(version, {}, {}, keys=keys))
+        self.assertEqual({key_digest(NEXT_KEY)}, set(view.configuration.keys))
+
+
 class KeyedCallsTest(NodeCase):
     """Calls with and without keys, to a process."""
 
