--- a/pumicespur/jobs/_limits.py
+++ b/pumicespur/jobs/_limits.py
@@ -211,8 +211,9 @@
         wanted = used.share_of(limit) + part.blocked.share_of(limit)
         part.lacking = max(0, min(WHOLE, wanted) - part.available)
 
-    def hear(self, others: Mapping[AccountId, Sequence[OtherPart]], now: float) -> None:
-        """Take what other pools gave, and give to those that lack."""
+    def hear(self, others: Mapping[AccountId, Sequence[OtherPart]], now: float) -> bool:
+        """Take what other pools gave, and give to those that lack; return whether parts moved."""
+        before = len(self.changed)
         self.asked = set()
         for account, told in others.items():
             part = self.part_of(account)
@@ -229,6 +230,7 @@
         for account in self.withholding - others.keys():
             self.parts[account].withheld = 0
         self.withholding = {account for account in others if self.parts[account].withheld}
+        return len(self.changed) > before
 
     def _give(
         self, account: AccountId, part: AccountPart, told: Sequence[OtherPart], now: float
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -119,6 +119,14 @@
         """Ask for a round."""
         self.changed.set()
 
+    def hear_parts(self) -> None:
+        """Take in what other owners told of accounts' parts; only what moves asks for a round.
+
+        With a round for each report, owners of pools in overload did little but place again.
+        """
+        if self.ready and self.parts.hear(monotonic()):
+            self.wake()
+
     def spawn(self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: Any) -> None:
         """Run something beside the rounds, for as long as the pool is owned."""
         if self.tasks is not None:
@@ -132,9 +140,12 @@
     async def run(self) -> None:
         """Own the pool until it is lost, or given up after `stop`."""
         try:
-            await self.journal.load()
-            await self.parts.load()
-            await self.intake.load()
+            # Side by side: each of them waits for a few answers of the store, half a second with a
+            # slow one, and none needs what another reads.
+            async with anyio.create_task_group() as readers:
+                readers.start_soon(self.journal.load)
+                readers.start_soon(self.parts.load)
+                readers.start_soon(self.intake.load)
             self._tell_taken()
             await self._wait_for_workers()
             async with anyio.create_task_group() as self.tasks:
--- a/pumicespur/jobs/_parts.py
+++ b/pumicespur/jobs/_parts.py
@@ -89,8 +89,8 @@
         log.warning("parts not read", pool=self.limits.pool, reason=reason)
         await anyio.sleep(RETRY_S)
 
-    def hear(self, now: float) -> None:
-        """Take in what the owners of other pools told, and the newest accounts."""
+    def hear(self, now: float) -> bool:
+        """Take in what other pools' owners told, and the newest accounts; return if parts moved."""
         self.limits.set_accounts(self.view.configuration.accounts)
         others: defaultdict[AccountId, list[OtherPart]] = defaultdict(list)
         for pool, report in self.view.fresh_reports(PARTS_MAX_AGE_S).items():
@@ -98,7 +98,7 @@
                 continue
             for part in report.parts:
                 others[AccountId(part.account)].append(OtherPart(pool, part))
-        self.limits.hear(others, now)
+        return self.limits.hear(others, now)
 
     def tell_news(self) -> None:
         """Tell the other owners at once of an account that lacks a part, here or there."""
--- a/pumicespur/node/_hearing.py
+++ b/pumicespur/node/_hearing.py
@@ -228,9 +228,8 @@
                 self._take_report(row, now)
         if self.duties.fleet is not None:
             self.duties.fleet.wake()
-        if any(p.parts for seen in self.view.reports.values() for p in seen.report.pools):
-            for owner in self.duties.pool_owners():
-                owner.wake()
+        for owner in self.duties.pool_owners():
+            owner.hear_parts()
 
     def _take_report(self, row: Row, now: float) -> None:
         report = DutyReport.from_binary(row.value)
