--- a/pumicespur/jobs/_crashes.py
+++ b/pumicespur/jobs/_crashes.py
@@ -86,7 +86,7 @@
 def admits(load: WorkerLoad, task: Task, now: float) -> bool:
     """Whether a worker may get a task as far as trials go."""
     if is_tried_alone(task, now):
-        return load.reserved and not _has_new(load)
+        return load.reserved and not has_new(load)
     return not load.reserved and not _has_trial(load)
 
 
@@ -94,7 +94,8 @@
     return any(is_on_trial(task) for task in load.suspects)
 
 
-def _has_new(load: WorkerLoad) -> bool:
+def has_new(load: WorkerLoad) -> bool:
+    """Whether a task on a worker has not shown yet that it does not bring its worker down."""
     return any(task.standing is Standing.NEW for task in load.tasks)
 
 
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -12,12 +12,13 @@
     TOGETHER_S,
     blame,
     forgive,
+    has_new,
     is_hopeless,
     reserve_workers,
 )
 from pumicespur.jobs._describe import explain_failure
 from pumicespur.jobs._estimates import Estimates
-from pumicespur.jobs._job import Standing, TaskState, make_job
+from pumicespur.jobs._job import TaskState, make_job
 from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._load import WorkerLoad
 from pumicespur.jobs._placement import order_groups, place_group
@@ -188,8 +189,7 @@
         """Note that a worker stopped answering."""
         load.silent_at = now
         self.silences = [s for s in self.silences if now - s.at < SILENCES_KEPT_S]
-        explained = any(task.standing is Standing.NEW for task in load.tasks)
-        if not explained and not load.leaving:
+        if not has_new(load) and not load.leaving:
             self.silences.append(Silence(load.worker.id, load.worker.rack, now))
 
     def lose_runs(
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -13,6 +13,7 @@
 from pumicespur.jobs._job import Loss, TaskState
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs._lease import WorkerLease
+from pumicespur.jobs._stops import ForeignRuns, stop_stalled
 from pumicespur.model import Account, OtherLife, Refused, StartOrder
 from pumicespur.store import AnswerLost, Unavailable
 from pumicespur.utils import METRICS, monotonic
@@ -39,16 +40,6 @@
 SICK_PAUSE_S = 1.0
 """Time for which a worker that refused as unhealthy gets nothing."""
 
-STALL_S = 2.0
-"""Time without a percent of progress after which a short task stands still: two looks and a
-half, while sound tasks of a second or two gain a percent in a fiftieth of a second."""
-
-STALL_SHARE = 0.1
-"""Share of a task's estimate that it may take for one percent; estimates are far off."""
-
-STOP_AGAIN_S = 0.4
-"""Time after which a stop that shows no effect is sent again."""
-
 AT_WORK = 100
 """Percent of a long-running task that is at work."""
 
@@ -58,16 +49,6 @@
 SICK = ("429", "503")
 
 
-def is_stalled(task: Task, now: float) -> bool:
-    """Tell whether a task has made no progress for longer than any sound one would."""
-    if task.state is not TaskState.RUNNING or task.job.ended or task.spec.long_running:
-        return False
-    if now - task.stop_sent_at < STOP_AGAIN_S:
-        return False
-    patience_s = max(STALL_S, STALL_SHARE * task.spec.estimated_ms / 1000)
-    return now - task.progressed_at > patience_s
-
-
 @dataclass
 class UnansweredStart:
     """A start of which it is not known whether the worker took it."""
@@ -93,7 +74,7 @@
         """Number of the newest end that is recorded; the worker drops what it acknowledges."""
         self.unsettled: dict[Task, UnansweredStart] = {}
         """Starts without an answer; the worker's account settles them."""
-        self.foreign_stops: dict[tuple[TaskName, int], float] = {}
+        self.foreign = ForeignRuns()
         self.changed = anyio.Event()
         self.failures = 0
         """Looks in a row that got no answer."""
@@ -183,8 +164,10 @@
         self._note_running(running, sent_at, now)
         self._note_unknown_runs(running)
         await self._settle(running, sent_at)
-        await self._stop_foreign(running, now)
-        await self._stop_stalled(now)
+        for name, run in self.foreign.choose(self.owner.pool, self.load, running, now):
+            self.owner.spawn(self.stop, name, run, "not wanted here")
+        for task in stop_stalled(self.load, now):
+            self.owner.spawn(self.stop, task.name, task.run, "it stands still")
 
     def _note_running(
         self, running: dict[tuple[TaskName, int], Running], sent_at: float, now: float
@@ -224,16 +207,6 @@
             self.owner.wake()
         self.load.unknown_runs = unknown
 
-    async def _stop_stalled(self, now: float) -> None:
-        """Stop tasks that stand still, so that they go on elsewhere from their checkpoint."""
-        for task in list(self.load.tasks):
-            if task.worker != self.id or not is_stalled(task, now):
-                continue
-            task.stop_sent_at = now
-            task.stopping_run = task.run
-            self.load.note_result(False, now)
-            self.owner.spawn(self.stop, task.name, task.run, "it stands still")
-
     def _confirm(self, task: Task, started_at: float = 0.0) -> None:
         task.state = TaskState.RUNNING
         task.started_at = started_at
@@ -283,19 +256,6 @@
             self.owner.stop_gang(task.group, run)
         self.owner.wake()
 
-    async def _stop_foreign(self, running: dict[tuple[TaskName, int], Running], now: float) -> None:
-        """Stop what runs here and should not: cancelled, failed or replaced runs."""
-        for name, run in running:
-            task = self.owner.pool.task(name)
-            if task is not None and task.wants(self.id, run):
-                continue
-            if now - self.foreign_stops.get((name, run), float("-inf")) < STOP_AGAIN_S:
-                continue
-            self.foreign_stops[name, run] = now
-            self.owner.spawn(self.stop, name, run, "not wanted here")
-        if len(self.foreign_stops) > len(running):
-            self.foreign_stops = {k: v for k, v in self.foreign_stops.items() if k in running}
-
     async def stop(self, name: TaskName, run: int, reason: str) -> None:
         """Order a run to stop; the worker's account shows when it has."""
         log.info("stop ordered", task=name, run=run, worker=self.id, reason=reason)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -26,8 +26,8 @@
 from pumicespur.jobs._placement import order_groups, place_group, put
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._size import PoolSize
+from pumicespur.jobs._stops import is_stalled
 from pumicespur.jobs._sweep import SubmissionSweep
-from pumicespur.jobs._watch import is_stalled
 from pumicespur.model import (
     ANYONE,
     Capacity,
