Late work takes no instance from work that can be in time, and keeps what nobody asks for

What waits counted the same whether it could be in time or not. Change: what waits late is told apart; owners ask for workers for the rest, and report as wanted what late work would fill, so that only pools without present need of others' keep it.

--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.jobs._job import TaskState
+from pumicespur.jobs._placement import is_late
 
 if TYPE_CHECKING:
     from pumicespur.jobs._account_use import Use
@@ -63,7 +64,9 @@
     short: Demand = Demand()
     lasting: Demand = Demand()
     waiting: Demand = Demand()
-    """The part of `short` that has no worker yet, at its full weight."""
+    """The part of `short` that has no worker yet and can still be in time, at its full weight."""
+    late: Demand = Demand()
+    """What has no worker yet and can't be in time any more, at its full weight."""
 
 
 @dataclass
@@ -225,6 +228,7 @@
     short = DemandSum()
     lasting = DemandSum()
     waiting = DemandSum()
+    late = DemandSum()
     rooms = LimitRooms(pool.limits)
     for job in pool.jobs.values():
         if job.ended:
@@ -235,13 +239,16 @@
                 # No number of workers helps a task that is larger than each of them.
                 continue
             idle = rooms.take(job.account, spec, len(group.waiting()))
-            share = 1.0 if spec.long_running else WAITING_SHARE
             begun = len(group.tasks) - group.done - len(group.waiting())
-            count = begun + share * idle
-            (lasting if spec.long_running else short).add(spec, count)
-            if not spec.long_running:
+            if spec.long_running:
+                lasting.add(spec, begun + idle)
+            elif is_late(group, now_ms):
+                short.add(spec, begun)
+                late.add(spec, idle)
+            else:
+                short.add(spec, begun + WAITING_SHARE * idle)
                 waiting.add(spec, idle)
-    return PoolDemand(short.total(), lasting.total(), waiting.total())
+    return PoolDemand(short.total(), lasting.total(), waiting.total(), late.total())
 
 
 def wanted_workers(pool: PoolState, short: Demand, lasting: Demand, room: Capacity) -> int:
--- a/pumicespur/jobs/_size.py
+++ b/pumicespur/jobs/_size.py
@@ -56,14 +56,24 @@
             self.tell()
 
     def report(self, report: PoolReport) -> None:
-        """Fill in what the other processes hear of the pool's size."""
-        report.busy_workers = self._busy_workers(current_demand(self.pool, now_ms()).waiting)
-        report.wanted_workers = report.busy_workers
+        """Fill in what the other processes hear of the pool's size.
+
+        Work that can't be in time any more takes no instance from a pool whose work can. It keeps
+        those that nobody else asks for. With such work counted like any other, a pool kept 116 of
+        180 instances for it through the onset of the next pool's peak, which had 24 for 7 s.
+        """
+        demand = current_demand(self.pool, now_ms())
+        report.busy_workers = self._busy_workers(demand.waiting)
+        left = Demand(
+            demand.waiting.cpu_millis + demand.late.cpu_millis,
+            demand.waiting.memory_mb + demand.late.memory_mb,
+        )
+        report.wanted_workers = max(report.busy_workers, self._workers_for(left))
         if not self.arrivals.falling():
             # Kept on after a peak for as long as a pause within one might last, workers stood
             # idle while the next pool waited for them.
             remembered = self._workers_for(self.demand.foreseen())
-            report.wanted_workers = max(report.busy_workers, remembered)
+            report.wanted_workers = max(report.wanted_workers, remembered)
         self.told_workers = report.busy_workers
         report.arriving_cpu_millis = self.arrivals.cpu_millis(now_ms())
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -14,7 +14,13 @@
 from hypothesis import strategies as st
 
 from pumicespur.jobs._availability import tasks_to_move
-from pumicespur.jobs._demand import LEAST_WORKERS, Arrivals, Demand, DemandTracker
+from pumicespur.jobs._demand import (
+    LEAST_WORKERS,
+    Arrivals,
+    Demand,
+    DemandTracker,
+    current_demand,
+)
 from pumicespur.jobs._estimates import PRIOR_TASKS, Estimates, RouteEstimates
 from pumicespur.jobs._intake import JobIntake
 from pumicespur.jobs._job import Job, Task, TaskState, longest_chains_ms, make_job
@@ -564,6 +570,37 @@
         self.assertEqual(LEAST_WORKERS, report.wanted_workers)
 
 
+class LateWorkTest(unittest.TestCase):
+    """Work that can't be in time any more, in what a pool asks for."""
+
+    def setUp(self) -> None:
+        self.pool = make_pool(make_worker("w-1"))
+        step = StepRecord(count=40, cpu_millis=4000, estimated_ms=1000)
+        submit(self.pool, make_record(step, job="1" * 16, accepted_ms=0))
+        self.size = PoolSize(self.pool, lambda: None)
+
+    def report(self, now_ms: int) -> PoolReport:
+        report = PoolReport()
+        with patch("pumicespur.jobs._size.now_ms", return_value=now_ms):
+            self.size.note(now_ms / 1000)
+            self.size.report(report)
+        return report
+
+    def test_is_told_apart(self) -> None:
+        self.assertEqual(160_000, current_demand(self.pool, 0.0).waiting.cpu_millis)
+        demand = current_demand(self.pool, 60_000.0)
+        self.assertEqual(0, demand.waiting.cpu_millis)
+        self.assertEqual(160_000, demand.late.cpu_millis)
+
+    def test_takes_no_instance_and_keeps_what_nobody_asks_for(self) -> None:
+        # A pool kept 116 of 180 instances for late work while the next one's peak began on 24.
+        early = self.report(0)
+        self.assertGreater(early.busy_workers, 20)
+        late = self.report(60_000)
+        self.assertEqual(LEAST_WORKERS, late.busy_workers)
+        self.assertGreater(late.wanted_workers, 20)
+
+
 class DemandTest(unittest.TestCase):
     """What a pool is foreseen to need."""
 
