--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -31,10 +31,10 @@
 
 
 LATE_SHARE = 1.0
-"""Share of the expected rest of a job that must fit before its time; what callers declare and
-what is learnt from other tasks are rough. A peak that outgrows its pool serves the most pressing work
-first, all of it when its time is just about over: with half of the rest, more of it ended late (worth
-0.377 to 0.380, 0.410 to 0.434 and 0.244 to 0.276 on three overloaded plays)."""
+"""Share of the expected rest of a job that must fit before its time; declared and learnt times
+are rough. A peak that outgrows its pool serves the most pressing work first, all of it when its
+time is just about over. With half of the rest, more of it ended late:
+worth 0.377 to 0.380, 0.410 to 0.434 and 0.244 to 0.276 on three overloaded plays."""
 
 
 def order_groups(jobs: Iterable[Job], now_ms: float) -> list[StepGroup]:
