--- a/pumicespur/jobs/_parts.py
+++ b/pumicespur/jobs/_parts.py
@@ -9,8 +9,8 @@
 from expression import Result
 from logbook import Logger
 
+from pumicespur.jobs._gifts import OtherPart
 from pumicespur.jobs._keys import FOUNDERS_KEY, PARTS_TABLE, part_key
-from pumicespur.jobs._limits import OtherPart
 from pumicespur.model import AccountId, PoolId
 from pumicespur.schema.jobs_pb import FoundersRecord, PartRecord
 from pumicespur.store import Condition, Transaction, Write
--- a/tests/test_limit_model.py
+++ b/tests/test_limit_model.py
@@ -16,9 +16,10 @@
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
+from pumicespur.jobs._gifts import OtherPart
 from pumicespur.jobs._job import Job, TaskState
 from pumicespur.jobs._ledger import Ledger
-from pumicespur.jobs._limits import OtherPart, PoolLimits
+from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._pool import PoolState
 from pumicespur.model import (
     AccountId,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -11,8 +11,9 @@
 
 from pumicespur.jobs._account_use import AccountUse, Use
 from pumicespur.jobs._demand import current_demand
+from pumicespur.jobs._gifts import KEEP_S, OtherPart
 from pumicespur.jobs._ledger import WHOLE, Ledger, founding_part
-from pumicespur.jobs._limits import KEEP_S, REPORTED_ACCOUNTS, OtherPart, PoolLimits
+from pumicespur.jobs._limits import REPORTED_ACCOUNTS, PoolLimits
 from pumicespur.jobs._shares import ShareMeter
 from pumicespur.model import (
     AccountId,
