--- a/pumicespur/jobs/_parts.py
+++ b/pumicespur/jobs/_parts.py
@@ -29,8 +29,7 @@
 """Pause after a fault of the store."""
 
 PARTS_MAX_AGE_S = 3.0
-"""Oldest report by which parts are given and withheld; some heartbeats. What was given stands in
-the store and is taken by a report of any age."""
+"""Oldest report that counts; some heartbeats. A gift is told again until it is known to be taken."""
 
 
 class PartKeeper:
