--- a/pumicespur/jobs/_parts.py
+++ b/pumicespur/jobs/_parts.py
@@ -29,7 +29,7 @@
 """Pause after a fault of the store."""
 
 PARTS_MAX_AGE_S = 3.0
-"""Oldest report that counts; some heartbeats. A gift is told again until it is known to be taken."""
+"""Oldest report that counts: some heartbeats. A gift is told until it is known to be taken."""
 
 
 class PartKeeper:
