Read once more: reports gathered once a round, one way to assign a task; a test of when work is late

No behaviour changes. The fleet's holder built the newest reports of all pools anew for each pool; placing a step's tasks in one go repeated what assigning one task does. The change of when work counts as late had no test of its own: with half of the rest the new one fails.

--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -144,7 +144,8 @@
         if not limits.allows(account, group.spec, candidates.now):
             limits.note_blocked(account, group.spec, len(waiting) - len(placed))
             break
-        _assign(task, load, candidates)
+        _assign(task, load, candidates.now)
+        candidates.note_put(load)
         placed.append(task)
     return placed
 
@@ -167,8 +168,7 @@
                 limits.note_blocked(group.job.account, group.spec, left)
                 return placed
             task = waiting[len(placed)]
-            put(task, load)
-            task.ticket = group.ticket(load.worker.id, candidates.now)
+            _assign(task, load, candidates.now)
             placed.append(task)
         candidates.note_put(load)
         if len(placed) == len(waiting):
@@ -187,7 +187,8 @@
         if not limits.allows(group.job.account, group.spec, candidates.now, left):
             limits.note_blocked(group.job.account, group.spec, left, left)
             break
-        _assign(task, load, candidates)
+        _assign(task, load, candidates.now)
+        candidates.note_put(load)
         placed.append(task)
     if len(placed) < len(group.tasks):
         for task in placed:
@@ -197,10 +198,9 @@
     return placed
 
 
-def _assign(task: Task, load: WorkerLoad, candidates: Candidates) -> None:
+def _assign(task: Task, load: WorkerLoad, now: float) -> None:
     put(task, load)
-    task.ticket = task.group.ticket(load.worker.id, candidates.now)
-    candidates.note_put(load)
+    task.ticket = task.group.ticket(load.worker.id, now)
 
 
 def share_run(group: StepGroup) -> None:
--- a/pumicespur/maintenance/_reports.py
+++ b/pumicespur/maintenance/_reports.py
@@ -30,11 +30,8 @@
 
     def pools(self) -> dict[PoolId, PoolReport]:
         """Return the reports that are fresh enough to decide by."""
-        return {
-            pool: report
-            for pool in self.view.pools()
-            if (report := self.view.fresh_report(pool, REPORT_MAX_AGE_S)) is not None
-        }
+        fresh = self.view.fresh_reports(REPORT_MAX_AGE_S)
+        return {pool: fresh[pool] for pool in self.view.pools() if pool in fresh}
 
     def workers(
         self, reports: Mapping[PoolId, PoolReport], instances: Iterable[Instance]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -29,7 +29,7 @@
 from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._load import EJECT_AFTER, WorkerLoad
 from pumicespur.jobs._pace import choose_paces
-from pumicespur.jobs._placement import order_groups, place_groups, put
+from pumicespur.jobs._placement import is_late, order_groups, place_groups, put
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._size import PoolSize
 from pumicespur.jobs._stops import is_stalled
@@ -334,6 +334,14 @@
         groups = order_groups(pool.jobs.values(), 30_000)
         self.assertEqual([late, fresh], [group.job for group in groups])
 
+    def test_work_is_late_once_its_whole_rest_does_not_fit(self) -> None:
+        # In a peak that outgrew its pool, work was begun until half of its rest was too much.
+        pool = make_pool(make_worker("w"))
+        group = submit(pool, make_record(StepRecord(count=1, estimated_ms=1000))).groups[0]
+        latest_ms = group.job.deadline_ms - group.job.rest_ms[0]
+        self.assertFalse(is_late(group, latest_ms))
+        self.assertTrue(is_late(group, latest_ms + 1))
+
     def test_worker_that_fails_everything_is_left_out_for_a_while(self) -> None:
         load = WorkerLoad(make_worker("w-1"), reachable=True)
         for _ in range(EJECT_AFTER):
