--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -72,6 +72,8 @@
         """Number of the newest end that was taken in."""
         self.recorded = 0
         """Number of the newest end that is recorded; the worker drops what it acknowledges."""
+        self.told_seen = 0
+        """Number up to which the worker was last told to drop its ends, and answered."""
         self.unsettled: dict[Task, UnansweredStart] = {}
         """Starts without an answer; the worker's account settles them."""
         self.foreign = ForeignRuns()
@@ -119,13 +121,16 @@
         # A worker that did not answer is promised nothing more, so that its lease does end.
         silent = self.failures > 0
         deadline = self.lease.granted() if silent else self.lease.grant(now, settings.lease_s)
+        told_seen = self.recorded
         answer = await self.owner.orders.hold(
-            self.load.worker, self.owner.token, self.recorded, deadline, wait_s
+            self.load.worker, self.owner.token, told_seen, deadline, wait_s
         )
         match answer:
             case Result(tag="ok", ok=account):
                 self.failures = 0
+                self._note_contradictions(account)
                 self.lease.note(account.clock_ms, monotonic())
+                self.told_seen = told_seen
                 await self._take_in(account, now)
                 return not self.unsettled
             case Result(error=OtherLife()):
@@ -137,6 +142,21 @@
                 self._note_failure(str(fault))
                 return False
 
+    def _note_contradictions(self, account: Account) -> None:
+        """Log what a worker can't tell that is the same life as before."""
+        clock_ms = self.lease.clock_ms or 0.0
+        again = [end.number for end in account.ended if end.number <= self.told_seen]
+        if account.clock_ms >= clock_ms and not again:
+            return
+        log.warning(
+            "worker contradicts itself",
+            pool=self.owner.pool.pool,
+            worker=self.id,
+            clock_back_ms=round(max(0.0, clock_ms - account.clock_ms)),
+            ends_told_again=len(again),
+            acknowledged=self.told_seen,
+        )
+
     def _note_failure(self, reason: str) -> None:
         if self.failures == 0:
             self.owner.pool.note_silence(self.load, monotonic())
