--- a/standins/hosted/_serving.py
+++ b/standins/hosted/_serving.py
@@ -17,10 +17,10 @@
         self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_S)
         self.address = ""
 
-    async def open(self) -> None:
-        """Listen at a free loopback port."""
+    async def open(self, port: int = 0) -> None:
+        """Listen at a loopback port, by default at a free one."""
         await self.runner.setup()
-        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        await web.TCPSite(self.runner, "127.0.0.1", port, reuse_address=True).start()
         self.address = bound_to(self.runner)
 
     async def close(self) -> None:
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -25,6 +27,9 @@
 CRASHING_PAYLOAD = "crashes"
 """The first task of each step of a job with this payload brings down the worker that starts it."""
 
+FIRST_CLOCK_MS = 10_000_000.0
+"""What the clock of a worker's first life shows at its start; each further one shows less."""
+
 CRASH_AFTER_S = 0.01
 """Time from such a start to the crash; its answer is on its way by then."""
 
@@ -64,6 +69,9 @@
     fail_all: bool = False
 
 
+_births = itertools.count(int(time.time() * 1000))
+
+
 @dataclass
 class HostedWorker:
     """One life of a worker; `history` is shared by all and outlives it."""
@@ -80,6 +88,10 @@
     task_s: float = 0.05
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     address: str = ""
+    born: int = field(default_factory=lambda: next(_births))
+    """Start of this life, in milliseconds since 1970; no two lives are alike."""
+    next_life: HostedWorker | None = None
+    """The worker that started again under the same id."""
     highest_token: int = 0
     deadline_ms: float = 0.0
     running: dict[str, Run] = field(default_factory=dict)
@@ -90,9 +102,9 @@
     alive: bool = True
     clock_rate: float = 1.0
     """Speed of the worker's own clock; it may run slow."""
-    clock_base_ms: float = 0.0
+    clock_base_ms: float = FIRST_CLOCK_MS
     """What the clock showed when its speed last changed."""
-    clock_set_at: float = 0.0
+    clock_set_at: float = field(default_factory=monotonic)
     """Monotonic time of that change, in seconds."""
     ends: dict[int, Run] = field(default_factory=dict)
     """Ends that nobody has confirmed yet, by their numbers."""
@@ -112,15 +124,23 @@
         self.clock_set_at = monotonic()
         self.clock_rate = rate
 
-    async def serve(self) -> None:
-        """Listen at a free port."""
+    def start_again(self) -> HostedWorker:
+        """Make the next life under the same id: it knows nothing, and its clock is set back."""
+        again = HostedWorker(self.id, self.pool, self.instance, self.rack, self.history, self.cpu)
+        again.task_s = self.task_s
+        again.clock_base_ms = FIRST_CLOCK_MS / 2
+        self.next_life = again
+        return again
+
+    async def serve(self, port: int = 0) -> None:
+        """Listen at a port, by default at a free one."""
         app = web.Application()
         app.router.add_post("/pumicespur/run-start", self._start)
         app.router.add_post("/pumicespur/run-stop", self._stop)
         app.router.add_post("/pumicespur/hold", self._hold)
         app.router.add_post("/pumicespur/pace", self._pace)
         self.served = Served(app)
-        await self.served.open()
+        await self.served.open(port)
         self.address = self.served.address
 
     def description(self, state: str = "ready") -> bytes:
@@ -135,6 +155,7 @@
                 "labels": ["a", self.rack],
                 "machine": self.instance,
                 "callSeq": 0,
+                "born": self.born,
             }
         ).encode()
 
@@ -290,5 +311,10 @@
                 await asyncio.wait_for(self.news.wait(), body["waitMs"] / 1000)
         running = [[r.task, r.number, "", 100, r.figure] for r in self.running.values()]
         return web.json_response(
-            {"clockMs": self.clock_ms(), "running": running, "endedAt": self.ended}
+            {
+                "clockMs": self.clock_ms(),
+                "running": running,
+                "endedAt": self.ended,
+                "born": self.born,
+            }
         )
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -129,14 +129,36 @@
         number = next(self.numbers)
         worker = HostedWorker(f"w-{number}", pool, instance, rack, self.history)
         worker.task_s = self.task_s
+        await self._begin_life(worker)
+        await self.publish(worker)
+
+    async def _begin_life(self, worker: HostedWorker, port: int = 0) -> None:
         worker.on_crash = lambda: self._crash_under_task(worker)
-        await worker.serve()
-        self.workers[instance] = worker
+        await worker.serve(port)
+        self.workers[worker.instance] = worker
         self.rooms[worker.id] = worker.rooms
-        self.fleet.pools[instance] = pool
-        self.fleet.racks[instance] = rack
-        self.fleet.workers[instance] = worker.id
-        await self.publish(worker)
+        self.fleet.pools[worker.instance] = worker.pool
+        self.fleet.racks[worker.instance] = worker.rack
+        self.fleet.workers[worker.instance] = worker.id
+
+    async def restart_worker(self, instance: str, down_s: float = 0.0, late_s: float = 0.0) -> None:
+        """Let a worker crash and start again under its id, at its address.
+
+        Its entry is the old one for `late_s` longer; below zero the new one is there before the
+        worker listens, by so many seconds.
+        """
+        before = self.workers.pop(instance)
+        worker = before.start_again()
+        await before.crash()
+        await asyncio.sleep(down_s)
+        worker.address = before.address
+        if late_s < 0:
+            self.store.put(("servers", "", worker.id), worker.description())
+            await asyncio.sleep(-late_s)
+        await self._begin_life(worker, int(before.address.rpartition(":")[2]))
+        if late_s >= 0:
+            await asyncio.sleep(late_s)
+            await self.publish(worker)
 
     async def publish(self, worker: HostedWorker) -> None:
         """Let a new worker write itself into the store."""
