--- a/pumicespur/jobs/_advice.py
+++ b/pumicespur/jobs/_advice.py
@@ -9,12 +9,12 @@
 from logbook import Logger
 
 from pumicespur.jobs._placement import order_groups
-from pumicespur.model import WorkerId
 from pumicespur.utils import monotonic, now_ms
 
 if TYPE_CHECKING:
     from pumicespur.jobs._job import StepGroup
     from pumicespur.jobs._pool import PoolState
+    from pumicespur.model import WorkerId
     from pumicespur.platform import WorkerOrders
 
 log = Logger(__name__)
@@ -66,7 +66,7 @@
             case Result(tag="ok", ok=(tickets, valid_s)):
                 # Counted from the question, so that no ticket is used after its time.
                 group.tickets = {
-                    WorkerId(name): (ticket, asked_at + valid_s) for name, ticket in tickets.items()
+                    worker: (ticket, asked_at + valid_s) for worker, ticket in tickets.items()
                 }
                 log.info("advice taken", job=group.job.id, step=group.name, workers=len(tickets))
                 return bool(tickets)
--- a/pumicespur/jobs/_describe.py
+++ b/pumicespur/jobs/_describe.py
@@ -4,8 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from pumicespur.model import WorkerId, worker_name
+
 if TYPE_CHECKING:
-    from pumicespur.model import PoolId
+    from collections.abc import Iterable
+
+    from pumicespur.model import PoolId, WorkerName
     from pumicespur.schema.jobs_pb import FailureRecord, ProgressRecord
 
 
@@ -16,6 +20,11 @@
     return f"task {failure.task} failed {failure.attempts} times"
 
 
+def _names(workers: Iterable[str]) -> list[WorkerName]:
+    """Return workers by the names under which operators find them."""
+    return [worker_name(WorkerId(worker)) for worker in workers]
+
+
 def describe_progress(name: str, pool: PoolId, progress: ProgressRecord) -> dict[str, object]:
     """Return a job's recorded state, for JSON; workers brought down by its tasks are named."""
     failure = progress.failure
@@ -26,10 +35,10 @@
         "account": progress.account,
         "phase": progress.phase.name.lower(),
         "reason": "" if failure is None else explain_failure(failure),
-        "lost_workers": [] if failure is None else list(failure.lost_workers),
+        "lost_workers": [] if failure is None else _names(failure.lost_workers),
     }
     described["suspected_tasks"] = {
-        str(task.index): [loss.worker for loss in task.losses]
+        str(task.index): _names(loss.worker for loss in task.losses)
         for task in progress.tasks
         if task.losses
     }
--- a/pumicespur/jobs/_holding.py
+++ b/pumicespur/jobs/_holding.py
@@ -37,5 +37,8 @@
     def stop_gang(self, group: StepGroup, run: int) -> None:
         """Stop the members of a gang, one of which did not start."""
 
+    def note_restart(self, worker: WorkerId) -> None:
+        """Note that a life of a worker is over although the store may still list it."""
+
     def forget(self, worker: WorkerId) -> None:
         """Drop a worker whose life is over."""
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -18,9 +18,10 @@
 from pumicespur.jobs._parts import PartKeeper
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._reports import report_pool
+from pumicespur.jobs._restarts import Restarts
 from pumicespur.jobs._size import PoolSize
-from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
-from pumicespur.model import InstanceId, WorkerId, WorkerState
+from pumicespur.jobs._watch import WorkerWatch
+from pumicespur.model import InstanceId, WorkerId, WorkerState, worker_name
 from pumicespur.store import Write
 from pumicespur.utils import METRICS, monotonic, now_ms
 
@@ -102,6 +103,7 @@
         self.pool = PoolState(ownership.pool)
         self.journal = Journal(table, ownership)
         self.watches: dict[WorkerId, WorkerWatch] = {}
+        self.restarts = Restarts(settings.workers, earlier)
         self.tell = tell
         """Asks for a heartbeat at once."""
         self.size = PoolSize(self.pool, tell)
@@ -191,12 +193,16 @@
         if self.tasks is None:
             return
         listed = {w.id: w for w in self.view.workers.values() if w.pool == self.ownership.pool}
-        for worker in listed.values():
-            watch = self.watches.get(worker.id)
-            if watch is None:
+        # First the lives that are over: what they leave is taken over by the next ones.
+        for watch in list(self.watches.values()):
+            if watch.id not in listed:
+                self._note_unlisted(watch)
+        for worker in self.restarts.living(listed):
+            known = self.watches.get(worker.id)
+            if known is None:
                 self._watch(worker)
             else:
-                if watch.load.worker.state is not worker.state:
+                if known.load.worker.state is not worker.state:
                     log.info(
                         "worker drains" if worker.state is WorkerState.DRAINING else "worker ready",
                         pool=self.pool.pool,
@@ -204,25 +210,37 @@
                         leaves_in_s=worker.leaves_in_s,
                     )
                 self.pool.add_worker(worker)
-        for watch in list(self.watches.values()):
-            if watch.id not in listed:
-                watch.load.listed = False
-                if self._has_successor(watch):
-                    watch.end("its instance runs another worker")
         self.wake()
 
+    def _note_unlisted(self, watch: WorkerWatch) -> None:
+        watch.load.listed = False
+        if self._has_next_life(watch):
+            watch.end_with_successor()
+        elif self._has_successor(watch):
+            watch.end("its instance runs another worker")
+
+    def note_restart(self, worker: WorkerId) -> None:
+        """Note that a life of a worker is over although the store may still list it."""
+        self.restarts.note(worker, monotonic())
+
     def _watch(self, worker: Worker) -> None:
-        watch = WorkerWatch(self, worker, self.earlier)
+        """Follow a life of a worker, with the starts that an earlier owner or life left open."""
+        watch = WorkerWatch(self, worker, self.restarts.leases_of(worker, monotonic()))
         for job in self.pool.jobs.values():
             for task in job.tasks:
-                if task.worker == worker.id and not job.ended:
-                    watch.load.add(task)
-                    watch.unsettled[task] = UnansweredStart(task.run, self.ownership.acquired_at)
+                if task.worker and worker_name(task.worker) == worker.name and not job.ended:
+                    watch.adopt(task, self.ownership.acquired_at)
                 watch.blamed |= any(loss.worker == worker.id for loss in task.losses)
         self.pool.adopt_inherited(watch.load)
         self.watches[worker.id] = watch
         self.spawn(watch.run)
 
+    def _has_next_life(self, watch: WorkerWatch) -> bool:
+        """Whether a worker tells another birth, by an entry that names a known pool."""
+        found = self.view.workers.get(watch.load.worker.name)
+        pools = self.view.configuration.pools
+        return found is not None and found.id != watch.id and found.pool in pools
+
     def _has_successor(self, watch: WorkerWatch) -> bool:
         """Whether a newer life runs on a worker's instance, by an entry that names a known pool."""
         instance = watch.load.worker.instance
@@ -238,6 +256,24 @@
         """Drop a worker whose life is over."""
         self.watches.pop(worker, None)
 
+    def _free_left_starts(self, now: float) -> None:
+        """Let tasks start elsewhere whose worker has not come back in any life."""
+        lives = self.restarts.take_outwaited(now)
+        if not lives:
+            return
+        for job in list(self.pool.jobs.values()):
+            for task in job.tasks:
+                if task.worker in lives and not job.ended:
+                    self._free_lost(task, "its worker did not come back")
+
+    def _free_lost(self, task: Task, reason: str) -> None:
+        """Let a task start elsewhere that is lost with a worker that is not followed."""
+        assert task.worker is not None
+        log.info("start undone", job=task.job.id, task=task.name, reason=reason)
+        instance = InstanceId(worker_name(task.worker))
+        self.pool.lose_run(task, Loss(task.worker, instance, alone=False))
+        self.pool.free(task)
+
     async def _free_unlisted(self) -> None:
         """Let tasks on workers that the store does not list start elsewhere, once that is safe."""
         while monotonic() < self.earlier.until:
@@ -245,10 +281,7 @@
         for job in list(self.pool.jobs.values()):
             for task in job.tasks:
                 if task.worker and task.worker not in self.watches and not job.ended:
-                    log.info("start undone", job=job.id, task=task.name, reason="worker not listed")
-                    instance = InstanceId(task.worker)
-                    self.pool.lose_run(task, Loss(task.worker, instance, alone=False))
-                    self.pool.free(task)
+                    self._free_lost(task, "worker not listed")
         for worker in self.pool.inherited.keys() - self.watches.keys():
             self.pool.settle_inherited(worker)
         self.wake()
@@ -280,6 +313,7 @@
             self.changed = anyio.Event()
             if not self.stopping:
                 self._evacuate()
+                self._free_left_starts(monotonic())
                 self.parts.hear(monotonic())
                 self.pool.place(monotonic(), now_ms())
                 self.parts.tell_news()
@@ -307,7 +341,7 @@
         now = monotonic()
         news = False
         for load in self.pool.loads.values():
-            if load.evacuating != (load.worker.id in wanted):
+            if load.evacuating != (load.worker.name in wanted):
                 load.evacuating = not load.evacuating
                 news = True
             if load.evacuating and not load.tasks and load.told_tasks:
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -169,12 +169,15 @@
         """Return the worker that a task's newest start was meant for, if it is counted."""
         return self.loads.get(task.worker) if task.worker else None
 
-    def drop_worker(self, worker: WorkerId) -> None:
-        """Forget a worker whose tasks are known to be over; they wait again."""
+    def drop_worker(self, worker: WorkerId, keep: Container[Task] = ()) -> None:
+        """Forget a worker whose tasks are known to be over; they wait again.
+
+        Tasks to `keep` stay assigned to it: the worker may have begun them in its next life.
+        """
         load = self.loads.pop(worker, None)
         self.rooms = None
         for job in self.jobs.values():
-            lost = [task for task in job.tasks if task.worker == worker]
+            lost = [task for task in job.tasks if task.worker == worker and task not in keep]
             if not lost or job.ended:
                 continue
             for task in lost:
@@ -210,6 +213,11 @@
             self._weigh_losses(task)
         return blamed
 
+    def forgive_task(self, task: Task, worker: WorkerId) -> None:
+        """Take back the loss of a worker with a task that turned out to run elsewhere."""
+        task.losses = [loss for loss in task.losses if loss.worker != worker]
+        self.dirty.add(task.job)
+
     def lose_run(self, task: Task, loss: Loss) -> None:
         """Note the loss of a worker with a task of which it is not known whether it began there."""
         if task.job.ended or task.state is TaskState.DONE:
--- a/pumicespur/jobs/_reports.py
+++ b/pumicespur/jobs/_reports.py
@@ -25,7 +25,7 @@
     load.told_tasks = len(load.tasks)
     held = sum(1 for task in load.tasks if task.spec.long_running and not task.job.ended)
     return WorkerReport(
-        worker=load.worker.id,
+        worker=load.worker.name,
         tasks=len(load.tasks),
         held_tasks=held,
         reachable=load.reachable,
--- /dev/null
+++ b/pumicespur/jobs/_restarts.py
@@ -0,0 +1,70 @@
+"""Workers that started again: which lives are over, and how long orders for them take effect."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pumicespur.jobs._lease import EarlierLeases
+from pumicespur.model import birth_ms, worker_name
+from pumicespur.utils import now_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from pumicespur.model import Worker, WorkerId, WorkerName
+    from pumicespur.schema.node_pb import WorkerSettings
+
+CLOCKS_APART_S = 5.0
+"""Most by which the time of day of a worker and of this process may differ, with room to spare."""
+
+
+class Restarts:
+    """The lives of a pool's workers that are known to be over."""
+
+    def __init__(self, settings: WorkerSettings, earlier: EarlierLeases) -> None:
+        self.settings = settings
+        self.earlier = earlier
+        """When leases are over that earlier owners may have given."""
+        self.over: dict[WorkerId, float] = {}
+        """Lives that are over, and since when that is known (monotonic seconds)."""
+        self.names: set[WorkerName] = set()
+        """Workers that have started again while this process owned the pool."""
+
+    def note(self, worker: WorkerId, now: float) -> None:
+        """Note that a life is over because another one of the same worker was heard of."""
+        self.over[worker] = now
+        self.names.add(worker_name(worker))
+
+    def living(self, listed: Mapping[WorkerId, Worker]) -> list[Worker]:
+        """Return the listed lives but for those that are over: their entries are out of date."""
+        return [worker for name, worker in listed.items() if name not in self.over]
+
+    def leases_of(self, worker: Worker, now: float) -> EarlierLeases:
+        """Return when the leases of a life are over that nobody knows of.
+
+        A deadline on the clock of the life before may reach a new one, which counts it on its
+        own: it then goes on for as long as the platform lets any worker go on.
+        """
+        if worker.name not in self.names and not self._is_inherited_young(worker, now):
+            return self.earlier
+        until = now + self._longest_s() + self.settings.call_timeout_s
+        return EarlierLeases(last_until=until, older_until=self.earlier.until)
+
+    def _is_inherited_young(self, worker: Worker, now: float) -> bool:
+        """Whether an earlier owner may have meant its last orders for the life before."""
+        born_ms = birth_ms(worker.id)
+        if born_ms is None or self.earlier.until <= now:
+            return False
+        return now_ms() - born_ms < (self._longest_s() + CLOCKS_APART_S) * 1000
+
+    def _longest_s(self) -> float:
+        """Return how long a worker goes on at most after an order, on this process's clock."""
+        return self.settings.longest_lease_ms / 1000 / (1 - self.settings.clock_drift)
+
+    def take_outwaited(self, now: float) -> set[WorkerId]:
+        """Return the lives whose last orders can have no effect any more, each once."""
+        longest_s = self._longest_s()
+        found = {worker for worker, since in self.over.items() if now - since > longest_s}
+        for worker in found:
+            del self.over[worker]
+        return found
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -13,8 +12,9 @@
 from pumicespur.jobs._job import Loss, TaskState
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs._lease import WorkerLease
+from pumicespur.jobs._starts import OpenStarts, UnansweredStart
 from pumicespur.jobs._stops import ForeignRuns, stop_stalled
-from pumicespur.model import Account, OtherLife, Refused, StartOrder
+from pumicespur.model import Account, OtherLife, Refused, StartedAgain, StartOrder
 from pumicespur.store import AnswerLost, Unavailable
 from pumicespur.utils import METRICS, monotonic
 
@@ -31,6 +31,9 @@
 RETRY_S = 0.15
 """Pause after a call that failed; a few round trips."""
 
+OPEN_STARTS_S = 0.02
+"""Pause before an account is asked for again that did not tell of every start; a few answers."""
+
 LAPSE_SLACK_S = 0.3
 """Time beyond the end of a lease that a worker is given to end its tasks and a late timer."""
 
@@ -49,17 +52,6 @@
 SICK = ("429", "503")
 
 
-@dataclass
-class UnansweredStart:
-    """A start of which it is not known whether the worker took it."""
-
-    run: int
-    since: float
-    """When its call was given up (monotonic seconds); only accounts asked for later tell."""
-    barred_at: float | None = None
-    """When a run that had not begun was known to be kept from it (monotonic seconds)."""
-
-
 class WorkerWatch:
     """The owner's dealings with one life of a worker."""
 
@@ -71,9 +63,10 @@
         self.seen = 0
         """Number of the newest end that was taken in."""
         self.recorded = 0
-        """Number of the newest end that is recorded; the worker drops what it acknowledges."""
-        self.told_seen = 0
-        """Number up to which the worker was last told to drop its ends, and answered."""
+        """Number of the newest end that is recorded."""
+        self.acknowledged = 0
+        """Number up to which the worker is told to drop its ends."""
+        self.open_starts = OpenStarts()
         self.unsettled: dict[Task, UnansweredStart] = {}
         """Starts without an answer; the worker's account settles them."""
         self.foreign = ForeignRuns()
@@ -81,6 +74,8 @@
         self.failures = 0
         """Looks in a row that got no answer."""
         self.gone = False
+        self.restarted = False
+        """The worker has another life, to which open starts were left."""
         self.pending: set[Task] = set()
         """Tasks that are being ordered to start."""
         self.blamed = False
@@ -104,48 +99,72 @@
             self.changed = anyio.Event()
             with anyio.move_on_after(self.owner.settings.workers.watch_s):
                 await self.changed.wait()
+        elif self.recorded > self.acknowledged:
+            await anyio.sleep(OPEN_STARTS_S)
 
     def note_recorded(self, number: int) -> None:
-        """Allow the worker to drop ends up to a number."""
+        """Note that the ends up to a number are recorded."""
         self.recorded = max(self.recorded, number)
+        self._allow_acknowledging()
         self.changed.set()
 
+    def _allow_acknowledging(self) -> None:
+        """Let the worker drop the ends that are recorded, once no start is open.
+
+        A life that began meanwhile would drop its own ends under these numbers, unread. It has
+        ended nothing that matters unless one of the open starts reached it.
+        """
+        if not self.open_starts.tasks:
+            self.acknowledged = self.recorded
+
+    def adopt(self, task: Task, since: float) -> None:
+        """Count a start that another process or another life of the worker was left with."""
+        meant_for = task.worker if task.worker != self.id else None
+        task.worker = self.id
+        task.state = TaskState.STARTING
+        self.load.add(task)
+        self.open_starts.tasks.add(task)
+        self.unsettled[task] = UnansweredStart(task.run, since, meant_for=meant_for)
+
     async def _look(self, now: float) -> bool:
         """Extend the lease and read the account; return whether to look again at once."""
         settings = self.owner.settings.workers
         wait_s = settings.watch_s if self.lease.clock_ms is not None else 0.0
         if self.load.reserved or count_suspects(self.load):
             wait_s = min(wait_s, TRIAL_LOOK_S)
-        if self.seen > self.recorded or self.unsettled or self.failures:
+        if self.seen > self.acknowledged or self.unsettled or self.failures:
             wait_s = 0.0
         # A worker that did not answer is promised nothing more, so that its lease does end.
         silent = self.failures > 0
         deadline = self.lease.granted() if silent else self.lease.grant(now, settings.lease_s)
-        told_seen = self.recorded
+        # What answers next after a silence may be another life, whose ends must not be dropped.
+        last_seen = 0 if silent else self.acknowledged
         answer = await self.owner.orders.hold(
-            self.load.worker, self.owner.token, told_seen, deadline, wait_s
+            self.load.worker, self.owner.token, last_seen, deadline, wait_s
         )
         match answer:
             case Result(tag="ok", ok=account):
                 self.failures = 0
-                self._note_contradictions(account)
+                self._note_contradictions(account, last_seen)
                 self.lease.note(account.clock_ms, monotonic())
-                self.told_seen = told_seen
                 await self._take_in(account, now)
                 return not self.unsettled
             case Result(error=OtherLife()):
                 self.end("another life answers")
                 return True
+            case Result(error=StartedAgain()):
+                self.end_with_successor()
+                return True
             case Result(error=Refused(reason=reason)) if reason == FENCED:
                 raise OwnershipLostError(f"worker {self.id} has seen a newer token")
             case Result(error=fault):
                 self._note_failure(str(fault))
                 return False
 
-    def _note_contradictions(self, account: Account) -> None:
+    def _note_contradictions(self, account: Account, acknowledged: int) -> None:
         """Log what a worker can't tell that is the same life as before."""
         clock_ms = self.lease.clock_ms or 0.0
-        again = [end.number for end in account.ended if end.number <= self.told_seen]
+        again = [end.number for end in account.ended if end.number <= acknowledged]
         if account.clock_ms >= clock_ms and not again:
             return
         log.warning(
@@ -154,7 +173,7 @@
             worker=self.id,
             clock_back_ms=round(max(0.0, clock_ms - account.clock_ms)),
             ends_told_again=len(again),
-            acknowledged=self.told_seen,
+            acknowledged=acknowledged,
         )
 
     def _note_failure(self, reason: str) -> None:
@@ -183,6 +202,8 @@
         self.owner.pool.settle_inherited(self.id, running)
         self._note_running(running, sent_at, now)
         self._note_unknown_runs(running)
+        self.open_starts.note_account(self.id, running)
+        self._allow_acknowledging()
         await self._settle(running, sent_at)
         for name, run in self.foreign.choose(self.owner.pool, self.load, running, now):
             self.owner.spawn(self.stop, name, run, "not wanted here")
@@ -234,7 +255,9 @@
         task.job.begun = True
         if task.spec.long_running and task.away_since is None:
             task.away_since = task.progressed_at
-        self.unsettled.pop(task, None)
+        start = self.unsettled.pop(task, None)
+        if start is not None and start.meant_for is not None:
+            self.owner.pool.forgive_task(task, start.meant_for)
 
     async def _settle(self, running: dict[tuple[TaskName, int], Running], sent_at: float) -> None:
         """Find out what became of starts that got no answer.
@@ -250,8 +273,15 @@
                 await self._bar(task, start)
             elif start.barred_at is not None and sent_at >= start.barred_at:
                 self.unsettled.pop(task, None)
+                self._note_lost_start(task, start)
                 self._free_if_same(task, start.run, "start did not arrive")
 
+    def _note_lost_start(self, task: Task, start: UnansweredStart) -> None:
+        """Count the loss of the earlier life with a start that was meant for it."""
+        life = start.meant_for
+        if life is not None and all(loss.worker != life for loss in task.losses):
+            self.owner.pool.lose_run(task, Loss(life, self.load.instance, alone=False))
+
     async def _bar(self, task: Task, start: UnansweredStart) -> None:
         """Keep a run that may not have arrived yet from starting."""
         stopped = await self.owner.orders.stop(
@@ -271,6 +301,7 @@
             worker=self.id,
             reason=reason,
         )
+        self.open_starts.tasks.discard(task)
         self.owner.pool.free(task)
         if task.spec.gang:
             self.owner.stop_gang(task.group, run)
@@ -302,6 +333,7 @@
             task.name, run, task.job.record.payload, task.checkpoint, deadline, task.ticket
         )
         self.pending.add(task)
+        self.open_starts.tasks.add(task)
         answer = await self.owner.orders.start(self.load.worker, self.owner.token, order)
         self.pending.discard(task)
         outcome = "taken" if answer.is_ok() else type(answer.error).__name__
@@ -318,6 +350,9 @@
         )
         METRICS.starts.inc({"pool": self.owner.pool.pool, "outcome": outcome})
         if self.gone and (answer.is_ok() or isinstance(answer.error, AnswerLost)):
+            if self.restarted:
+                # The next life may have taken it, and settles it.
+                return
             # The worker's end was known before this answer, so the start was not counted then.
             self.owner.pool.lose_run(task, Loss(self.id, self.load.instance, alone=False))
         if task.run != run or task.worker != self.id:
@@ -383,9 +418,16 @@
         self.gone = True
         log.info("worker gone", pool=self.owner.pool.pool, worker=self.id, reason=reason)
         self._lose_runs(reason, ended=True)
-        self.owner.pool.drop_worker(self.id)
+        self.owner.pool.drop_worker(self.id, self.open_starts.tasks if self.restarted else ())
         self.owner.wake()
 
+    def end_with_successor(self) -> None:
+        """Note that the worker has started again; open starts are left to its next life."""
+        if not self.gone:
+            self.restarted = True
+            self.owner.note_restart(self.id)
+            self.end("it has started again")
+
     def _lose_runs(self, reason: str, *, ended: bool) -> None:
         """Note and log what the worker takes along, and which of it may have brought it down."""
         lost = [task for task in self.load.tasks if task.wants(self.id, task.run)]
--- a/pumicespur/maintenance/_holder.py
+++ b/pumicespur/maintenance/_holder.py
@@ -28,7 +28,7 @@
     InstanceState,
     PoolId,
     ProcessId,
-    WorkerId,
+    WorkerName,
 )
 from pumicespur.store import NeverDone, Unavailable
 from pumicespur.utils import monotonic, now_ms
@@ -102,7 +102,7 @@
         self.refused: set[tuple[InstanceId, PoolId]] = set()
         self.tell = tell
         """Asks for a heartbeat at once."""
-        self.told: set[WorkerId] = set()
+        self.told: set[WorkerName] = set()
         self.ready = False
         self.stopping = False
         self.stopped = anyio.Event()
@@ -137,7 +137,7 @@
         self.stopping = True
         await self.stopped.wait()
 
-    def evacuations(self) -> list[WorkerId]:
+    def evacuations(self) -> list[WorkerName]:
         """Return the workers that their owners shall empty."""
         names = [*self.wave_work.emptying(), *self.sizer.emptying]
         found = [self.instances[name].worker for name in names if name in self.instances]
--- a/pumicespur/model/__init__.py
+++ b/pumicespur/model/__init__.py
@@ -34,10 +34,14 @@
     TeamId,
     WaveId,
     WorkerId,
+    WorkerName,
+    birth_ms,
     task_id,
     task_name,
+    worker_id,
+    worker_name,
 )
-from pumicespur.model._orders import Account, OtherLife, Refused, StartOrder
+from pumicespur.model._orders import Account, OtherLife, Refused, StartedAgain, StartOrder
 from pumicespur.model._outcomes import Cancellation, Submission
 from pumicespur.model._workers import (
     Capacity,
@@ -57,6 +61,7 @@
     "OtherLife",
     "Refused",
     "StartOrder",
+    "StartedAgain",
     "SPARE_POOL",
     "Advice",
     "CallerLimits",
@@ -89,9 +94,13 @@
     "WaveId",
     "Worker",
     "WorkerId",
+    "WorkerName",
     "WorkerState",
+    "birth_ms",
     "digest_signs",
     "key_digest",
     "task_id",
     "task_name",
+    "worker_id",
+    "worker_name",
 ]
--- a/pumicespur/model/_orders.py
+++ b/pumicespur/model/_orders.py
@@ -15,6 +15,11 @@
     """The worker that was meant is gone; something else answers at its address."""
 
 
+@dataclass(frozen=True)
+class StartedAgain:
+    """The worker answers in another life than was meant, which may have done the order."""
+
+
 @dataclass(frozen=True)
 class Refused:
     """The worker did nothing, for the reason it names (or the status, if it names none)."""
--- a/pumicespur/model/_workers.py
+++ b/pumicespur/model/_workers.py
@@ -6,8 +6,18 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from pumicespur.model._ids import worker_name
+
 if TYPE_CHECKING:
-    from pumicespur.model._ids import DataHall, InstanceId, PoolId, Rack, TaskName, WorkerId
+    from pumicespur.model._ids import (
+        DataHall,
+        InstanceId,
+        PoolId,
+        Rack,
+        TaskName,
+        WorkerId,
+        WorkerName,
+    )
 
 
 class WorkerState(Enum):
@@ -42,6 +52,11 @@
     leaves_in_s: float | None = None
     """Time that is left at least while the worker drains."""
 
+    @property
+    def name(self) -> WorkerName:
+        """Return the name under which the platform lists the worker, in whatever life."""
+        return worker_name(self.id)
+
 
 class InstanceState(Enum):
     """What an instance is doing."""
@@ -63,7 +78,8 @@
     rack: Rack
     labels: frozenset[str]
     capacity: Capacity
-    worker: WorkerId | None
+    worker: WorkerName | None
+    """The worker that runs there; the list does not tell in which of its lives."""
 
 
 class RunEnd(Enum):
--- a/pumicespur/node/_workers.py
+++ b/pumicespur/node/_workers.py
@@ -8,13 +8,14 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.model import WorkerId
+from pumicespur.model import WorkerName, birth_ms
 from pumicespur.node._follow import CatchUp, Reread, TableFollower
 from pumicespur.platform import WORKERS_TABLE, decode_worker
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
+    from pumicespur.model import Worker
     from pumicespur.node._keeper import OwnershipKeeper
     from pumicespur.platform import PlatformTable
     from pumicespur.schema.node_pb import StoreSettings
@@ -54,6 +55,8 @@
         self.view = view
         self.table = table
         self.keeper = keeper
+        self.entries: dict[WorkerName, Worker] = {}
+        """Every entry that could be read; not each of them names a worker to use."""
 
     async def run(self) -> None:
         """Follow the list of workers while a pool is owned, from a whole reading on.
@@ -80,26 +83,40 @@
         )
         await follower.run_while(self.keeper.duties.pool_owners, OWNERLESS_S)
         self.view.workers_known = False
-        self.view.workers.clear()
+        self.view.workers = {}
+        self.entries.clear()
 
     def _take(self, rows: Sequence[Row], whole: bool) -> None:
         if whole:
-            self.view.workers.clear()
+            self.entries.clear()
         for row in rows:
             _, part, name = row.key.split("/", 2)
             if part:
                 # Workers write into the empty part; a row elsewhere says nothing of a namesake.
                 continue
-            identity = WorkerId(name)
-            if not row.version:
-                self.view.workers.pop(identity, None)
-                continue
-            match decode_worker(identity, row.value):
-                case Result(tag="ok", ok=worker):
-                    self.view.workers[identity] = worker
-                case Result(error=reason):
-                    # Whatever stood there before, the entry names no worker to use any more.
-                    self.view.workers.pop(identity, None)
-                    log.error("worker not understood", worker=identity, reason=reason)
+            self._take_entry(WorkerName(name), row)
+        self.view.workers = usable_workers(self.entries)
         self.view.workers_known = True
         self.keeper.sync_workers()
+
+    def _take_entry(self, name: WorkerName, row: Row) -> None:
+        if not row.version:
+            self.entries.pop(name, None)
+            return
+        match decode_worker(name, row.value):
+            case Result(tag="ok", ok=worker):
+                self.entries[name] = worker
+            case Result(error=reason):
+                # Whatever stood there before, the entry names no worker to use any more.
+                self.entries.pop(name, None)
+                log.error("worker not understood", worker=name, reason=reason)
+
+
+def usable_workers(entries: Mapping[WorkerName, Worker]) -> dict[WorkerName, Worker]:
+    """Return the entries that workers wrote themselves, as far as births tell.
+
+    Where workers tell their births, an entry without one is another writer's. A platform whose
+    workers tell none gives each life a name of its own.
+    """
+    told = {name: worker for name, worker in entries.items() if birth_ms(worker.id) is not None}
+    return told if 2 * len(told) >= len(entries) else dict(entries)
--- a/pumicespur/platform/_declarations.py
+++ b/pumicespur/platform/_declarations.py
@@ -25,9 +25,10 @@
     RouteName,
     Wave,
     Worker,
-    WorkerId,
+    WorkerName,
     WorkerState,
     key_digest,
+    worker_id,
 )
 
 CONFIGURATION_KEY = "op//config"
@@ -44,6 +45,9 @@
 LimitAmount = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 """The most that an account may have; larger than any fleet, exact in JSON."""
 
+Birth = Annotated[int, msgspec.Meta(ge=1)] | msgspec.UnsetType
+"""Start of a worker's life, in milliseconds since 1970; unset where the platform tells none."""
+
 RACK_LABEL_DIGITS = frozenset("0123456789-")
 
 
@@ -143,6 +147,7 @@
     labels: list[str] = []
     machine: str = ""
     """The instance that the worker runs on."""
+    born: Birth = msgspec.UNSET
     remaining_ms: float | None = msgspec.field(name="remainingMs", default=None)
 
 
@@ -199,14 +204,19 @@
     return f"status//wave/{number}"
 
 
-def decode_worker(identity: str, value: bytes) -> Result[Worker, str]:
+def decode_birth(born: Birth) -> int | None:
+    """Return a birth in the product's form."""
+    return None if isinstance(born, msgspec.UnsetType) else born
+
+
+def decode_worker(name: WorkerName, value: bytes) -> Result[Worker, str]:
     """Read a worker's description, or tell what is wrong with it.
 
     Others may write into the table too, so that anything may stand there.
     """
-    return _decode(_WORKER, value, f"worker {identity}").map(
+    return _decode(_WORKER, value, f"worker {name}").map(
         lambda found: Worker(
-            id=WorkerId(identity),
+            id=worker_id(name, decode_birth(found.born)),
             pool=PoolId(found.backend),
             address=found.address,
             data_hall=DataHall(found.zone),
--- a/pumicespur/platform/_fleet.py
+++ b/pumicespur/platform/_fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pumicespur.model import DataHall, Instance, InstanceId, InstanceState, PoolId, WorkerId
+from pumicespur.model import DataHall, Instance, InstanceId, InstanceState, PoolId, WorkerName
 from pumicespur.platform._declarations import WireCapacity, rack_of
 from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller, Transfer, understand
 from pumicespur.store import NeverDone, Unavailable
@@ -147,5 +147,5 @@
         rack=rack_of(machine.labels),
         labels=frozenset(machine.labels),
         capacity=machine.capacity.decode(),
-        worker=WorkerId(machine.id) if machine.id else None,
+        worker=WorkerName(machine.id) if machine.id else None,
     )
--- a/pumicespur/platform/_orders.py
+++ b/pumicespur/platform/_orders.py
@@ -7,16 +7,28 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pumicespur.model import Account, OtherLife, Refused, RunEnd, Running, TaskEnd, TaskName
+from pumicespur.model import (
+    Account,
+    OtherLife,
+    Refused,
+    RunEnd,
+    Running,
+    StartedAgain,
+    TaskEnd,
+    TaskName,
+    WorkerName,
+    worker_id,
+    worker_name,
+)
+from pumicespur.platform._declarations import Birth, decode_birth
 from pumicespur.platform._http import JSON_HEADERS, Answer, HttpCaller, understand
-from pumicespur.store import Unavailable
+from pumicespur.store import AnswerLost, Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from pumicespur.model import StartOrder, Worker, WorkerId
     from pumicespur.schema.node_pb import WorkerSettings
-    from pumicespur.store import AnswerLost
 
 EXPECT_WORKER_HEADER = "X-Pumicespur-Expect-Instance"
 OTHER_LIFE = 421
@@ -67,6 +79,7 @@
 
 
 class _Account(msgspec.Struct):
+    born: Birth = msgspec.UNSET
     clock_ms: float = msgspec.field(name="clockMs", default=0)
     reason: str = ""
     running: list[list[str | int | float]] = []
@@ -93,7 +106,11 @@
 
 
 class WorkerOrders:
-    """Orders to workers; each call names the life it is meant for."""
+    """Orders to workers; each call names the worker it is meant for.
+
+    The name outlives a crash, so that an order may be done by a later life; only an account tells
+    which life gives it.
+    """
 
     def __init__(self, settings: WorkerSettings, caller: HttpCaller, watcher: HttpCaller) -> None:
         self.settings = settings
@@ -130,14 +147,18 @@
 
     async def hold(
         self, worker: Worker, token: int, last_seen: int, deadline_ms: int | None, wait_s: float
-    ) -> Result[Account, OtherLife | Refused | Unavailable | AnswerLost]:
+    ) -> Result[Account, OtherLife | StartedAgain | Refused | Unavailable | AnswerLost]:
         """Extend the lease of all that runs, acknowledge ends, and read the worker's account."""
         body = _Hold(token, last_seen, deadline_ms, int(wait_s * 1000))
         timeout_s = wait_s + self.settings.call_timeout_s
         answer = await self._call(self.watcher, worker, HOLD_PATH, body, timeout_s)
         match answer:
             case Result(tag="ok", ok=Answer(status=200, body=content)):
-                return understand(_account, content)
+                match understand(_read_account, content):
+                    case Result(tag="ok", ok=(born_ms, account)):
+                        return _of_life(worker, born_ms, account)
+                    case Result(error=fault):
+                        return Error(fault)
             case Result(tag="ok", ok=refusal):
                 return Error(_fault(refusal))
             case Result(error=fault):
@@ -145,9 +166,10 @@
 
     async def advise(
         self, step: str, workers: Sequence[WorkerId]
-    ) -> Result[tuple[dict[str, str], float], Unavailable | AnswerLost]:
+    ) -> Result[tuple[dict[WorkerId, str], float], Unavailable | AnswerLost]:
         """Ask which workers may run a step; return their tickets and how long these hold (s)."""
-        body = _ENCODER.encode(_Advise(step, list(workers)))
+        lives = {worker_name(worker): worker for worker in workers}
+        body = _ENCODER.encode(_Advise(step, list(lives)))
         url = f"http://{self.settings.advice}{ADVISE_PATH}"
         answer = await self.caller.call(
             "POST", url, ADVICE_TIMEOUT_S, body=body, headers=JSON_HEADERS
@@ -155,7 +177,14 @@
         match answer:
             case Result(tag="ok", ok=Answer(status=200, body=content)):
                 return understand(_ADVISED.decode, content).map(
-                    lambda advised: (dict(advised.good), advised.valid_ms / 1000)
+                    lambda advised: (
+                        {
+                            lives[WorkerName(name)]: ticket
+                            for name, ticket in advised.good
+                            if name in lives
+                        },
+                        advised.valid_ms / 1000,
+                    )
                 )
             case Result(tag="ok", ok=refusal):
                 return Error(Unavailable(f"advice refused with {refusal.status}"))
@@ -182,7 +211,7 @@
         body: msgspec.Struct,
         timeout_s: float,
     ) -> Result[Answer, Unavailable | AnswerLost]:
-        headers = {**JSON_HEADERS, EXPECT_WORKER_HEADER: worker.id}
+        headers = {**JSON_HEADERS, EXPECT_WORKER_HEADER: worker.name}
         url = f"http://{worker.address}{path}"
         content = _ENCODER.encode(body)
         return await caller.call("POST", url, timeout_s, body=content, headers=headers)
@@ -199,14 +228,26 @@
     return Refused(taken.reason or str(answer.status), taken.clock_ms)
 
 
-def _account(content: bytes) -> Account:
+def _of_life(
+    worker: Worker, born_ms: int | None, account: Account
+) -> Result[Account, StartedAgain | AnswerLost]:
+    """Return the account if the life gives it that was meant; no other one knows its runs."""
+    if worker_id(worker.name, born_ms) == worker.id:
+        return Ok(account)
+    if born_ms is None:
+        return Error(AnswerLost("the account does not tell which life gives it"))
+    return Error(StartedAgain())
+
+
+def _read_account(content: bytes) -> tuple[int | None, Account]:
+    """Return when the life began that gives an account, and the account."""
     found = _ACCOUNT.decode(content)
     running = [_running(entry) for entry in found.running]
     ended = [
         TaskEnd(number, TaskName(task), run, RunEnd(how), checkpoint)
         for number, task, run, how, checkpoint in found.ended
     ]
-    return Account(found.clock_ms, running, ended)
+    return decode_birth(found.born), Account(found.clock_ms, running, ended)
 
 
 def _running(entry: list[str | int | float]) -> Running:
--- a/pumicespur/schema/jobs_pb.py
+++ b/pumicespur/schema/jobs_pb.py
@@ -699,7 +699,7 @@
 
 class WorkerReport(Message[_WorkerReportFields]):
     """
-    What a worker carries, as its pool's owner sees it.
+    What a worker carries in its present life, as its pool's owner sees it.
 
     ```proto
     message pumicespur.v1.WorkerReport
@@ -707,6 +707,8 @@
 
     Attributes:
         worker:
+            Its name in the list of instances.
+
             ```proto
             string worker = 1;
             ```
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -7,7 +7,7 @@
 
 from logbook import Logger
 
-from pumicespur.model import Configuration, PoolId, ProcessId, RouteName, WorkerId
+from pumicespur.model import Configuration, PoolId, ProcessId, RouteName, WorkerName
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
@@ -57,7 +57,7 @@
     missing: dict[int, float] = field(default_factory=dict)
     """Newer configurations that others have in force, and when that was heard (monotonic s)."""
     waves: dict[int, Wave] = field(default_factory=dict)
-    workers: dict[WorkerId, Worker] = field(default_factory=dict)
+    workers: dict[WorkerName, Worker] = field(default_factory=dict)
     """Followed only while this process owns a pool, as are `reports`."""
     workers_known: bool = False
     processes: dict[ProcessId, SeenProcess] = field(default_factory=dict)
@@ -138,9 +138,12 @@
         """Return what the owner of a pool told lately, under the newest token."""
         return self.fresh_reports(max_age_s).get(pool)
 
-    def evacuations(self, max_age_s: float) -> set[WorkerId]:
-        """Return the workers that the newest holder of the fleet's duty wants emptied."""
+    def evacuations(self, max_age_s: float) -> set[WorkerName]:
+        """Return the workers that the newest holder of the fleet's duty wants emptied.
+
+        They stand for all of their lives: what is emptied is the instance.
+        """
         now = monotonic()
         fresh = [s.report for s in self.reports.values() if now - s.seen_at <= max_age_s]
         newest = max(fresh, key=lambda report: report.fleet_token, default=None)
-        return set() if newest is None else {WorkerId(name) for name in newest.evacuations}
+        return set() if newest is None else {WorkerName(name) for name in newest.evacuations}
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -103,7 +103,8 @@
     async def publish(self, worker: HostedWorker) -> None:
         """Link a new worker to every node, then let it write itself into the store."""
         for links in self.links.values():
-            await self._link(links, worker)
+            if worker.address not in links.workers:
+                await self._link(links, worker)
         await super().publish(worker)
 
     async def _link(self, links: NodeLinks, worker: HostedWorker) -> None:
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -60,7 +60,7 @@
 
 async def _confirm_unrecorded(self: _watch.WorkerWatch, *arguments: Any) -> None:
     await TAKE_IN(self, *arguments)
-    self.recorded = self.seen
+    self.recorded = self.acknowledged = self.seen
 
 
 async def _accept_whatever(self: _service.JobService, *arguments: Any) -> Any:
--- a/standins/hosted/_foreign.py
+++ b/standins/hosted/_foreign.py
@@ -12,6 +12,7 @@
     "capacity": {"cpu": 64_000, "memMb": 64_000},
     "labels": ["a", "r1-1"],
     "machine": "m-foreign",
+    "born": 1_776_052_017_694,
 }
 """Looks like a worker with much room, at an address where nobody listens."""
 
@@ -30,6 +31,9 @@
     _without("address"),
     _without("capacity"),
     _without("state"),
+    _without("born"),
+    _changed(born=1_776_052_017.5),
+    _changed(born="1776052017694"),
     _changed(address=9),
     _changed(capacity=[64_000]),
     _changed(labels=None),
--- a/standins/hosted/_nodes.py
+++ b/standins/hosted/_nodes.py
@@ -41,6 +41,7 @@
 call_timeout_s = 0.3
 watch_s = 0.2
 owner_silence_s = 1.5
+longest_lease_ms = 3000
 advice = {advice}
 [fleet]
 address = {fleet}
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -127,6 +127,7 @@
     def start_again(self) -> HostedWorker:
         """Make the next life under the same id: it knows nothing, and its clock is set back."""
         again = HostedWorker(self.id, self.pool, self.instance, self.rack, self.history, self.cpu)
+        again.rooms = self.rooms
         again.task_s = self.task_s
         again.clock_base_ms = FIRST_CLOCK_MS / 2
         self.next_life = again
@@ -216,10 +217,18 @@
             return refused
         if self.faults.late_starts_s:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.faults.late_starts_s, self._take_start, body)
+            loop.call_later(self.faults.late_starts_s, self._take_late_start, body)
             await asyncio.sleep(3600)
         return self._take_start(body)
 
+    def _take_late_start(self, body: dict[str, Any]) -> None:
+        """Do a start late; if the worker has started again since, its next life does it."""
+        life = self
+        while life.next_life is not None:
+            life = life.next_life
+        if life.alive:
+            life._take_start(body)
+
     def _take_start(self, body: dict[str, Any]) -> web.Response:
         refused = self._note_order(body)
         if refused is not None:
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -134,7 +134,11 @@
 
     async def _begin_life(self, worker: HostedWorker, port: int = 0) -> None:
         worker.on_crash = lambda: self._crash_under_task(worker)
-        await worker.serve(port)
+        try:
+            await worker.serve(port)
+        except OSError:
+            # Somebody else has the port by now; the worker comes back at another one.
+            await worker.serve()
         self.workers[worker.instance] = worker
         self.rooms[worker.id] = worker.rooms
         self.fleet.pools[worker.instance] = worker.pool
@@ -147,19 +151,30 @@
         Its entry is the old one for `late_s` longer; below zero the new one is there before the
         worker listens, by so many seconds.
         """
-        before = self.workers.pop(instance)
+        before = self.workers.pop(instance, None)
+        if before is None:
+            return
         worker = before.start_again()
         await before.crash()
         await asyncio.sleep(down_s)
         worker.address = before.address
-        if late_s < 0:
+        if late_s < 0 and self._may_begin(worker):
             self.store.put(("servers", "", worker.id), worker.description())
             await asyncio.sleep(-late_s)
+        if not self._may_begin(worker):
+            self.store.remove(("servers", "", worker.id))
+            return
         await self._begin_life(worker, int(before.address.rpartition(":")[2]))
-        if late_s >= 0:
-            await asyncio.sleep(late_s)
+        await asyncio.sleep(late_s if late_s > 0 else 0)
+        if worker.alive:
             await self.publish(worker)
 
+    def _may_begin(self, worker: HostedWorker) -> bool:
+        """Whether a worker's instance runs no other one and is still in its pool."""
+        name = worker.instance
+        free = name not in self.workers and name not in self.fleet.busy
+        return free and self.fleet.pools.get(name) == worker.pool
+
     async def publish(self, worker: HostedWorker) -> None:
         """Let a new worker write itself into the store."""
         self.store.put(("servers", "", worker.id), worker.description())
--- a/tests/test_holder_memory.py
+++ b/tests/test_holder_memory.py
@@ -19,7 +19,7 @@
     PoolId,
     ProcessId,
     Rack,
-    WorkerId,
+    WorkerName,
 )
 from pumicespur.store import Row, StoreClock, Write
 from pumicespur.utils import monotonic
@@ -63,7 +63,7 @@
             Rack("r1-1"),
             frozenset(),
             Capacity(16_000, 32_768),
-            WorkerId(f"w-{pool}-{number}"),
+            WorkerName(f"w-{pool}-{number}"),
         )
         for number in range(count)
     ]
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -19,7 +19,7 @@
     PoolId,
     Rack,
     Wave,
-    WorkerId,
+    WorkerName,
 )
 
 MAIN = PoolId("main")
@@ -39,7 +39,7 @@
         Rack(rack),
         frozenset({"a", rack}),
         Capacity(4000, 8000),
-        None if pool == SPARE else WorkerId(f"w-{name}"),
+        None if pool == SPARE else WorkerName(f"w-{name}"),
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,7 +14,7 @@
 
 from pumicespur.jobs import PoolOwner
 from pumicespur.jobs._load import WorkerLoad
-from pumicespur.model import Configuration, PoolId, PoolSettings, WorkerState
+from pumicespur.model import Configuration, PoolId, PoolSettings, WorkerName, WorkerState
 from pumicespur.node._workers import WorkerList
 from pumicespur.platform import decode_worker
 from pumicespur.schema.node_pb import StoreSettings
@@ -24,16 +24,20 @@
 from tests.test_jobs import make_worker
 from tests.test_node import STEP, NodeCase, job_id
 
+W = WorkerName("w")
+BORN = 1_776_052_017_694
+ANY_BUT_BIRTHS: tuple[Any, ...] = (True, 1.5, -1, 0, [1], {}, "1776052017694", None)
+
 
 class WorkerEntryTest(unittest.TestCase):
     """A worker's description, and what is none."""
 
     def refused(self, **changes: Any) -> bool:
         entry = {k: v for k, v in {**USUAL_ENTRY, **changes}.items() if v is not None}
-        return decode_worker("w", json.dumps(entry).encode()).is_error()
+        return decode_worker(W, json.dumps(entry).encode()).is_error()
 
     def test_description_is_read(self) -> None:
-        worker = decode_worker("w", json.dumps(USUAL_ENTRY).encode()).ok
+        worker = decode_worker(W, json.dumps(USUAL_ENTRY).encode()).ok
         self.assertEqual(("main", "r1-1"), (worker.pool, worker.rack))
         self.assertIs(WorkerState.READY, worker.state)
 
@@ -52,6 +56,7 @@
             "labels": "a",
             "machine": 3,
             "remainingMs": "soon",
+            "born": "1776052017694",
         }
         for field, value in wrong.items():
             with self.subTest(field):
@@ -62,6 +67,20 @@
         self.assertTrue(self.refused(address="nowhere"))
         self.assertTrue(self.refused(capacity={"cpu": -1}))
 
+    def test_birth_is_a_whole_number_or_the_entry_names_no_worker(self) -> None:
+        for value in ANY_BUT_BIRTHS:
+            with self.subTest(value=value):
+                entry = json.dumps({**USUAL_ENTRY, "born": value}).encode()
+                self.assertTrue(decode_worker(W, entry).is_error())
+
+    def test_birth_tells_one_life_from_the_next(self) -> None:
+        lives = [
+            decode_worker(W, json.dumps({**USUAL_ENTRY, "born": born}).encode()).ok
+            for born in (BORN, BORN + 1)
+        ]
+        self.assertNotEqual(*[worker.id for worker in lives])
+        self.assertEqual([W, W], [worker.name for worker in lives])
+
     @given(
         st.binary()
         | st.recursive(st.none() | st.integers() | st.text(), st.lists).map(
@@ -69,10 +88,10 @@
         )
     )
     def test_any_bytes_are_borne(self, value: bytes) -> None:
-        self.assertTrue(decode_worker("w", value).is_error())
+        self.assertTrue(decode_worker(W, value).is_error())
 
     def test_deep_nesting_is_borne(self) -> None:
-        self.assertTrue(decode_worker("w", b'{"more":' + b"[" * 100_000).is_error())
+        self.assertTrue(decode_worker(W, b'{"more":' + b"[" * 100_000).is_error())
 
 
 class WorkerListTest(unittest.TestCase):
@@ -92,6 +111,20 @@
         self.take("servers//w", b"\xff")
         self.assertEqual([], list(self.view.workers))
 
+    def test_entry_without_a_birth_is_another_writers_where_workers_tell_theirs(self) -> None:
+        without = {name: value for name, value in USUAL_ENTRY.items() if name != "born"}
+        for name in ("v", "w"):
+            self.take(f"servers//{name}", json.dumps(USUAL_ENTRY).encode())
+        self.take("servers//w", json.dumps(without).encode())
+        self.assertEqual(["v"], list(self.view.workers))
+
+    def test_platform_that_tells_no_births_is_served(self) -> None:
+        without = {name: value for name, value in USUAL_ENTRY.items() if name != "born"}
+        for name in ("u", "v", "w"):
+            self.take(f"servers//{name}", json.dumps(without).encode())
+        self.take("servers//x", json.dumps(USUAL_ENTRY).encode())
+        self.assertEqual(["u", "v", "w", "x"], list(self.view.workers))
+
     def test_row_of_another_part_says_nothing_of_a_namesake(self) -> None:
         self.take("servers//w", json.dumps(USUAL_ENTRY).encode())
         self.take("servers/elsewhere/w", b"\xff")
@@ -106,7 +139,7 @@
         worker = make_worker("w")
         entry = replace(make_worker("other"), instance=worker.instance, pool=PoolId(pool))
         known = {PoolId("main"): PoolSettings(PoolId("main"), True, False)}
-        view = NodeView(Configuration(1, {}, known), workers={entry.id: entry})
+        view = NodeView(Configuration(1, {}, known), workers={entry.name: entry})
         owner: Any = SimpleNamespace(view=view)
         watch: Any = SimpleNamespace(load=WorkerLoad(worker))
         return PoolOwner._has_successor(owner, watch)
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -17,7 +17,8 @@
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._placement import put
-from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
+from pumicespur.jobs._starts import UnansweredStart
+from pumicespur.jobs._watch import WorkerWatch
 from pumicespur.model import Account, Capacity, Running, TaskName
 from pumicespur.schema.jobs_pb import StepRecord
 from pumicespur.utils import monotonic
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -6,16 +6,26 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from pumicespur.config import NodeSettings
-from pumicespur.jobs._job import TaskState
+from pumicespur.jobs._job import Loss, TaskState
 from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._placement import put
-from pumicespur.jobs._watch import UnansweredStart, WorkerWatch
-from pumicespur.model import Account, RunEnd, TaskEnd
+from pumicespur.jobs._starts import UnansweredStart
+from pumicespur.jobs._watch import WorkerWatch
+from pumicespur.model import (
+    Account,
+    RunEnd,
+    Running,
+    StartedAgain,
+    TaskEnd,
+    WorkerName,
+    worker_id,
+)
 from pumicespur.schema.jobs_pb import StepRecord
 from pumicespur.schema.node_pb import WorkerSettings
+from pumicespur.store import AnswerLost
 from pumicespur.utils import monotonic
 from tests.base import quiet_loop
 from tests.test_jobs import make_pool, make_record, make_worker, submit
@@ -36,15 +46,23 @@
     """A run that has begun and ended when the first stop arrives."""
     stops: int = 0
     starts: int = 0
+    running: list[Running] = field(default_factory=list)
+    last_seen: list[int] = field(default_factory=list)
+    """What each look acknowledged."""
+    faults: list[Any] = field(default_factory=list)
+    """What the next looks meet instead of an account, first the first one."""
 
     async def start(self, *arguments: Any) -> Result[None, Any]:
         """Take a start."""
         self.starts += 1
         return Ok(None)
 
-    async def hold(self, *arguments: Any) -> Result[Account, Any]:
-        """Tell what has ended; nothing runs."""
-        return Ok(Account(monotonic() * 1000, [], list(self.ends)))
+    async def hold(self, worker: Any, token: int, last_seen: int, *_: Any) -> Result[Account, Any]:
+        """Tell what has ended and what runs."""
+        self.last_seen.append(last_seen)
+        if self.faults:
+            return Error(self.faults.pop(0))
+        return Ok(Account(monotonic() * 1000, list(self.running), list(self.ends)))
 
     async def stop(self, *arguments: Any) -> Result[None, Any]:
         """Take a stop; the run may be over by then."""
@@ -64,6 +82,7 @@
         self.pool = make_pool()
         self.orders: Any = ScriptedOrders()
         self.token = 1
+        self.restarted: list[WorkerId] = []
 
     def may_extend(self, now: float) -> bool:
         """Extend leases always."""
@@ -82,6 +101,10 @@
     def stop_gang(self, group: StepGroup, run: int) -> None:
         """Do nothing; the tests have no gangs."""
 
+    def note_restart(self, worker: WorkerId) -> None:
+        """Take note."""
+        self.restarted.append(worker)
+
     def forget(self, worker: WorkerId) -> None:
         """Do nothing."""
 
@@ -160,3 +183,110 @@
         await self.watch.start(self.task, 1)
         self.assertEqual(1, self.holder.orders.starts)
         self.assertIs(TaskState.RUNNING, self.task.state)
+
+
+class AcknowledgementTest(unittest.IsolatedAsyncioTestCase):
+    """Numbers of ends mean something to the life alone that gave them."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.holder = ScriptedHolder()
+        self.orders = self.holder.orders
+        self.watch = WorkerWatch(self.holder, make_worker("w"), EarlierLeases(0.0))
+        job = submit(self.holder.pool, make_record(StepRecord(count=2, cpu_millis=100)))
+        self.first, self.second = job.tasks
+
+    async def look(self) -> None:
+        await self.watch._look(monotonic())
+
+    async def begin(self, task: Task) -> None:
+        put(task, self.watch.load)
+        await self.watch.start(task, task.run)
+
+    async def end_first(self) -> None:
+        """Let one of two tasks end after both were seen at work."""
+        await self.look()
+        await self.begin(self.first)
+        self.orders.ends = [TaskEnd(1, self.first.name, 1, RunEnd.DONE, "")]
+        await self.look()
+
+    async def test_recorded_ends_are_acknowledged(self) -> None:
+        await self.end_first()
+        self.watch.note_recorded(1)
+        await self.look()
+        self.assertEqual([0, 0, 1], self.orders.last_seen)
+
+    async def test_not_while_a_start_is_open(self) -> None:
+        # The start may have reached a life that began meanwhile and numbers its ends anew.
+        await self.end_first()
+        await self.begin(self.second)
+        self.watch.note_recorded(1)
+        await self.look()
+        self.assertEqual(0, self.orders.last_seen[-1])
+        self.orders.running = [Running(self.second.name, 1, "", 0, 0.0)]
+        await self.look()
+        await self.look()
+        self.assertEqual(1, self.orders.last_seen[-1])
+
+    async def test_not_after_a_silence(self) -> None:
+        await self.end_first()
+        self.watch.note_recorded(1)
+        self.orders.faults = [AnswerLost("silent")]
+        for _ in range(3):
+            await self.look()
+        self.assertEqual([1, 0, 1], self.orders.last_seen[-3:])
+
+
+class NextLifeTest(unittest.IsolatedAsyncioTestCase):
+    """A worker that answers in another life than its owner dealt with."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.holder = ScriptedHolder()
+        self.orders = self.holder.orders
+        first, second = (worker_id(WorkerName("w"), born) for born in (1000, 2000))
+        self.before = WorkerWatch(self.holder, make_worker(first), EarlierLeases(0.0))
+        job = submit(self.holder.pool, make_record(StepRecord(count=2, cpu_millis=100)))
+        self.seen, self.open = job.tasks
+        await self.before._look(monotonic())
+        for task in job.tasks:
+            put(task, self.before.load)
+            await self.before.start(task, 1)
+            if task is self.seen:
+                self.orders.running = [Running(task.name, 1, "", 0, 0.0)]
+                await self.before._look(monotonic())
+        self.orders.running = []
+        self.orders.faults = [StartedAgain()]
+        await self.before._look(monotonic())
+        self.after = WorkerWatch(self.holder, make_worker(second), EarlierLeases(0.0))
+
+    async def look(self) -> None:
+        await self.after._look(monotonic())
+
+    async def test_what_the_life_before_told_of_is_lost_with_it(self) -> None:
+        self.assertEqual([self.before.id], self.holder.restarted)
+        self.assertIs(TaskState.WAITING, self.seen.state)
+
+    async def test_an_open_start_waits_for_what_the_next_life_tells(self) -> None:
+        self.assertEqual(self.before.id, self.open.worker)
+        self.after.adopt(self.open, monotonic())
+        await self.look()
+        self.assertEqual((1, TaskState.STARTING), (self.orders.stops, self.open.state))
+        await self.look()
+        self.assertIs(TaskState.WAITING, self.open.state)
+        self.assertEqual([self.before.id], [loss.worker for loss in self.open.losses])
+
+    async def test_an_open_start_that_the_next_life_took_goes_on(self) -> None:
+        self.open.losses = [Loss(self.before.id, self.before.load.instance, alone=True)]
+        self.after.adopt(self.open, monotonic())
+        self.orders.running = [Running(self.open.name, 1, "", 0, 0.0)]
+        await self.look()
+        self.assertIs(TaskState.RUNNING, self.open.state)
+        self.assertEqual((0, []), (self.orders.stops, self.open.losses))
+
+    async def test_its_ends_are_taken_in_from_one_on(self) -> None:
+        self.after.adopt(self.open, monotonic())
+        self.orders.ends = [TaskEnd(1, self.open.name, 1, RunEnd.DONE, "")]
+        await self.look()
+        self.assertEqual(0, self.orders.last_seen[-1])
+        self.assertIs(TaskState.DONE, self.open.state)
