--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -105,6 +105,8 @@
     Mutant.ROOM_NOT_READ_AGAIN: (FaultKind.WORKER_SHRINKS, FaultKind.WORKER_SHRINKS),
     Mutant.KEYS_CHECKED_AT_HAND_IN: (FaultKind.TAKE_KEY,),
     Mutant.KEYS_LOGGED: (FaultKind.TAKE_KEY,),
+    Mutant.BIRTHS_IGNORED: (FaultKind.RACK_RESTARTS, FaultKind.RESTART_AT_TAKEOVER),
+    Mutant.OPEN_STARTS_FORGOTTEN: (FaultKind.WORKER_STARTS_LATE, FaultKind.WORKER_RESTARTS),
     Mutant.LIMITS_IGNORED: (FaultKind.HOT_ACCOUNT, FaultKind.LIMIT_FALLS),
 }
 """Faults that show what each mutant lacks when they overlap."""
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -47,6 +47,9 @@
 ROOM_S = 1.5
 """Time after which a room that has shrunk is known, in calm."""
 
+ORDER_S = 0.5
+"""Time by which an order for an instance has taken its worker down."""
+
 SPECULATION_S = 1.0
 """Time after a confirmed end in which a speculative task may still start elsewhere."""
 
@@ -238,9 +241,9 @@
         if run.how == "stopped":
             return run.stop_ordered_at
         if run.how == "gone" and run.ended_at is not None:
-            worker = run.worker
-            orders = [o for o in self.world.fleet.orders if o.worker == worker]
-            return orders[-1].at if orders else None
+            # A worker may start again under its id, so that an order may be for a later life.
+            ordered = [o.at for o in self.world.fleet.orders if o.worker == run.worker]
+            return next((at for at in ordered if abs(run.ended_at - at) < ORDER_S), None)
         return None
 
     def _is_away(self, found: list[Run], at: float) -> bool:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -12,6 +12,7 @@
 from pumicespur.utils import monotonic
 from soak._accounts import LOW_LIMIT, NAMES, USUAL_LIMIT
 from soak._plan import FaultKind
+from soak._restarts import RESTART_KINDS, restart_workers
 from soak._world import FOREIGN
 from standins.hosted import FOREIGN_ENTRIES, WORKER_CPU, Passage
 
@@ -129,6 +130,8 @@
                 await self._change_account(fault)
             case FaultKind.HOT_ACCOUNT if self.callers:
                 await self.callers[fault.target % len(self.callers)].rush(_account(fault))
+            case kind if kind in RESTART_KINDS:
+                await restart_workers(self.world, fault)
             case FaultKind.FOREIGN_ENTRIES:
                 await self._write_foreign_entries(fault)
             case FaultKind.CRASHING_JOB if self.callers:
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -23,7 +23,7 @@
 )
 from pumicespur.model import ANYONE
 from pumicespur.node import _follow
-from pumicespur.platform import _callers, _table
+from pumicespur.platform import _callers, _declarations, _orders, _table
 from pumicespur.store import Transaction
 
 
@@ -43,6 +43,8 @@
     KEYS_CHECKED_AT_HAND_IN = "keys-checked-at-hand-in"
     KEYS_LOGGED = "keys-logged"
     LIMITS_IGNORED = "limits-ignored"
+    BIRTHS_IGNORED = "births-ignored"
+    OPEN_STARTS_FORGOTTEN = "open-starts-forgotten"
 
 
 TRANSACTION = _journal.Journal._transaction
@@ -50,6 +52,7 @@
 FITS = _load.WorkerLoad.fits
 ROOMS: dict[Any, Any] = {}
 SUBMIT = _service.JobService.submit
+DROP_WORKER = _pool.PoolState.drop_worker
 CALLER = _callers.CallerServer._caller
 
 
@@ -74,6 +77,10 @@
     self._free_if_same(task, start.run, "start did not arrive")
 
 
+def _drop_all(self: _pool.PoolState, worker: Any, keep: Any = ()) -> None:
+    DROP_WORKER(self, worker)
+
+
 def _check_at_hand_in(self: _callers.CallerServer, request: Any, *arguments: Any) -> Any:
     return CALLER(self, request, *arguments) if request.method == "POST" else ANYONE
 
@@ -113,6 +120,11 @@
             _replace(_callers.CallerServer, "_caller", _log_key)
         case Mutant.LIMITS_IGNORED:
             _replace(_limits.PoolLimits, "allows", lambda *arguments: True)
+        case Mutant.BIRTHS_IGNORED:
+            _replace(_declarations, "decode_birth", lambda born: None)
+            _replace(_orders, "decode_birth", lambda born: None)
+        case Mutant.OPEN_STARTS_FORGOTTEN:
+            _replace(_pool.PoolState, "drop_worker", _drop_all)
         case Mutant.ROOM_NOT_READ_AGAIN:
             _replace(_load.WorkerLoad, "fits", _fit_at_first)
         case Mutant.CHANGES_REPLAYED:
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -222,9 +222,14 @@
         return self._take_start(body)
 
     def _take_late_start(self, body: dict[str, Any]) -> None:
-        """Do a start late; if the worker has started again since, its next life does it."""
+        """Do a start late; if the worker has started again since, its next life does it.
+
+        What a life was told to refuse is forgotten by the next one, but not carried over to it.
+        """
         life = self
         while life.next_life is not None:
+            if body["run"] <= life.refused.get(body["task"], 0):
+                return
             life = life.next_life
         if life.alive:
             life._take_start(body)
