--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -66,6 +66,8 @@
     silent: bool = False
     late_starts_s: float = 0.0
     """Starts get no answer and are done after this time."""
+    late_starts_unbarred: bool = False
+    """What stops keep late starts from is forgotten by the worker's next life, which does them."""
     fail_all: bool = False
 
 
@@ -224,11 +226,12 @@
     def _take_late_start(self, body: dict[str, Any]) -> None:
         """Do a start late; if the worker has started again since, its next life does it.
 
-        What a life was told to refuse is forgotten by the next one, but not carried over to it.
+        What a life was told to refuse is not carried over to the next one, unless a test asks.
         """
         life = self
         while life.next_life is not None:
-            if body["run"] <= life.refused.get(body["task"], 0):
+            barred = body["run"] <= life.refused.get(body["task"], 0)
+            if barred and not self.faults.late_starts_unbarred:
                 return
             life = life.next_life
         if life.alive:
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -101,6 +101,25 @@
         return self.node.log.read_text()
 
 
+class LateOrderTest(RestartCase):
+    """A start that a stop has kept from one life is done late, by the next one."""
+
+    workers = 1
+
+    async def test_the_next_life_is_kept_from_it_too(self) -> None:
+        worker = self.world.workers["m-0"]
+        worker.faults.late_starts_s = 3.0
+        worker.faults.late_starts_unbarred = True
+        await self.world.submit(self.node, job_id(702), [LASTING], payload="lasts")
+        await self.world.wait_for(lambda: bool(worker.refused), "the start is barred")
+        self.world.resize_worker("m-0", LONE["cpu"] // 2)
+        await self.world.add_worker("m-1")
+        await self.world.wait_for(lambda: self.at_work() == 1, "it runs elsewhere")
+        await self.world.restart_worker("m-0")
+        await asyncio.sleep(3.0)
+        await self.check_back(1)
+
+
 class RackRestartTest(RestartCase):
     """Workers of one rack, which start again at one time."""
 
