A next life is told to refuse what stops kept from the one before

A start without an answer may be done seconds later. Its stop bound one life only: the next one did it beside the run that had begun elsewhere. The owner keeps such runs for 15 s by the worker's name and bars them on the next life before it deals with it otherwise. What is left: the time between a birth and the first stop, and bars that an earlier owner gave.

--- a/pumicespur/jobs/_holding.py
+++ b/pumicespur/jobs/_holding.py
@@ -9,7 +9,7 @@
 
     from pumicespur.config import NodeSettings
     from pumicespur.jobs._job import StepGroup
-    from pumicespur.jobs._pool import PoolState
+    from pumicespur.jobs._pool import PoolState, RunKey
     from pumicespur.model import TaskEnd, WorkerId
     from pumicespur.platform import WorkerOrders
 
@@ -40,5 +40,8 @@
     def note_restart(self, worker: WorkerId) -> None:
         """Note that a life of a worker is over although the store may still list it."""
 
+    def note_barred(self, worker: WorkerId, run: RunKey) -> None:
+        """Note that a worker was told to refuse a run whose start may still be done late."""
+
     def forget(self, worker: WorkerId) -> None:
         """Drop a worker whose life is over."""
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -34,6 +34,7 @@
     from pumicespur.config import NodeSettings
     from pumicespur.jobs._job import StepGroup
     from pumicespur.jobs._lease import EarlierLeases
+    from pumicespur.jobs._pool import RunKey
     from pumicespur.model import TaskEnd, Worker
     from pumicespur.platform import PlatformTable, WorkerOrders
     from pumicespur.schema.jobs_pb import PartRecord, PoolReport
@@ -223,6 +224,10 @@
         """Note that a life of a worker is over although the store may still list it."""
         self.restarts.note(worker, monotonic())
 
+    def note_barred(self, worker: WorkerId, run: RunKey) -> None:
+        """Note that a worker was told to refuse a run whose start may still be done late."""
+        self.restarts.note_barred(worker, run, monotonic())
+
     def _watch(self, worker: Worker) -> None:
         """Follow a life of a worker, with the starts that an earlier owner or life left open."""
         watch = WorkerWatch(self, worker, self.restarts.leases_of(worker, monotonic()))
@@ -231,6 +236,7 @@
                 if task.worker and worker_name(task.worker) == worker.name and not job.ended:
                     watch.adopt(task, self.ownership.acquired_at)
                 watch.blamed |= any(loss.worker == worker.id for loss in task.losses)
+        watch.to_bar = self.restarts.barred_runs(worker, monotonic())
         self.pool.adopt_inherited(watch.load)
         self.watches[worker.id] = watch
         self.spawn(watch.run)
--- a/pumicespur/jobs/_restarts.py
+++ b/pumicespur/jobs/_restarts.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from pumicespur.jobs._pool import RunKey
     from pumicespur.model import Worker, WorkerId, WorkerName
     from pumicespur.schema.node_pb import WorkerSettings
 
@@ -18,8 +19,12 @@
 """Most by which the time of day of a worker and of this process may differ, with room to spare."""
 
 
+LATE_ORDERS_S = 15.0
+"""Time for which an order without an answer may still be done by a worker."""
+
+
 class Restarts:
-    """The lives of a pool's workers that are known to be over."""
+    """The lives of a pool's workers that are known to be over, and what their next ones refuse."""
 
     def __init__(self, settings: WorkerSettings, earlier: EarlierLeases) -> None:
         self.settings = settings
@@ -29,6 +34,20 @@
         """Lives that are over, and since when that is known (monotonic seconds)."""
         self.names: set[WorkerName] = set()
         """Workers that have started again while this process owned the pool."""
+        self.barred: dict[WorkerName, dict[RunKey, float]] = {}
+        """When runs were last barred (monotonic seconds) whose starts had got no answer."""
+
+    def note_barred(self, worker: WorkerId, run: RunKey, now: float) -> None:
+        """Note that a worker was told to refuse a run whose start may still be done late."""
+        barred = self.barred.setdefault(worker_name(worker), {})
+        barred[run] = now
+        for old in [key for key, at in barred.items() if now - at > LATE_ORDERS_S]:
+            del barred[old]
+
+    def barred_runs(self, worker: Worker, now: float) -> list[RunKey]:
+        """Return the runs that a worker's next life, which knows of no stop, has to refuse too."""
+        barred = self.barred.get(worker.name, {})
+        return [run for run, at in barred.items() if now - at <= LATE_ORDERS_S]
 
     def note(self, worker: WorkerId, now: float) -> None:
         """Note that a life is over because another one of the same worker was heard of."""
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -24,6 +24,7 @@
     from pumicespur.jobs._holding import PoolHolder
     from pumicespur.jobs._job import Task
     from pumicespur.jobs._lease import EarlierLeases
+    from pumicespur.jobs._pool import RunKey
     from pumicespur.model import Running, TaskName, Worker
 
 log = Logger(__name__)
@@ -76,6 +77,8 @@
         self.gone = False
         self.restarted = False
         """The worker has another life, to which open starts were left."""
+        self.to_bar: list[RunKey] = []
+        """Runs that an earlier life was told to refuse and this one has to refuse as well."""
         self.pending: set[Task] = set()
         """Tasks that are being ordered to start."""
         self.blamed = False
@@ -84,6 +87,7 @@
     async def run(self) -> None:
         """Follow the worker until its life is over."""
         while not self.gone:
+            await self._bar_again()
             await self._wait_for_record()
             now = monotonic()
             if not self.owner.may_extend(now):
@@ -94,6 +98,14 @@
             self._check_lapse()
         self.owner.forget(self.id)
 
+    async def _bar_again(self) -> None:
+        """Tell a next life what it has to refuse, before anything else and until it has heard."""
+        for run in list(self.to_bar):
+            stopped = await self.owner.orders.stop(self.load.worker, self.owner.token, *run)
+            if not stopped.is_ok():
+                return
+            self.to_bar.remove(run)
+
     async def _wait_for_record(self) -> None:
         if self.seen > self.recorded:
             self.changed = anyio.Event()
@@ -289,6 +301,7 @@
         )
         if stopped.is_ok():
             start.barred_at = monotonic()
+            self.owner.note_barred(self.id, (task.name, start.run))
 
     def _free_if_same(self, task: Task, run: int, reason: str) -> None:
         if task.run != run or task.worker != self.id or task.state is TaskState.DONE:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -105,6 +105,9 @@
         """Take note."""
         self.restarted.append(worker)
 
+    def note_barred(self, worker: WorkerId, run: Any) -> None:
+        """Do nothing."""
+
     def forget(self, worker: WorkerId) -> None:
         """Do nothing."""
 
