An entry of before that is told again brings no earlier life back; tasks are grouped by worker once

Read in the code, not seen: after a whole reading of the workers' table, changes of before it may come again, and a row of an earlier life would have ended the present one, whose runs go on. Rows older than what is known are passed over, and a life that is known to be over ends no other. Tasks are now grouped by worker once for all new workers instead of once for each.

--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -26,7 +26,7 @@
 from pumicespur.utils import METRICS, monotonic, now_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Iterable, Sequence
     from typing import Any
 
     from anyio.abc import TaskGroup
@@ -198,11 +198,11 @@
         for watch in list(self.watches.values()):
             if watch.id not in listed:
                 self._note_unlisted(watch)
-        for worker in self.restarts.living(listed):
+        living = self.restarts.living(listed)
+        self._watch_new([worker for worker in living if worker.id not in self.watches])
+        for worker in living:
             known = self.watches.get(worker.id)
-            if known is None:
-                self._watch(worker)
-            else:
+            if known is not None:
                 if known.load.worker.state is not worker.state:
                     log.info(
                         "worker drains" if worker.state is WorkerState.DRAINING else "worker ready",
@@ -228,14 +228,21 @@
         """Note that a worker was told to refuse a run whose start may still be done late."""
         self.restarts.note_barred(worker, run, monotonic())
 
-    def _watch(self, worker: Worker) -> None:
+    def _watch_new(self, workers: Sequence[Worker]) -> None:
+        """Follow lives of workers that are not followed yet."""
+        if not workers:
+            return
+        assigned = self.pool.assigned_tasks()
+        lost = self.pool.lost_workers()
+        for worker in workers:
+            self._watch(worker, assigned.get(worker.name, ()), worker.id in lost)
+
+    def _watch(self, worker: Worker, tasks: Iterable[Task], blamed: bool) -> None:
         """Follow a life of a worker, with the starts that an earlier owner or life left open."""
         watch = WorkerWatch(self, worker, self.restarts.leases_of(worker, monotonic()))
-        for job in self.pool.jobs.values():
-            for task in job.tasks:
-                if task.worker and worker_name(task.worker) == worker.name and not job.ended:
-                    watch.adopt(task, self.ownership.acquired_at)
-                watch.blamed |= any(loss.worker == worker.id for loss in task.losses)
+        watch.blamed = blamed
+        for task in tasks:
+            watch.adopt(task, self.ownership.acquired_at)
         watch.to_bar = self.restarts.barred_runs(worker, monotonic())
         self.pool.adopt_inherited(watch.load)
         self.watches[worker.id] = watch
@@ -245,7 +252,9 @@
         """Whether a worker tells another birth, by an entry that names a known pool."""
         found = self.view.workers.get(watch.load.worker.name)
         pools = self.view.configuration.pools
-        return found is not None and found.id != watch.id and found.pool in pools
+        if found is None or found.id == watch.id or self.restarts.is_over(found.id):
+            return False
+        return found.pool in pools or found.pool == self.ownership.pool
 
     def _has_successor(self, watch: WorkerWatch) -> bool:
         """Whether a newer life runs on a worker's instance, by an entry that names a known pool."""
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -23,7 +23,7 @@
 from pumicespur.jobs._load import WorkerLoad
 from pumicespur.jobs._placement import order_groups, place_groups
 from pumicespur.jobs._shares import ShareMeter
-from pumicespur.model import JobId, RouteName, RunEnd, TaskName, WorkerId
+from pumicespur.model import JobId, RouteName, RunEnd, TaskName, WorkerId, worker_name
 from pumicespur.schema.jobs_pb import FailureRecord, JobPhase
 from pumicespur.utils import monotonic
 
@@ -39,6 +39,7 @@
         Rack,
         TaskEnd,
         Worker,
+        WorkerName,
     )
     from pumicespur.schema.jobs_pb import JobRecord, LeftRun, ProgressRecord, StepRecord
 
@@ -218,6 +219,20 @@
         task.losses = [loss for loss in task.losses if loss.worker != worker]
         self.dirty.add(task.job)
 
+    def assigned_tasks(self) -> dict[WorkerName, list[Task]]:
+        """Return the tasks of jobs that go on, by the worker that they were last assigned to."""
+        found: dict[WorkerName, list[Task]] = {}
+        for job in self.jobs.values():
+            for task in job.tasks:
+                if task.worker and not job.ended:
+                    found.setdefault(worker_name(task.worker), []).append(task)
+        return found
+
+    def lost_workers(self) -> set[WorkerId]:
+        """Return the workers whose losses tasks carry."""
+        tasks = (task for job in self.jobs.values() for task in job.tasks)
+        return {loss.worker for task in tasks for loss in task.losses}
+
     def lose_run(self, task: Task, loss: Loss) -> None:
         """Note the loss of a worker with a task of which it is not known whether it began there."""
         if task.job.ended or task.state is TaskState.DONE:
--- a/pumicespur/jobs/_restarts.py
+++ b/pumicespur/jobs/_restarts.py
@@ -54,9 +54,13 @@
         self.over[worker] = now
         self.names.add(worker_name(worker))
 
+    def is_over(self, worker: WorkerId) -> bool:
+        """Whether a life is known to be over, whatever its entry says."""
+        return worker in self.over
+
     def living(self, listed: Mapping[WorkerId, Worker]) -> list[Worker]:
         """Return the listed lives but for those that are over: their entries are out of date."""
-        return [worker for name, worker in listed.items() if name not in self.over]
+        return [worker for name, worker in listed.items() if not self.is_over(name)]
 
     def leases_of(self, worker: Worker, now: float) -> EarlierLeases:
         """Return when the leases of a life are over that nobody knows of.
--- a/pumicespur/node/_workers.py
+++ b/pumicespur/node/_workers.py
@@ -57,6 +57,8 @@
         self.keeper = keeper
         self.entries: dict[WorkerName, Worker] = {}
         """Every entry that could be read; not each of them names a worker to use."""
+        self.versions: dict[WorkerName, int] = {}
+        """The newest version of each row; after a whole reading, older ones may come again."""
 
     async def run(self) -> None:
         """Follow the list of workers while a pool is owned, from a whole reading on.
@@ -85,6 +87,7 @@
         self.view.workers_known = False
         self.view.workers = {}
         self.entries.clear()
+        self.versions.clear()
 
     def _take(self, rows: Sequence[Row], whole: bool) -> None:
         if whole:
@@ -102,7 +105,11 @@
     def _take_entry(self, name: WorkerName, row: Row) -> None:
         if not row.version:
             self.entries.pop(name, None)
+            self.versions.pop(name, None)
             return
+        if row.version < self.versions.get(name, 0):
+            return
+        self.versions[name] = row.version
         match decode_worker(name, row.value):
             case Result(tag="ok", ok=worker):
                 self.entries[name] = worker
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -60,6 +60,8 @@
         self.served: list[Served] = []
         self.rooms: dict[str, list[tuple[float, int]]] = {}
         """By worker, also those that are gone: what its room was since when."""
+        self.names_kept = False
+        """Whether workers that a task brings down start again under their names."""
         self.crashes: set[asyncio.Task[None]] = set()
         """Workers that a task has brought down and that are not back yet."""
         self.session: aiohttp.ClientSession | None = None
@@ -199,6 +201,9 @@
         crash.add_done_callback(self.crashes.discard)
 
     async def _crash_and_return(self, worker: HostedWorker) -> None:
+        if self.names_kept:
+            await self.restart_worker(worker.instance, CRASH_BACK_S)
+            return
         pool = worker.pool
         await self.take_down(worker.instance)
         await asyncio.sleep(CRASH_BACK_S)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -98,6 +98,14 @@
         await self.check_outcome(await self.submit_all())
 
 
+class CrashingTaskSameNamesTest(CrashCase):
+    """The workers that it brings down start again under their names."""
+
+    async def test_it_is_given_up_and_its_neighbours_are_not(self) -> None:
+        self.world.names_kept = True
+        await self.check_outcome(await self.submit_all())
+
+
 class CrashingTaskReasonTest(CrashCase):
     """Operators are told why the job failed, by the logs and by any node."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,7 +14,7 @@
 
 from pumicespur.jobs import PoolOwner
 from pumicespur.jobs._load import WorkerLoad
-from pumicespur.model import Configuration, PoolId, PoolSettings, WorkerName, WorkerState
+from pumicespur.model import Configuration, PoolId, PoolSettings, WorkerName, WorkerState, worker_id
 from pumicespur.node._workers import WorkerList
 from pumicespur.platform import decode_worker
 from pumicespur.schema.node_pb import StoreSettings
@@ -102,8 +102,13 @@
         keeper: Any = SimpleNamespace(sync_workers=lambda: None)
         self.list = WorkerList(StoreSettings(), self.view, cast("Any", None), keeper)
 
-    def take(self, key: str, value: bytes) -> None:
-        self.list._take([Row(key, value, 1)], False)
+    def take(self, key: str, value: bytes, version: int = 1) -> None:
+        self.list._take([Row(key, value, version)], False)
+
+    def test_entry_of_before_that_comes_again_does_not_bring_an_earlier_life_back(self) -> None:
+        for born, version in ((BORN, 5), (BORN + 1, 9), (BORN, 7)):
+            self.take("servers//w", json.dumps({**USUAL_ENTRY, "born": born}).encode(), version)
+        self.assertEqual(worker_id(W, BORN + 1), self.view.workers[W].id)
 
     def test_entry_that_can_not_be_read_takes_the_place_of_the_one_before(self) -> None:
         self.take("servers//w", json.dumps(USUAL_ENTRY).encode())
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -13,14 +13,18 @@
 
 import asyncio
 import unittest
+from types import SimpleNamespace
 from typing import Any
 
+from pumicespur.jobs import PoolOwner
 from pumicespur.jobs._lease import EarlierLeases
+from pumicespur.jobs._load import WorkerLoad
 from pumicespur.jobs._restarts import Restarts
-from pumicespur.model import WorkerName, worker_id
+from pumicespur.model import Configuration, PoolSettings, WorkerName, worker_id
 from pumicespur.schema.node_pb import WorkerSettings
 from pumicespur.utils import now_ms
-from tests.test_jobs import make_worker
+from pumicespur.view import NodeView
+from tests.test_jobs import POOL, make_worker
 from tests.test_node import STEP, NodeCase, job_id
 
 LONE = {**STEP, "count": 1}
@@ -207,6 +211,18 @@
         listed = {worker.id: worker for worker in self.lives}
         self.assertEqual([after], self.restarts.living(listed))
 
+    def test_an_entry_of_before_ends_no_life(self) -> None:
+        before, after = self.lives
+        self.restarts.note(before.id, 200.0)
+        pools = {POOL: PoolSettings(POOL, True, False)}
+        view = NodeView(Configuration(1, {}, pools), workers={before.name: before})
+        owner: Any = SimpleNamespace(view=view, restarts=self.restarts)
+        watch: Any = SimpleNamespace(id=after.id, load=WorkerLoad(after))
+        self.assertFalse(PoolOwner._has_next_life(owner, watch))
+        newer = make_worker(worker_id(before.name, 10**13))
+        view.workers = {newer.name: newer}
+        self.assertTrue(PoolOwner._has_next_life(owner, watch))
+
     def test_a_next_life_may_hold_a_lease_as_long_as_any(self) -> None:
         before, after = self.lives
         self.assertEqual(100.0, self.restarts.leases_of(after, 200.0).until)
