--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -106,7 +106,10 @@
     Mutant.KEYS_CHECKED_AT_HAND_IN: (FaultKind.TAKE_KEY,),
     Mutant.KEYS_LOGGED: (FaultKind.TAKE_KEY,),
     Mutant.BIRTHS_IGNORED: (FaultKind.RACK_RESTARTS, FaultKind.RESTART_AT_TAKEOVER),
-    Mutant.OPEN_STARTS_FORGOTTEN: (FaultKind.WORKER_STARTS_LATE, FaultKind.WORKER_RESTARTS),
+    Mutant.OPEN_STARTS_FORGOTTEN: (
+        FaultKind.RESTART_UNDER_ORDERS,
+        FaultKind.RESTART_UNDER_ORDERS,
+    ),
     Mutant.LIMITS_IGNORED: (FaultKind.HOT_ACCOUNT, FaultKind.LIMIT_FALLS),
 }
 """Faults that show what each mutant lacks when they overlap."""
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -57,6 +57,7 @@
     WORKER_CRASH = "worker crashes"
     WORKER_RESTARTS = "worker starts again under its name"
     RACK_RESTARTS = "rack of workers starts again"
+    RESTART_UNDER_ORDERS = "workers start again with starts on their way"
     RESTART_BEHIND_CUT = "workers start again behind a cut"
     RESTART_AT_TAKEOVER = "workers start again as the pool's owner is killed"
     RESTART_WITH_ALL_NODES = "workers start again as all nodes are killed"
--- a/soak/_restarts.py
+++ b/soak/_restarts.py
@@ -20,6 +20,7 @@
     {
         FaultKind.WORKER_RESTARTS,
         FaultKind.RACK_RESTARTS,
+        FaultKind.RESTART_UNDER_ORDERS,
         FaultKind.RESTART_BEHIND_CUT,
         FaultKind.RESTART_AT_TAKEOVER,
         FaultKind.RESTART_WITH_ALL_NODES,
@@ -33,12 +34,18 @@
 """Most by which the entry of a next life comes late or early."""
 
 
+ON_THEIR_WAY_S = 0.25
+"""Time before a crash from which on starts get no answer; shorter than a node waits for one."""
+
+
 async def restart_workers(world: SoakWorld, fault: Fault) -> None:
     """Let one worker or a whole rack start again, while whatever else the fault names happens."""
     names = _chosen(world, fault)
     match fault.kind:
         case FaultKind.RESTART_BEHIND_CUT:
             await _behind_cut(world, fault, names)
+        case FaultKind.RESTART_UNDER_ORDERS:
+            await _under_orders(world, fault, names)
         case FaultKind.RESTART_AT_TAKEOVER:
             owners = [name for name in world.links if name == world.owner()]
             await _without_nodes(world, fault, names, owners)
@@ -69,6 +76,14 @@
             late_s = -late_s
 
 
+async def _under_orders(world: SoakWorld, fault: Fault, names: list[str]) -> None:
+    """Start workers again whose next lives do the starts that were on their way."""
+    for name in names:
+        world.workers[name].faults.late_starts_s = 2 * ON_THEIR_WAY_S + MOST_DOWN_S
+    await asyncio.sleep(ON_THEIR_WAY_S)
+    await _restart(world, fault, names)
+
+
 async def _behind_cut(world: SoakWorld, fault: Fault, names: list[str]) -> None:
     """Start workers again that no node reaches, though they reach the store."""
     addresses = [world.workers[name].address for name in names if name in world.workers]
