A silent worker is sent no deadline; a next life counts as leased only if one may have reached it

Such a lease exists only where a deadline on the clock of before arrived. The looks after a silence carry none now, and a next life met by one of them holds none.

--- a/pumicespur/jobs/_holding.py
+++ b/pumicespur/jobs/_holding.py
@@ -37,8 +37,11 @@
     def stop_gang(self, group: StepGroup, run: int) -> None:
         """Stop the members of a gang, one of which did not start."""
 
-    def note_restart(self, worker: WorkerId) -> None:
-        """Note that a life of a worker is over although the store may still list it."""
+    def note_restart(self, worker: WorkerId, *, leased: bool) -> None:
+        """Note that a life is over although the store may still list it.
+
+        `leased` tells that a deadline meant for it may have reached the next one.
+        """
 
     def note_barred(self, worker: WorkerId, run: RunKey) -> None:
         """Note that a worker was told to refuse a run whose start may still be done late."""
--- a/pumicespur/jobs/_lease.py
+++ b/pumicespur/jobs/_lease.py
@@ -48,10 +48,6 @@
         self.promised_ms = max(self.promised_ms, deadline)
         return int(deadline)
 
-    def granted(self) -> int | None:
-        """Return the latest deadline again, for a worker that may not hear."""
-        return None if self.clock_ms is None else int(self.promised_ms)
-
     def over_at(self) -> float:
         """Return the monotonic time by which all that the worker ran has ended."""
         if self.clock_ms is None:
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -216,13 +216,13 @@
     def _note_unlisted(self, watch: WorkerWatch) -> None:
         watch.load.listed = False
         if self._has_next_life(watch):
-            watch.end_with_successor()
+            watch.end_with_successor(leased=True)
         elif self._has_successor(watch):
             watch.end("its instance runs another worker")
 
-    def note_restart(self, worker: WorkerId) -> None:
+    def note_restart(self, worker: WorkerId, *, leased: bool) -> None:
         """Note that a life of a worker is over although the store may still list it."""
-        self.restarts.note(worker, monotonic())
+        self.restarts.note(worker, monotonic(), leased=leased)
 
     def note_barred(self, worker: WorkerId, run: RunKey) -> None:
         """Note that a worker was told to refuse a run whose start may still be done late."""
--- a/pumicespur/jobs/_restarts.py
+++ b/pumicespur/jobs/_restarts.py
@@ -32,8 +32,8 @@
         """When leases are over that earlier owners may have given."""
         self.over: dict[WorkerId, float] = {}
         """Lives that are over, and since when that is known (monotonic seconds)."""
-        self.names: set[WorkerName] = set()
-        """Workers that have started again while this process owned the pool."""
+        self.leased: set[WorkerName] = set()
+        """Workers whose next lives may hold leases that were meant for the ones before."""
         self.barred: dict[WorkerName, dict[RunKey, float]] = {}
         """When runs were last barred (monotonic seconds) whose starts had got no answer."""
 
@@ -49,10 +49,13 @@
         barred = self.barred.get(worker.name, {})
         return [run for run, at in barred.items() if now - at <= LATE_ORDERS_S]
 
-    def note(self, worker: WorkerId, now: float) -> None:
+    def note(self, worker: WorkerId, now: float, *, leased: bool) -> None:
         """Note that a life is over because another one of the same worker was heard of."""
         self.over[worker] = now
-        self.names.add(worker_name(worker))
+        if leased:
+            self.leased.add(worker_name(worker))
+        else:
+            self.leased.discard(worker_name(worker))
 
     def is_over(self, worker: WorkerId) -> bool:
         """Whether a life is known to be over, whatever its entry says."""
@@ -68,7 +71,7 @@
         A deadline on the clock of the life before may reach a new one, which counts it on its
         own: it then goes on for as long as the platform lets any worker go on.
         """
-        if worker.name not in self.names and not self._is_inherited_young(worker, now):
+        if worker.name not in self.leased and not self._is_inherited_young(worker, now):
             return self.earlier
         until = now + self._longest_s() + self.settings.call_timeout_s
         return EarlierLeases(last_until=until, older_until=self.earlier.until)
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -146,10 +146,11 @@
             wait_s = min(wait_s, TRIAL_LOOK_S)
         if self.seen > self.acknowledged or self.unsettled or self.failures:
             wait_s = 0.0
-        # A worker that did not answer is promised nothing more, so that its lease does end.
+        # A worker that did not answer is promised nothing more, so that its lease does end. What
+        # answers next may be another life: it must not drop its own ends under the numbers of
+        # before, nor go on for long by a deadline on a clock that it has set back.
         silent = self.failures > 0
-        deadline = self.lease.granted() if silent else self.lease.grant(now, settings.lease_s)
-        # What answers next after a silence may be another life, whose ends must not be dropped.
+        deadline = None if silent else self.lease.grant(now, settings.lease_s)
         last_seen = 0 if silent else self.acknowledged
         answer = await self.owner.orders.hold(
             self.load.worker, self.owner.token, last_seen, deadline, wait_s
@@ -165,7 +166,7 @@
                 self.end("another life answers")
                 return True
             case Result(error=StartedAgain()):
-                self.end_with_successor()
+                self.end_with_successor(leased=deadline is not None)
                 return True
             case Result(error=Refused(reason=reason)) if reason == FENCED:
                 raise OwnershipLostError(f"worker {self.id} has seen a newer token")
@@ -434,11 +435,14 @@
         self.owner.pool.drop_worker(self.id, self.open_starts.tasks if self.restarted else ())
         self.owner.wake()
 
-    def end_with_successor(self) -> None:
-        """Note that the worker has started again; open starts are left to its next life."""
+    def end_with_successor(self, *, leased: bool) -> None:
+        """Note that the worker has started again; open starts are left to its next life.
+
+        `leased` tells that a deadline meant for this life may have reached the next one.
+        """
         if not self.gone:
             self.restarted = True
-            self.owner.note_restart(self.id)
+            self.owner.note_restart(self.id, leased=leased or bool(self.open_starts.tasks))
             self.end("it has started again")
 
     def _lose_runs(self, reason: str, *, ended: bool) -> None:
