--- a/pumicespur/jobs/_crashes.py
+++ b/pumicespur/jobs/_crashes.py
@@ -4,8 +4,7 @@
 the tasks that had just begun there are suspected. They start again on different workers, and what
 loses a second one is tried alone: on a worker without other new tasks, which gets none until the
 suspect has shown that it runs. So the next loss has one cause, and the neighbours are cleared by
-their first good run. Placed together again and again instead, 71 tasks were lost with their
-workers up to eight times each for the sake of two.
+their first good run. Placed together again, they would be lost together again.
 """
 
 from __future__ import annotations
@@ -37,12 +36,11 @@
 
 TRIAL_AFTER = 2
 """Workers lost under a task from which on it is tried alone. After the first one many are suspected
-and mostly none is the cause: a minute in which workers crash by themselves was worth 0.42 with
-trials from the first loss on, 0.44 from the second, and 0.45 without any (means of six plays)."""
+and mostly none is the cause, so that trials would only keep workers idle."""
 
 TRIAL_WAIT_S = 1.5
-"""Longest wait of a suspect for a worker to itself; then it starts like any other, spread out. With
-fifty suspects in a pool of four workers, some waited for 30 s while most of the room was free. It
+"""Longest wait of a suspect for a worker to itself; then it starts like any other, spread out, so
+that many suspects in a small pool don't queue while most of the room is free. It
 doubles with each further loss, so that those that are suspected least leave the queue first; the
 last start before a job is given up is always a trial."""
 
--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -32,7 +32,7 @@
 WATCH_S = 0.25
 """Longest wait for new submissions in one request. A request that the store has forgotten hears
 nothing; each second of that is as much of the callers' latency objective. The submissions are then
-read themselves: half of a pool's jobs were late for 6 s after 1.2 s without word of them."""
+read themselves, since the jobs that wait unheard make those behind them late as well."""
 
 
 class JobIntake:
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -64,8 +64,8 @@
 class Candidates:
     """The workers of one round that may be given tasks, fewer and fewer as they fill up.
 
-    Asked one by one for each task, the workers of a large pool took its owner more than a second a
-    round: 1.0 s for 3,000 tasks on 200 workers.
+    Asked one by one for each task, the workers of a large pool would take its owner more than a
+    second a round.
     """
 
     def __init__(
--- a/pumicespur/maintenance/_reports.py
+++ b/pumicespur/maintenance/_reports.py
@@ -53,8 +53,8 @@
     def is_idle(self, instance: Instance, report: WorkerReport | None) -> bool:
         """Whether an instance surely carries no task, nor will be given one.
 
-        `report` is what is told of its worker. Looked up anew for each of 350 instances among
-        37 processes, a round took 3.6 ms instead of 0.2 (median of seven, in a loop).
+        `report` is what is told of its worker; looked up anew for each instance, it would take
+        most of a round.
         """
         if instance.worker is None:
             return True
--- a/pumicespur/maintenance/_sizing.py
+++ b/pumicespur/maintenance/_sizing.py
@@ -23,8 +23,8 @@
 short; it carries that peak's first second."""
 
 LENT_LEAST = 8
-"""Instances that a pool keeps at least, since a single wide job takes that many at once. Measured:
-pools of 8 that lend lose more at their own onset than the others gain, pools of 32 do not."""
+"""Instances that a pool keeps at least, since a single wide job takes that many at once. A small
+pool that lends loses more at its own onset than the others gain."""
 
 MAX_MOVING_SHARE = 0.3
 """Share of all instances that change pool at once; a peak of one pool takes about as many."""
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -32,8 +32,8 @@
 class CatchUp:
     """When a follower reads its table whole instead of every change that it missed.
 
-    Replayed, 40 configurations of 75 KB took a process that had been cut off for twelve seconds
-    over eight more on a link of 10 Mbit/s; the newest one takes 0.1 s.
+    Large configurations in quick succession, replayed one by one over a thin link, would keep a
+    process that was cut off for some seconds out of date for as long again.
     """
 
     after_s: float
@@ -46,8 +46,8 @@
 class Reread:
     """How a table is read when its changes stay silent although the store answers other calls.
 
-    The store had dropped its history, and answered no request for changes for 1.2 s while it took
-    every write: what owners asked for at an onset, and the workers that came, were not heard of.
+    A store that drops its history may answer no request for changes for a second or more while it
+    takes every write: what owners ask for, and workers that come, would not be heard of.
     """
 
     read: Callable[[], Awaitable[Result[Page, Fault]]]
--- a/pumicespur/node/_succession.py
+++ b/pumicespur/node/_succession.py
@@ -45,8 +45,8 @@
 
         What names this process is taken back at once: its earlier life held it, or a call to
         take it applied after its answer was given up. No other process takes it, since they see
-        a living owner, and all of its tasks wait. With all processes lost at once, pools are
-        taken 0.1 s after the start instead of 1.75 s (nine processes, all killed).
+        a living owner, and all of its tasks wait. So pools come back at once after a loss of all
+        processes.
         """
         record = owner.record
         return bool(owner.token) and not record.released and record.process == self.me
--- a/pumicespur/node/_workers.py
+++ b/pumicespur/node/_workers.py
@@ -63,8 +63,7 @@
     async def run(self) -> None:
         """Follow the list of workers while a pool is owned, from a whole reading on.
 
-        Each worker writes itself each 1.5 s; followed by all of 97 processes, that was 40 KB a
-        second for each of them.
+        Workers write themselves so often that following them costs a process most of its bytes.
         """
         while True:
             await self.keeper.owning.wait()
--- a/pumicespur/platform/_http.py
+++ b/pumicespur/platform/_http.py
@@ -45,8 +45,8 @@
 class Transfer:
     """A reading whose answer may be large, and how far it has come.
 
-    It lasts as long as bytes come. With one time-out for the whole answer, a configuration of
-    100 KB never arrived over a link of 200 KB/s, where small answers take milliseconds.
+    It lasts as long as bytes come. With one time-out for the whole answer, a large configuration
+    would never arrive over a thin link, where small answers take milliseconds.
     """
 
     def __init__(self, first_bytes_s: float) -> None:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -210,8 +210,7 @@
         self.assertIs(JobPhase.COMPLETED, self.job.phase)
 
     def test_newer_run_elsewhere_stays_counted_until_its_worker_drops_it(self) -> None:
-        # Found on the bench (grown Sofia, quiet-1): ROUTE, a step's spread was passed while a run
-        # of a task that had ended was still being stopped.
+        # A step's spread was passed while a run of a task that had ended was still being stopped.
         first = self.task.worker
         assert first is not None
         self.pool.loads[first].remove(self.task)
@@ -324,7 +323,7 @@
         self.assertEqual([early, late], order)
 
     def test_what_is_late_anyway_waits_for_what_can_be_in_time(self) -> None:
-        # Found on the bench (grown Coulee, quiet-1): in a peak nearly every job was a little late.
+        # In a peak nearly every job was a little late.
         pool = make_pool(make_worker("w"))
         step = StepRecord(count=1, cpu_millis=100, estimated_ms=1000)
         late = submit(pool, make_record(step, job="0" * 16))
@@ -379,7 +378,7 @@
         self.assertEqual([self.job.tasks[0]], chosen)
 
     def test_none_while_another_worker_is_silent(self) -> None:
-        # Found on the bench: AVAIL, when a rack had gone dark a moment before.
+        # A budget was broken when a rack had gone dark a moment before.
         silent = self.job.tasks[0].worker
         assert silent is not None
         self.pool.loads[silent].reachable = False
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -93,8 +93,7 @@
     """Another process has a newer configuration."""
 
     def test_watches_are_given_up_once_for_each_version(self) -> None:
-        # Found on the bench (grown Sofia, scale-1): a large configuration never arrived over a
-        # thin link, since each heartbeat broke its transfer off.
+        # A large configuration never arrived over a thin link: each heartbeat broke it off.
         self.hear("other", configuration_version=14)
         self.hear("other", NOW + 0.4, configuration_version=14)
         self.assertEqual(1, self.table.renewals)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -130,7 +130,7 @@
         self.assertEqual([("s-0", MAIN)], Sizer().plan(state, 0.0).moves)
 
     def test_instance_that_a_wave_took_is_not_replaced_for_its_number(self) -> None:
-        # Found on the bench: spare instances came and went with every step of a wave.
+        # Spare instances came and went with every step of a wave.
         down = make_instance("m-1", state=InstanceState.MAINTENANCE)
         instances = index(make_instance("m-0"), down, make_instance("s-0", SPARE))
         taken = frozenset({down.id})
@@ -140,7 +140,7 @@
         self.assertEqual([("s-0", MAIN)], Sizer().plan(state, 0.0).moves)
 
     def test_instance_that_is_still_starting_is_not_replaced(self) -> None:
-        # Found on the bench: eight spare instances moved in while the workers were starting.
+        # Eight spare instances moved in while the workers were starting.
         instances = index(make_instance("m-0"), make_instance("m-1"), make_instance("s-0", SPARE))
         state = make_state(
             instances,
@@ -156,7 +156,7 @@
         self.assertEqual([], Sizer().plan(state, 0.0).moves)
 
     def test_busy_instance_is_emptied_before_it_moves(self) -> None:
-        # Found on the bench: AVAIL and LOST, when instances moved by an old report of no tasks.
+        # Tasks were lost and a budget broken when instances moved by an old report of no tasks.
         instances = index(*(make_instance(f"m-{n}") for n in range(3)), make_instance("o-0", OTHER))
         wanted = {MAIN: 2, OTHER: 2}
         plan = Sizer().plan(make_state(instances, wanted, tasks={}), 0.0)
@@ -167,8 +167,7 @@
         self.assertEqual([(name, OTHER)], plan.moves)
 
     def test_peak_that_is_over_gives_to_a_peak_that_begins(self) -> None:
-        # Found on the bench (grown Coulee, quiet-1): a pool kept for six seconds what its peak
-        # had taken, while another one waited for it.
+        # A pool kept for six seconds what its peak had taken, while another one waited for it.
         instances = index(*(make_instance(f"m-{n}") for n in range(6)), make_instance("o-0", OTHER))
         reserved = {MAIN: 2, OTHER: 1}
         needed = {MAIN: 6, OTHER: 3}
@@ -185,7 +184,7 @@
         self.assertEqual(2, len({name for name, _ in moves}))
 
     def test_idle_pool_lends_a_share_and_a_small_one_nothing(self) -> None:
-        # Found on the bench (grown Coulee): a pool in its peak waited beside idle ones.
+        # A pool in its peak waited beside idle ones.
         for size, lent in ((8, 0), (10, 2), (40, 20)):
             instances = index(
                 *(make_instance(f"m-{n}") for n in range(size)), make_instance("o-0", OTHER)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -189,7 +189,7 @@
         self.assertEqual(504, await self.world.submit(self.node, job_id(2), [STEP]))
 
     async def test_store_known_to_be_silent_refuses_at_once(self) -> None:
-        # Found on the bench: requests held for over half of their callers' time.
+        # Requests held for over half of their callers' time.
         self.world.store.faults.silent = True
         status, body = 0, {"error": ""}
         until_refused = {"error": "the store does not answer; nothing was done"}
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -137,7 +137,7 @@
         await self.watch._look(monotonic())
 
     async def test_run_that_ended_before_the_stop_is_not_started_again(self) -> None:
-        # Found on the bench (grown Coulee, trouble-1): a task was done twice.
+        # A task was done twice.
         end = TaskEnd(1, self.name(), 1, RunEnd.DONE, "")
         self.holder.orders.ended_before_stop = end
         await self.look()
@@ -153,8 +153,7 @@
         self.assertEqual({}, self.watch.unsettled)
 
     async def test_account_asked_for_before_the_call_was_given_up_tells_nothing(self) -> None:
-        # Found on the bench (grown Sofia, trouble-1): a lasting task that had just begun was
-        # stopped because an older account did not list it.
+        # A lasting task that had just begun was stopped: an older account did not list it.
         self.watch.unsettled[self.task].since = monotonic() + 60
         await self.look()
         self.assertEqual(0, self.holder.orders.stops)
@@ -173,8 +172,8 @@
         self.task = self.job.tasks[0]
 
     async def test_task_that_an_earlier_run_finished_stays_done(self) -> None:
-        # Found on a hunted day (Coulee, trouble-2, seed 422724837697): an earlier run ended
-        # while the place of its copy was recorded; the next owner ran the task once more.
+        # An earlier run ended while the place of its copy was recorded; the next owner ran the task
+        # once more.
         put(self.task, self.watch.load)
         self.task.release()
         put(self.task, self.watch.load)
