--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -69,7 +69,7 @@
         """Number up to which the worker may be told to drop its ends, see `_last_seen`."""
         self.open_starts = OpenStarts()
         self.held_back = False
-        """The last account listed ends that can't be dropped yet, so that the next comes at once."""
+        """The last account listed ends that can't be dropped yet; the next one comes at once."""
         self.unsettled: dict[Task, UnansweredStart] = {}
         """Starts without an answer; the worker's account settles them."""
         self.foreign = ForeignRuns()
