--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -7,6 +7,13 @@
 takes it for the same worker whose connection broke. Runs that went with it stay counted as
 running. The ends of the runs that it is given next are numbered from one on, which its owner
 counts as known and acknowledges unread.
+
+The cause: everything kept of a worker was kept by its name alone, so that the facts of one life
+went on for the next one.
+
+The evidence: after `worker answers` the worker's clock was set back by more than an hour, its next
+end came under a number that had been acknowledged, no `task ended` followed, and the task was
+stopped as standing still for as long as its owner lived.
 """
 
 from __future__ import annotations
