--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -16,7 +16,6 @@
     _journal,
     _lease,
     _limits,
-    _load,
     _pool,
     _service,
     _watch,
@@ -49,7 +48,7 @@
 
 TRANSACTION = _journal.Journal._transaction
 TAKE_IN = _watch.WorkerWatch._take_in
-FITS = _load.WorkerLoad.fits
+ADD_WORKER = _pool.PoolState.add_worker
 ROOMS: dict[Any, Any] = {}
 SUBMIT = _service.JobService.submit
 DROP_WORKER = _pool.PoolState.drop_worker
@@ -126,16 +125,14 @@
         case Mutant.OPEN_STARTS_FORGOTTEN:
             _replace(_pool.PoolState, "drop_worker", _drop_all)
         case Mutant.ROOM_NOT_READ_AGAIN:
-            _replace(_load.WorkerLoad, "fits", _fit_at_first)
+            _replace(_pool.PoolState, "add_worker", _keep_first_room)
         case Mutant.CHANGES_REPLAYED:
             _replace(_follow.TableFollower, "_is_late", lambda *arguments: False)
 
 
-def _fit_at_first(self: _load.WorkerLoad, spec: Any) -> bool:
-    self.worker = replace(
-        self.worker, capacity=ROOMS.setdefault(self.worker.id, self.worker.capacity)
-    )
-    return FITS(self, spec)
+def _keep_first_room(self: _pool.PoolState, worker: Any) -> Any:
+    first = ROOMS.setdefault(worker.id, worker.capacity)
+    return ADD_WORKER(self, replace(worker, capacity=first))
 
 
 def _replace(owner: object, name: str, value: object) -> None:
