Read once more: one way to take a loss back; ended jobs are passed over once

The change had written the filter of forgive again; both callers use it now, which takes the life of a worker instead of its load.

--- a/pumicespur/jobs/_crashes.py
+++ b/pumicespur/jobs/_crashes.py
@@ -20,6 +20,7 @@
 
     from pumicespur.jobs._job import StepGroup, Task
     from pumicespur.jobs._load import WorkerLoad
+    from pumicespur.model import WorkerId
 
 log = Logger(__name__)
 
@@ -167,11 +168,11 @@
     return started and task.wants(load.worker.id, task.run)
 
 
-def forgive(tasks: Iterable[Task], load: WorkerLoad) -> list[Task]:
-    """Take back the loss of a worker that answers again after all; return the tasks changed."""
-    found = [task for task in tasks if any(loss.worker == load.worker.id for loss in task.losses)]
+def forgive(tasks: Iterable[Task], worker: WorkerId) -> list[Task]:
+    """Take back the loss of a worker with some tasks; return those that are changed."""
+    found = [task for task in tasks if any(loss.worker == worker for loss in task.losses)]
     for task in found:
-        task.losses = [loss for loss in task.losses if loss.worker != load.worker.id]
+        task.losses = [loss for loss in task.losses if loss.worker != worker]
     return found
 
 
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -216,15 +216,17 @@
 
     def forgive_task(self, task: Task, worker: WorkerId) -> None:
         """Take back the loss of a worker with a task that turned out to run elsewhere."""
-        task.losses = [loss for loss in task.losses if loss.worker != worker]
+        forgive([task], worker)
         self.dirty.add(task.job)
 
     def assigned_tasks(self) -> dict[WorkerName, list[Task]]:
         """Return the tasks of jobs that go on, by the worker that they were last assigned to."""
         found: dict[WorkerName, list[Task]] = {}
         for job in self.jobs.values():
+            if job.ended:
+                continue
             for task in job.tasks:
-                if task.worker and not job.ended:
+                if task.worker:
                     found.setdefault(worker_name(task.worker), []).append(task)
         return found
 
@@ -249,7 +251,7 @@
     def forgive_loss(self, load: WorkerLoad) -> None:
         """Take back the loss of a worker that answers again."""
         tasks = (task for job in self.jobs.values() if not job.ended for task in job.tasks)
-        self.dirty.update(task.job for task in forgive(tasks, load))
+        self.dirty.update(task.job for task in forgive(tasks, load.worker.id))
 
     def _give_up(self, task: Task, lost_workers: Sequence[WorkerId] = ()) -> None:
         failure = FailureRecord(
