Sight: a start's log line tells how old the beliefs were that it rests on

The log could not tell a start whose commit had waited from one that rested on an old list of workers. The line 'start ordered' now tells the version and age of the list of workers and of the submissions, the configuration, the state that was believed of the worker, and how long ago it was placed; a histogram of the ages stands beside the commits' times. No decision changed.

--- a/pumicespur/jobs/_holding.py
+++ b/pumicespur/jobs/_holding.py
@@ -8,6 +8,7 @@
     from collections.abc import Callable, Coroutine
 
     from pumicespur.config import NodeSettings
+    from pumicespur.jobs._beliefs import Beliefs
     from pumicespur.jobs._job import StepGroup
     from pumicespur.jobs._pool import PoolState, RunKey
     from pumicespur.model import TaskEnd, WorkerId
@@ -22,6 +23,9 @@
     orders: WorkerOrders
     token: int
 
+    def beliefs(self) -> Beliefs:
+        """Return what is known at present of what orders rest on."""
+
     def may_extend(self, now: float) -> bool:
         """Whether leases may still be extended."""
 
--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -13,7 +13,7 @@
 from pumicespur.jobs._sweep import SubmissionSweep
 from pumicespur.model import AccountId, JobId, RouteName
 from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
-from pumicespur.store import AnswerLost, HistoryGone, Page, Row
+from pumicespur.store import AnswerLost, HistoryGone, Page, Reading, Row
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
@@ -57,8 +57,8 @@
         self.ended: dict[JobId, int] = {}
         """Jobs that have ended, by the time of day in milliseconds."""
         self.sweep = SubmissionSweep(pool.pool, table)
-        self.version = 0
-        """Version from which submissions are followed."""
+        self.reading = Reading()
+        """How far the submissions are known."""
 
     async def load(self) -> None:
         """Read what earlier owners recorded; since the takeover nothing of theirs can change it."""
@@ -79,6 +79,7 @@
         """Read all submissions; changes are followed from the oldest page on."""
         pool = self.pool.pool
         pages: list[Page] = []
+        asked_at = monotonic()
 
         async def read(part: str) -> None:
             pages.append(await self._retry(lambda: self.table.scan(submissions_table(pool), part)))
@@ -86,7 +87,7 @@
         async with anyio.create_task_group() as readers:
             for part in submission_parts(pool):
                 readers.start_soon(read, part)
-        self.version = min(page.version for page in pages)
+        self.reading = Reading(min(page.version for page in pages), asked_at)
         return [row for page in pages for row in page.rows]
 
     async def _retry(self, call: Callable[[], Awaitable[Result[Any, Any]]]) -> Any:
@@ -133,13 +134,15 @@
         pool = self.pool.pool
         table = submissions_table(pool)
         while True:
-            patience_s = self.table.times.patience_s(monotonic())
+            asked_at = monotonic()
+            patience_s = self.table.times.patience_s(asked_at)
             answer = await self.table.changes(
-                table, self.version, min(self.watch_s, WATCH_S), patience_s
+                table, self.reading.version, min(self.watch_s, WATCH_S), patience_s
             )
             match answer:
                 case Result(tag="ok", ok=page):
-                    self.version = page.version
+                    proved_at = asked_at if page.complete else self.reading.asked_at
+                    self.reading = Reading(page.version, proved_at)
                     rows = page.rows
                 case Result(error=HistoryGone()):
                     log.warning("submissions read anew", pool=pool, reason="history gone")
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -89,6 +89,8 @@
     """Monotonic time at which the present run was first known to be there, in seconds."""
     checkpoint: str = ""
     worker: WorkerId | None = None
+    placed_at: float = 0.0
+    """Monotonic time at which that worker was chosen, in seconds."""
     percent: int = 0
     started_at: float = 0.0
     """Monotonic time at which the present run was ordered to start, in seconds; 0 if another
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -10,6 +10,7 @@
 
 from pumicespur.jobs._advice import AdviceDesk
 from pumicespur.jobs._availability import tasks_to_move
+from pumicespur.jobs._beliefs import Beliefs
 from pumicespur.jobs._intake import JobIntake
 from pumicespur.jobs._job import Job, Loss, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
@@ -135,6 +136,14 @@
         if self.tasks is not None:
             self.tasks.start_soon(function, *arguments)
 
+    def beliefs(self) -> Beliefs:
+        """Return what is known at present of what orders rest on."""
+        return Beliefs(
+            workers=self.view.workers_reading,
+            submissions=self.intake.reading,
+            configuration=self.view.configuration.version,
+        )
+
     def may_extend(self, now: float) -> bool:
         """Whether leases may still be extended; a successor counts on it that they are not."""
         silence_s = self.settings.workers.owner_silence_s
@@ -186,7 +195,7 @@
             token=self.token,
             jobs=len(self.pool.jobs),
             ended=len(self.intake.ended),
-            submissions_version=self.intake.version,
+            submissions_version=self.intake.reading.version,
         )
 
     def sync_workers(self) -> None:
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -7,6 +7,7 @@
 
 from pumicespur.jobs._crashes import admits, count_suspects, is_tried_alone
 from pumicespur.jobs._job import Standing, TaskState
+from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -219,6 +220,7 @@
     task.on_trial = load.reserved
     task.trial_asked_at = None
     task.worker = load.worker.id
+    task.placed_at = monotonic()
     load.add(task)
     if task.spec.same_rack and task.group.rack is None:
         task.group.rack = load.worker.rack
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -354,6 +354,7 @@
         order = StartOrder(
             task.name, run, task.job.record.payload, task.checkpoint, deadline, task.ticket
         )
+        beliefs, state = self.owner.beliefs(), self.load.worker.state
         self.pending.add(task)
         self.open_starts.tasks.add(task)
         answer = await self.owner.orders.start(self.load.worker, self.owner.token, order)
@@ -368,9 +369,14 @@
             token=self.owner.token,
             outcome=outcome,
             worker_share=round(self.load.share(), 2),
+            worker_state=state.value,
+            placed_s=round(now - task.placed_at, 3),
             took_s=round(monotonic() - now, 3),
+            **beliefs.describe(now),
         )
         METRICS.starts.inc({"pool": self.owner.pool.pool, "outcome": outcome})
+        METRICS.belief_ages.observe({"table": "workers"}, beliefs.workers.age_s(now))
+        METRICS.belief_ages.observe({"table": "submissions"}, beliefs.submissions.age_s(now))
         if self.gone and (answer.is_ok() or isinstance(answer.error, AnswerLost)):
             if self.restarted:
                 # The next life may have taken it, and settles it.
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -9,7 +9,7 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.store import AnswerLost, HistoryGone
+from pumicespur.store import AnswerLost, HistoryGone, Reading
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
@@ -86,6 +86,8 @@
         """When a reading first failed; None while the table is followed (monotonic seconds)."""
         self.hurried = anyio.Event()
         self.answered_at = monotonic()
+        self.reading = Reading()
+        """How far the table is known."""
         self.newest_row = 0
         """Version of the newest row that was read."""
 
@@ -97,6 +99,7 @@
         """Follow for ever; after a short outage go on where it left off."""
         version = self.first_version
         while True:
+            asked_at = monotonic()
             if version is None:
                 answer = await self.table.scan(self.name, "")
             else:
@@ -105,6 +108,7 @@
                 case Result(tag="ok", ok=page):
                     self._note_connected(True, "")
                     self.answered_at = monotonic()
+                    self._note_reading(page, asked_at)
                     self.on_rows(page.rows, version is None)
                     version = None if self._is_late(page) else page.version
                     self.hurried = anyio.Event()
@@ -138,15 +142,22 @@
     async def _read_again(self, reread: Reread) -> None:
         """Read the rows themselves; their changes are waited for again after that."""
         log.info("table read anew", table=self.name, reason="no word of changes")
+        asked_at = monotonic()
         answer = await reread.read()
         match answer:
             case Result(tag="ok", ok=page):
                 self.answered_at = monotonic()
+                self._note_reading(page, asked_at)
                 self.on_rows(page.rows, reread.whole)
             case Result(error=fault):
                 self._note_connected(False, str(fault))
                 await anyio.sleep(RETRY_S)
 
+    def _note_reading(self, page: Page, asked_at: float) -> None:
+        """Note how far the table is known; an answer that was cut off proves nothing newer."""
+        if page.complete:
+            self.reading = Reading(page.version, asked_at)
+
     def _is_late(self, page: Page) -> bool:
         """Whether to read the table whole at once, until that brings nothing new."""
         newest_row = max((row.version for row in page.rows), default=0)
--- a/pumicespur/node/_workers.py
+++ b/pumicespur/node/_workers.py
@@ -11,6 +11,7 @@
 from pumicespur.model import WorkerName, birth_ms
 from pumicespur.node._follow import CatchUp, Reread, TableFollower
 from pumicespur.platform import WORKERS_TABLE, decode_worker
+from pumicespur.store import Reading
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -57,6 +58,8 @@
         self.keeper = keeper
         self.entries: dict[WorkerName, Worker] = {}
         """Every entry that could be read; not each of them names a worker to use."""
+        self.follower: TableFollower | None = None
+        """What follows the table, while it is followed."""
         self.versions: dict[WorkerName, int] = {}
         """The newest version of each row; after a whole reading, older ones may come again."""
 
@@ -72,7 +75,7 @@
             await anyio.sleep(POLL_S)
 
     async def _follow_while_owning(self) -> None:
-        follower = TableFollower(
+        self.follower = TableFollower(
             self.table,
             self.settings,
             WORKERS_TABLE,
@@ -82,9 +85,11 @@
             wait_s=WORKERS_WAIT_S,
             reread=Reread(lambda: self.table.scan(WORKERS_TABLE, ""), whole=True),
         )
-        await follower.run_while(self.keeper.duties.pool_owners, OWNERLESS_S)
+        await self.follower.run_while(self.keeper.duties.pool_owners, OWNERLESS_S)
         self.view.workers_known = False
         self.view.workers = {}
+        self.view.workers_reading = Reading()
+        self.follower = None
         self.entries.clear()
         self.versions.clear()
 
@@ -99,6 +104,8 @@
             self._take_entry(WorkerName(name), row)
         self.view.workers = usable_workers(self.entries)
         self.view.workers_known = True
+        if self.follower is not None:
+            self.view.workers_reading = self.follower.reading
         self.keeper.sync_workers()
 
     def _take_entry(self, name: WorkerName, row: Row) -> None:
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -37,6 +37,12 @@
 PAGE_ROWS = 500
 """Rows that the service hands out at once (its protocol)."""
 
+PAGE_BYTES = 1_000_000
+"""Bytes that it hands out at once (its protocol)."""
+
+ROW_BYTES = 90_000
+"""The largest row: 64 KB in base64, and its key."""
+
 ANSWERS_S = 0.5
 """Age of the newest answer up to which the service counts as answering: a heartbeat."""
 
@@ -285,7 +291,14 @@
 def _newest(found: _Rows, receiving_s: float) -> Page:
     newest = {_key(row): row for row in found.rows}
     superseded = len(found.rows) - len(newest)
-    return Page([_row(row) for row in newest.values()], found.ver, superseded, receiving_s)
+    rows = [_row(row) for row in newest.values()]
+    return Page(rows, found.ver, superseded, receiving_s, _is_complete(found))
+
+
+def _is_complete(found: _Rows) -> bool:
+    """Whether changes can't have been left out for want of room in the answer."""
+    size = sum(len(str(row.value)) for row in found.rows)
+    return len(found.rows) < PAGE_ROWS and size < PAGE_BYTES - ROW_BYTES
 
 
 def _note_broken_off(kind: str, table: str, transfer: Transfer, fault: Fault) -> None:
--- a/pumicespur/store/__init__.py
+++ b/pumicespur/store/__init__.py
@@ -16,7 +16,16 @@
     Unavailable,
 )
 from pumicespur.store._latency import AnswerTimes
-from pumicespur.store._rows import Condition, Listing, Page, Row, Transaction, UsageListing, Write
+from pumicespur.store._rows import (
+    Condition,
+    Listing,
+    Page,
+    Reading,
+    Row,
+    Transaction,
+    UsageListing,
+    Write,
+)
 from pumicespur.store._use import StoreUse
 
 __all__ = [
@@ -29,6 +38,7 @@
     "Listing",
     "NeverDone",
     "Page",
+    "Reading",
     "Row",
     "StoreClock",
     "StoreUse",
--- a/pumicespur/store/_rows.py
+++ b/pumicespur/store/_rows.py
@@ -28,6 +28,24 @@
     """Older states of these rows that were handed out with them."""
     receiving_s: float = 0.0
     """How long the answer was on its way after its first bytes."""
+    complete: bool = True
+    """Whether it holds all that there was when it was given, not only as much as fits."""
+
+
+@dataclass(frozen=True)
+class Reading:
+    """How far a table is known: every change up to a version, as of a monotonic time.
+
+    A change that the store took before `asked_at` is known; a later one may be or not.
+    """
+
+    version: int = 0
+    asked_at: float = float("-inf")
+    """When the answer was asked for that tells so (monotonic seconds)."""
+
+    def age_s(self, now: float) -> float:
+        """Return for how long changes may have gone unheard, in seconds."""
+        return now - self.asked_at
 
 
 @dataclass(frozen=True)
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -48,6 +48,11 @@
         self.commits = Histogram(
             "pumicespur_commit_seconds", "Time until a commit is recorded.", buckets=BUCKETS_S
         )
+        self.belief_ages = Histogram(
+            "pumicespur_start_belief_age_seconds",
+            "Age of what a start rested on when it was ordered, by table.",
+            buckets=BUCKETS_S,
+        )
         self.callers = Histogram(
             "pumicespur_caller_seconds", "Time until a caller is answered.", buckets=BUCKETS_S
         )
@@ -67,6 +72,7 @@
             self.broken_off,
             self.configuration,
             self.commits,
+            self.belief_ages,
             self.callers,
         ):
             self.registry.register(series)
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -8,6 +8,7 @@
 from logbook import Logger
 
 from pumicespur.model import Configuration, PoolId, ProcessId, RouteName, WorkerName
+from pumicespur.store import Reading
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
@@ -60,6 +61,8 @@
     workers: dict[WorkerName, Worker] = field(default_factory=dict)
     """Followed only while this process owns a pool, as are `reports`."""
     workers_known: bool = False
+    workers_reading: Reading = field(default_factory=Reading)
+    """How far the list of workers is known."""
     processes: dict[ProcessId, SeenProcess] = field(default_factory=dict)
     reports: dict[ProcessId, SeenReport] = field(default_factory=dict)
     owners: dict[PoolId, SeenOwner] = field(default_factory=dict)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -543,7 +543,7 @@
             await intake.follow()
         self.assertLessEqual(asked[0], 0.5)
         self.assertEqual(sorted(submission_parts(PoolId("main"))), sorted(parts))
-        self.assertEqual(7, intake.version)
+        self.assertEqual(7, intake.reading.version)
 
 
 class PoolSizeTest(unittest.TestCase):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from pumicespur.config import NodeSettings
+from pumicespur.jobs._beliefs import Beliefs
 from pumicespur.jobs._job import Loss, TaskState
 from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._placement import put
@@ -25,7 +26,7 @@
 )
 from pumicespur.schema.jobs_pb import StepRecord
 from pumicespur.schema.node_pb import WorkerSettings
-from pumicespur.store import AnswerLost
+from pumicespur.store import AnswerLost, Reading
 from pumicespur.utils import monotonic
 from tests.base import quiet_loop
 from tests.test_jobs import make_pool, make_record, make_worker, submit
@@ -88,6 +89,11 @@
         self.token = 1
         self.restarted: list[tuple[WorkerId, bool]] = []
 
+    def beliefs(self) -> Beliefs:
+        """Know everything as of now."""
+        now = Reading(1, monotonic())
+        return Beliefs(now, now, 1)
+
     def may_extend(self, now: float) -> bool:
         """Extend leases always."""
         return True
