Failing tests: starts on workers that leave, while the store tells their owner late

On real processes: with a commit refused while its worker leaves, with a list of workers that can't be read, and with one whose changes nobody is told, a start is ordered 0.7 s after the store took the word that the worker leaves, where 0.6 s are allowed.

--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -69,6 +69,8 @@
     late_s: float = 0.5
     refused_tables: set[str] = field(default_factory=set)
     """Tables that nobody can read at present."""
+    deaf_tables: set[str] = field(default_factory=set)
+    """Tables whose changes nobody is told at present: requests for them get no answer."""
     refused_callers: set[str] = field(default_factory=set)
     """Bodies that hold one of these texts are refused with 503."""
 
@@ -199,6 +201,8 @@
         since = int(request.query["dependsOn"])
         until = monotonic() + int(request.query["waitMs"]) / 1000
         while True:
+            if request.query["table"] in self.faults.deaf_tables:
+                await asyncio.sleep(3600)
             if request.query["table"] in self.faults.refused_tables:
                 return web.json_response({"error": "turned away"}, status=503)
             if since < self.oldest:
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -57,6 +57,10 @@
     """What the worker tells of the run: latency in ms or processor use."""
     pace: int = 100
     """Share of its speed at which the run may work, in percent."""
+    since_leaving_s: float | None = None
+    """How long the store had known at the start that the worker leaves; None if it did not."""
+    done_late: bool = False
+    """The worker carried the order out late; its sender is not to blame for the time."""
 
 
 @dataclass
@@ -102,6 +106,8 @@
     """The highest run of each task that was stopped or ended here."""
     count: int = 0
     alive: bool = True
+    leaving_at: float | None = None
+    """When the store took the worker's word that it leaves (monotonic seconds)."""
     clock_rate: float = 1.0
     """Speed of the worker's own clock; it may run slow."""
     clock_base_ms: float = FIRST_CLOCK_MS
@@ -235,9 +241,9 @@
                 return
             life = life.next_life
         if life.alive:
-            life._take_start(body)
+            life._take_start(body, late=True)
 
-    def _take_start(self, body: dict[str, Any]) -> web.Response:
+    def _take_start(self, body: dict[str, Any], *, late: bool = False) -> web.Response:
         refused = self._note_order(body)
         if refused is not None:
             return refused
@@ -249,10 +255,10 @@
             return self._refuse("old")
         if body["deadlineMs"] < self.clock_ms():
             return self._refuse("late")
-        self._begin(body)
+        self._begin(body, late)
         return web.json_response({"clockMs": self.clock_ms()})
 
-    def _begin(self, body: dict[str, Any]) -> None:
+    def _begin(self, body: dict[str, Any], late: bool) -> None:
         run = Run(
             body["task"],
             body["run"],
@@ -262,6 +268,8 @@
             body["fencingToken"],
             monotonic(),
             ticket=body.get("ticket", ""),
+            since_leaving_s=None if self.leaving_at is None else monotonic() - self.leaving_at,
+            done_late=late,
         )
         self.running[run.task] = run
         self.history.append(run)
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -181,6 +181,22 @@
         """Let a new worker write itself into the store."""
         self.store.put(("servers", "", worker.id), worker.description())
 
+    def drain_worker(self, instance: str) -> None:
+        """Let a worker say that it leaves; it serves on."""
+        worker = self.workers[instance]
+        self.store.put(("servers", "", worker.id), worker.description("draining"))
+        worker.leaving_at = worker.leaving_at or monotonic()
+
+    def starts_on_leaving(self, allowed_s: float) -> list[Run]:
+        """Return runs that were ordered and began so long after their worker said it leaves."""
+        return [
+            run
+            for run in self.history
+            if run.since_leaving_s is not None
+            and run.since_leaving_s > allowed_s
+            and not run.done_late
+        ]
+
     def resize_worker(self, instance: str, cpu: int) -> None:
         """Let a worker's room shrink or grow, which its entry shows."""
         worker = self.workers[instance]
