A start rests on beliefs of a bounded age, read again when it is ordered

What callers and workers saw: a task was started on a worker more than the time allowed after the store had confirmed that it leaves.

Cause: a start is decided when it is placed, recorded, and ordered after that; the state of its worker was not asked for again, and nothing bounded how old the list of workers may be. A request for its changes hung for up to 4 s beyond the store's return, while commits and submissions went through.

Mended: workers.drain_ms and workers.cancel_ms (the platform's bounds) tell how old the list of workers and the submissions may be, less the time of the order's call. Beyond it nothing is placed; each start asks again, just before its order, for the worker's state, label and room, the account's limit, and for the age of both; it carries a deadline by which the worker refuses it once what it rests on is too old. The list is read anew before it is of no use, an answer that would come too late is not waited for, and readings that wait are renewed once the store answers after a second of silence. An empty setting counts as its default.

StartTest's worker now answers before it is given a start, as every worker does that is given one.

--- a/pumicespur/config/_options.py
+++ b/pumicespur/config/_options.py
@@ -53,7 +53,8 @@
     findings = _unknown_keys(section, fields)
     for name, (owner, field) in fields.items():
         option = option_of(field)
-        text = section.values.get(name, option.default)
+        # A platform that lacks a value fills its template in with an empty text.
+        text = section.values.get(name) or option.default
         if not text:
             if option.required:
                 findings.append(section.place(error(section.name, name, "is required")))
--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pumicespur.jobs._account_report import count_accounts, describe_accounts, describe_hold
+from pumicespur.jobs._beliefs import workers_max_age_s
 from pumicespur.jobs._demand import FILL_SHARE
 from pumicespur.jobs._describe import describe_progress
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
@@ -27,4 +28,5 @@
     "describe_hold",
     "describe_progress",
     "owner_key",
+    "workers_max_age_s",
 ]
--- a/pumicespur/jobs/_intake.py
+++ b/pumicespur/jobs/_intake.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING, Any
 
 import anyio
 from expression import Result
 from logbook import Logger
 
+from pumicespur.jobs._beliefs import submissions_max_age_s
 from pumicespur.jobs._job import ENDED_PHASES
 from pumicespur.jobs._keys import submission_parts, submissions_table
 from pumicespur.jobs._sweep import SubmissionSweep
@@ -19,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from pumicespur.config import NodeSettings
     from pumicespur.jobs._job import Job
     from pumicespur.jobs._pool import PoolState
     from pumicespur.platform import PlatformTable
@@ -43,14 +46,17 @@
         pool: PoolState,
         table: PlatformTable,
         view: NodeView,
-        watch_s: float,
+        settings: NodeSettings,
         wake: Callable[[], None],
         note_arrival: Callable[[Job], None],
     ) -> None:
         self.pool = pool
         self.table = table
         self.view = view
-        self.watch_s = watch_s
+        self.watch_s = min(settings.store.watch_s, WATCH_S)
+        """Longest wait for changes in one request, in seconds."""
+        self.max_age_s = submissions_max_age_s(settings.workers)
+        """Age of what is known at which it is of no use for starts any more, in seconds."""
         self.wake = wake
         """Asks the owner for a round."""
         self.note_arrival = note_arrival
@@ -82,7 +88,8 @@
         asked_at = monotonic()
 
         async def read(part: str) -> None:
-            pages.append(await self._retry(lambda: self.table.scan(submissions_table(pool), part)))
+            scan = functools.partial(self.table.scan, submissions_table(pool), part, self.max_age_s)
+            pages.append(await self._retry(scan))
 
         async with anyio.create_task_group() as readers:
             for part in submission_parts(pool):
@@ -135,10 +142,9 @@
         table = submissions_table(pool)
         while True:
             asked_at = monotonic()
-            patience_s = self.table.times.patience_s(asked_at)
-            answer = await self.table.changes(
-                table, self.reading.version, min(self.watch_s, WATCH_S), patience_s
-            )
+            useful_s = max(0.0, self.max_age_s - self.watch_s)
+            patience_s = min(self.table.times.patience_s(asked_at), useful_s)
+            answer = await self.table.changes(table, self.reading.version, self.watch_s, patience_s)
             match answer:
                 case Result(tag="ok", ok=page):
                     proved_at = asked_at if page.complete else self.reading.asked_at
--- a/pumicespur/jobs/_limits.py
+++ b/pumicespur/jobs/_limits.py
@@ -107,6 +107,14 @@
         part.note_used(share, now)
         return True
 
+    def within(self, account: AccountId) -> bool:
+        """Whether what is counted of an account fits its part, which may have shrunk since."""
+        limit = self.limit_of(account)
+        if not account or limit == UNLIMITED:
+            return True
+        used = self.use.of(account)
+        return used.share_of(limit) <= self.part_of(account).available or used.tasks <= 1
+
     def note_blocked(
         self, account: AccountId, task: StepRecord, count: int, together: int = 1
     ) -> None:
--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -119,10 +119,14 @@
             and self.accelerators + spec.accelerators <= room.accelerators
         )
 
+    def has_label(self, spec: StepRecord) -> bool:
+        """Whether the worker has the label that a step requires, if it requires one."""
+        return not spec.required_label or spec.required_label in self.worker.labels
+
     def allows(self, group: StepGroup) -> bool:
         """Whether the step's label and spread permit one more of its tasks here."""
         spec = group.spec
-        if spec.required_label and spec.required_label not in self.worker.labels:
+        if not self.has_label(spec):
             return False
         if not spec.max_per_worker:
             return True
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -109,10 +109,10 @@
         self.tell = tell
         """Asks for a heartbeat at once."""
         self.size = PoolSize(self.pool, tell)
-        self.intake = JobIntake(
-            self.pool, table, view, settings.store.watch_s, self.wake, self.size.note_arrival
-        )
+        self.intake = JobIntake(self.pool, table, view, settings, self.wake, self.size.note_arrival)
         self.parts = PartKeeper(self.pool.limits, table, view, tell)
+        self.held_back = ""
+        """Why no start is decided at present; empty if they are."""
         self.stopping = False
         self.stopped = anyio.Event()
         self.ready = False
@@ -339,7 +339,8 @@
                 self._evacuate()
                 self._free_left_starts(monotonic())
                 self.parts.hear(monotonic())
-                self.pool.place(monotonic(), now_ms())
+                if self._may_start(monotonic()):
+                    self.pool.place(monotonic(), now_ms())
                 self.parts.tell_news()
                 self.size.note(monotonic())
                 self._pace()
@@ -352,6 +353,19 @@
                 await self.journal.release(self.settings.process.id)
                 return
 
+    def _may_start(self, now: float) -> bool:
+        """Whether enough is known for starts to be decided; leases go on in any case."""
+        reason = self.beliefs().outdated(self.settings.workers, now)
+        if reason != self.held_back:
+            self.held_back = reason
+            log.warning(
+                "starts held back" if reason else "starts go on",
+                pool=self.pool.pool,
+                reason=reason,
+                **self.beliefs().describe(now),
+            )
+        return not reason
+
     def _pace(self) -> None:
         """Slow filling tasks down where tasks that serve users suffer."""
         for task, percent in choose_paces(self.pool.loads.values(), monotonic()):
@@ -361,17 +375,8 @@
 
     def _evacuate(self) -> None:
         """Keep new tasks off workers that are to be emptied, and move lasting ones away."""
-        wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
+        self._note_evacuations()
         now = monotonic()
-        news = False
-        for load in self.pool.loads.values():
-            if load.evacuating != (load.worker.name in wanted):
-                load.evacuating = not load.evacuating
-                news = True
-            if load.evacuating and not load.tasks and load.told_tasks:
-                news = True
-        if news:
-            self.tell()
         if now - self.ownership.acquired_at < SETTLE_S:
             return
         for task in tasks_to_move(self.pool, now):
@@ -382,6 +387,19 @@
                 task.away_since = now
                 self.spawn(watch.stop, task.name, task.run, "its worker is to be emptied")
 
+    def _note_evacuations(self) -> None:
+        """Take in which workers are to be emptied, and tell at once what has become empty."""
+        wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
+        news = False
+        for load in self.pool.loads.values():
+            if load.evacuating != (load.worker.name in wanted):
+                load.evacuating = not load.evacuating
+                news = True
+            if load.evacuating and not load.tasks and load.told_tasks:
+                news = True
+        if news:
+            self.tell()
+
     def _collect(self) -> Batch:
         """Gather what changed; ends are acknowledged only when every change is in."""
         batch = Batch()
@@ -425,6 +443,9 @@
 
     def _carry_out(self, batch: Batch) -> None:
         now = now_ms()
+        # The commit may have taken long: what was heard meanwhile counts for its orders too.
+        self._note_evacuations()
+        self.pool.limits.set_accounts(self.view.configuration.accounts)
         self.parts.note_recorded(batch.parts)
         for job in batch.ended:
             self.intake.ended[job.id] = now
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -8,6 +8,7 @@
 from expression import Result
 from logbook import Logger
 
+from pumicespur.jobs._beliefs import start_timeout_s
 from pumicespur.jobs._crashes import TRIAL_LOOK_S, count_suspects, note_running
 from pumicespur.jobs._job import Loss, TaskState
 from pumicespur.jobs._journal import OwnershipLostError
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from pumicespur.jobs._beliefs import Beliefs
     from pumicespur.jobs._holding import PoolHolder
     from pumicespur.jobs._job import Task
     from pumicespur.jobs._lease import EarlierLeases
@@ -343,18 +345,26 @@
             # While its place was recorded, an earlier run ended well or the worker was lost.
             return
         now = monotonic()
-        deadline = self.lease.grant(now, self.owner.settings.workers.lease_s)
-        if task.job.ended or deadline is None or self.gone or not self.owner.may_extend(now):
-            self._free_if_same(task, run, "not ordered")
-            return
-        if self.load.over_full():
-            self._free_if_same(task, run, "the worker's room has shrunk")
+        settings = self.owner.settings.workers
+        beliefs, state = self.owner.beliefs(), self.load.worker.state
+        against = self._reason_against(task, beliefs, now)
+        # The worker refuses it once what it rests on is too old, however late it arrives.
+        hold_s = beliefs.hold_for_s(settings, now) * (1 - settings.clock_drift)
+        deadline = self.lease.grant(now, min(settings.lease_s, hold_s))
+        if against or deadline is None:
+            self._free_if_same(task, run, against or "the worker's clock is not known")
+            METRICS.starts_undone.inc({"pool": self.owner.pool.pool, "reason": against})
             return
         task.state = TaskState.STARTING
         order = StartOrder(
-            task.name, run, task.job.record.payload, task.checkpoint, deadline, task.ticket
+            task.name,
+            run,
+            task.job.record.payload,
+            task.checkpoint,
+            deadline,
+            task.ticket,
+            start_timeout_s(settings),
         )
-        beliefs, state = self.owner.beliefs(), self.load.worker.state
         self.pending.add(task)
         self.open_starts.tasks.add(task)
         answer = await self.owner.orders.start(self.load.worker, self.owner.token, order)
@@ -402,6 +412,24 @@
             case Result(error=AnswerLost()):
                 self.unsettled[task] = UnansweredStart(run, monotonic())
 
+    def _reason_against(self, task: Task, beliefs: Beliefs, now: float) -> str:
+        """Return what has come to speak against a start since it was decided; empty if nothing.
+
+        While it was recorded, its worker may have said that it leaves, and whoever tells so may
+        have fallen silent.
+        """
+        if task.job.ended or self.gone or not self.owner.may_extend(now):
+            return "not ordered"
+        if self.load.over_full():
+            return "the worker's room has shrunk"
+        if not self.load.open(now):
+            return "the worker takes no more tasks"
+        if not self.load.has_label(task.spec):
+            return "the worker has another label"
+        if not self.owner.pool.limits.within(task.job.account):
+            return "the account's limit has fallen"
+        return beliefs.outdated(self.owner.settings.workers, now)
+
     async def pace(self, task: Task, percent: int) -> None:
         """Let a filling task work at a share of its speed."""
         run = task.run
--- a/pumicespur/model/_orders.py
+++ b/pumicespur/model/_orders.py
@@ -47,3 +47,5 @@
     checkpoint: str
     deadline_ms: int
     ticket: str = ""
+    timeout_s: float = 0.5
+    """How long its answer is waited for."""
--- a/pumicespur/node/_follow.py
+++ b/pumicespur/node/_follow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -53,6 +54,9 @@
     read: Callable[[], Awaitable[Result[Page, Fault]]]
     whole: bool
     """Whether the answer holds all rows of the table."""
+    max_age_s: float = math.inf
+    """Age of what is known at which it is of no use any more; an answer that would come later is
+    not waited for. An answer without rows counts as none, where rows change all the time."""
 
 
 class TableFollower:
@@ -101,15 +105,17 @@
         while True:
             asked_at = monotonic()
             if version is None:
-                answer = await self.table.scan(self.name, "")
+                answer = await self._scan()
             else:
                 answer = await self._changes(version)
             match answer:
                 case Result(tag="ok", ok=page):
                     self._note_connected(True, "")
                     self.answered_at = monotonic()
-                    self._note_reading(page, asked_at)
+                    self._note_reading(page, asked_at, version is None)
                     self.on_rows(page.rows, version is None)
+                    if self.reread and self._is_half_useless():
+                        await self._read_again(self.reread)
                     version = None if self._is_late(page) else page.version
                     self.hurried = anyio.Event()
                     with anyio.move_on_after(self.pause_s()):
@@ -136,7 +142,8 @@
     async def _changes(self, version: int) -> Result[Page, Fault]:
         if self.reread is None:
             return await self.table.changes(self.name, version, self.wait_s)
-        patience_s = self.table.times.patience_s(monotonic())
+        useful_s = max(0.0, self._max_age_s() - self.wait_s - self.pause_s())
+        patience_s = min(self.table.times.patience_s(monotonic()), useful_s)
         return await self.table.changes(self.name, version, self.wait_s, patience_s)
 
     async def _read_again(self, reread: Reread) -> None:
@@ -147,15 +154,26 @@
         match answer:
             case Result(tag="ok", ok=page):
                 self.answered_at = monotonic()
-                self._note_reading(page, asked_at)
+                self._note_reading(page, asked_at, whole=True)
                 self.on_rows(page.rows, reread.whole)
             case Result(error=fault):
                 self._note_connected(False, str(fault))
                 await anyio.sleep(RETRY_S)
 
-    def _note_reading(self, page: Page, asked_at: float) -> None:
+    async def _scan(self) -> Result[Page, Fault]:
+        return await self.table.scan(self.name, "", self._max_age_s())
+
+    def _max_age_s(self) -> float:
+        return self.reread.max_age_s if self.reread else math.inf
+
+    def _is_half_useless(self) -> bool:
+        """Whether it is time to read the rows themselves, so that what is known stays of use."""
+        return self.reading.age_s(monotonic()) > self._max_age_s() / 2
+
+    def _note_reading(self, page: Page, asked_at: float, whole: bool) -> None:
         """Note how far the table is known; an answer that was cut off proves nothing newer."""
-        if page.complete:
+        quiet = not page.rows and not whole and self._max_age_s() < math.inf
+        if page.complete and not quiet:
             self.reading = Reading(page.version, asked_at)
 
     def _is_late(self, page: Page) -> bool:
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -139,7 +139,7 @@
                 CatchUp(after_s=0.0, when_late=True),
             )
             tasks.start_soon(self.operators.run)
-            tasks.start_soon(WorkerList(settings.store, self.view, self.table, self.keeper).run)
+            tasks.start_soon(WorkerList(settings, self.view, self.table, self.keeper).run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self)
                 self.server.runners.append(inspection)
--- a/pumicespur/node/_workers.py
+++ b/pumicespur/node/_workers.py
@@ -8,6 +8,7 @@
 from expression import Result
 from logbook import Logger
 
+from pumicespur.jobs import workers_max_age_s
 from pumicespur.model import WorkerName, birth_ms
 from pumicespur.node._follow import CatchUp, Reread, TableFollower
 from pumicespur.platform import WORKERS_TABLE, decode_worker
@@ -16,10 +17,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from pumicespur.config import NodeSettings
     from pumicespur.model import Worker
     from pumicespur.node._keeper import OwnershipKeeper
     from pumicespur.platform import PlatformTable
-    from pumicespur.schema.node_pb import StoreSettings
     from pumicespur.store import Row
     from pumicespur.view import NodeView
 
@@ -29,10 +30,13 @@
 """Pause between looks whether a pool is owned, in the process that holds the fleet's duty."""
 
 WORKERS_PAUSE_S = 0.3
-"""Workers write often; a worker that drains is known well within the two seconds allowed."""
+"""Longest pause between two answers; workers write so often that each holds many of them."""
 
-WORKERS_WAIT_S = 1.0
-"""Longest wait for changes of the workers in one request; they write more often."""
+PAUSE_SHARE = 0.2
+"""Share of the time for which the list is of use that the pause takes at most."""
+
+WAIT_SHARE = 1 / 3
+"""Share of that time for which one request waits for changes; workers write more often."""
 
 OWNERLESS_S = 0.5
 """Pause between looks whether a pool is still owned, while the workers are followed."""
@@ -47,7 +51,7 @@
 
     def __init__(
         self,
-        settings: StoreSettings,
+        settings: NodeSettings,
         view: NodeView,
         table: PlatformTable,
         keeper: OwnershipKeeper,
@@ -74,17 +78,27 @@
                 await self._follow_while_owning()
             await anyio.sleep(POLL_S)
 
-    async def _follow_while_owning(self) -> None:
-        self.follower = TableFollower(
+    def _make_follower(self) -> TableFollower:
+        """Return what follows the list closely enough for starts to be ordered by it."""
+        max_age_s = workers_max_age_s(self.settings.workers)
+        pause_s = min(WORKERS_PAUSE_S, PAUSE_SHARE * max_age_s)
+        return TableFollower(
             self.table,
-            self.settings,
+            self.settings.store,
             WORKERS_TABLE,
             self._take,
             CatchUp(WORKERS_REPLAY_S),
-            lambda: WORKERS_PAUSE_S,
-            wait_s=WORKERS_WAIT_S,
-            reread=Reread(lambda: self.table.scan(WORKERS_TABLE, ""), whole=True),
+            lambda: pause_s,
+            wait_s=WAIT_SHARE * max_age_s,
+            reread=Reread(
+                lambda: self.table.scan(WORKERS_TABLE, "", max_age_s),
+                whole=True,
+                max_age_s=max_age_s,
+            ),
         )
+
+    async def _follow_while_owning(self) -> None:
+        self.follower = self._make_follower()
         await self.follower.run_while(self.keeper.duties.pool_owners, OWNERLESS_S)
         self.view.workers_known = False
         self.view.workers = {}
--- a/pumicespur/platform/_orders.py
+++ b/pumicespur/platform/_orders.py
@@ -131,19 +131,21 @@
             checkpoint=order.checkpoint,
             ticket=order.ticket,
         )
-        return await self._order(worker, START_PATH, body)
+        return await self._order(worker, START_PATH, body, order.timeout_s)
 
     async def stop(
         self, worker: Worker, token: int, task: TaskName, run: int
     ) -> Result[None, OtherLife | Refused | Unavailable | AnswerLost]:
         """Stop a run; one that is not there yet is kept from starting."""
-        return await self._order(worker, STOP_PATH, _Stop(task, run, token))
+        body = _Stop(task, run, token)
+        return await self._order(worker, STOP_PATH, body, self.settings.call_timeout_s)
 
     async def pace(
         self, worker: Worker, token: int, task: TaskName, run: int, percent: int
     ) -> Result[None, OtherLife | Refused | Unavailable | AnswerLost]:
         """Let a run work at a share of its speed."""
-        return await self._order(worker, PACE_PATH, _Pace(task, run, percent, token))
+        body = _Pace(task, run, percent, token)
+        return await self._order(worker, PACE_PATH, body, self.settings.call_timeout_s)
 
     async def hold(
         self, worker: Worker, token: int, last_seen: int, deadline_ms: int | None, wait_s: float
@@ -192,9 +194,9 @@
                 return Error(fault)
 
     async def _order(
-        self, worker: Worker, path: str, body: msgspec.Struct
+        self, worker: Worker, path: str, body: msgspec.Struct, timeout_s: float
     ) -> Result[None, OtherLife | Refused | Unavailable | AnswerLost]:
-        answer = await self._call(self.caller, worker, path, body, self.settings.call_timeout_s)
+        answer = await self._call(self.caller, worker, path, body, timeout_s)
         match answer:
             case Result(tag="ok", ok=Answer(status=200)):
                 return Ok(None)
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import math
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
@@ -46,6 +47,9 @@
 ANSWERS_S = 0.5
 """Age of the newest answer up to which the service counts as answering: a heartbeat."""
 
+SILENCE_S = 1.0
+"""Time without an answer after which readings that wait are asked for anew: two heartbeats."""
+
 UNDERSTOOD = frozenset({200, 410, 412})
 """Status codes of answers by which the service tells what it did or has."""
 
@@ -141,10 +145,14 @@
 
     def _note_outcome(self, answer: Result[Answer, Unavailable | AnswerLost]) -> None:
         now = monotonic()
-        if answer.is_ok() and answer.ok.status in UNDERSTOOD:
-            self.answered_at = now
-        else:
+        if not answer.is_ok() or answer.ok.status not in UNDERSTOOD:
             self.failed_at = now
+            return
+        silent_s = self.silent_s(now)
+        self.answered_at = now
+        if silent_s > SILENCE_S:
+            # What was asked for while the service was away may never be answered.
+            self.renew_readings()
 
     def renew_readings(self) -> None:
         """Give up the readings that have heard nothing; their connections may be dead.
@@ -192,8 +200,10 @@
             )
         )
 
-    async def scan(self, table: str, part: str) -> Result[Page, Fault]:
-        """Read all rows of a part of a table.
+    async def scan(
+        self, table: str, part: str, patience_s: float = math.inf
+    ) -> Result[Page, Fault]:
+        """Read all rows of a part of a table; each page may begin `patience_s` late at most.
 
         The version is that of the first page, so that no change in between is missed.
         """
@@ -203,7 +213,7 @@
         start = ""
         while True:
             query = {"table": table, "part": part, "from": start, "limit": str(PAGE_ROWS)}
-            transfer = Transfer(self.times.timeout_s())
+            transfer = Transfer(min(self.times.timeout_s(), patience_s))
             answer = _rows(await self._read(_path(READ_PATH, query), transfer, table))
             self._note_first_bytes(transfer)
             match answer:
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -17,6 +17,10 @@
         self.jobs = Counter("pumicespur_jobs_total", "Submitted jobs by outcome.")
         self.tasks = Counter("pumicespur_task_ends_total", "Ended runs by pool and how they ended.")
         self.starts = Counter("pumicespur_task_starts_total", "Ordered starts by pool and outcome.")
+        self.starts_undone = Counter(
+            "pumicespur_task_starts_undone_total",
+            "Placed starts that were not ordered, by pool and what had come to speak against them.",
+        )
         self.runs_lost = Counter(
             "pumicespur_runs_lost_total", "Runs that were lost with their worker, by pool."
         )
@@ -60,6 +64,7 @@
             self.jobs,
             self.tasks,
             self.starts,
+            self.starts_undone,
             self.runs_lost,
             self.takeovers,
             self.lost,
--- a/tests/base.py
+++ b/tests/base.py
@@ -8,6 +8,9 @@
 
 import httpx
 
+from pumicespur.config import NodeSettings
+from pumicespur.config._ini import IniSection
+from pumicespur.config._options import fill_message
 from pumicespur.operators import SCHEMA_VERSION, OperatorClient
 from pumicespur.schema.fleet_pb import (
     Declaration,
@@ -48,6 +51,14 @@
     )
 
 
+def default_settings() -> NodeSettings:
+    """Make a node's settings with every default; what has none stays empty."""
+    settings = NodeSettings()
+    for name, message in settings.sections().items():
+        fill_message(message, IniSection("defaults", name, 0))
+    return settings
+
+
 def quiet_loop() -> None:
     """Switch off the debug mode of unittest's loop, which reports every slow step."""
     loop = asyncio.get_running_loop()
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -12,6 +12,7 @@
 from pumicespur.node._follow import SLOW_S, CatchUp, Reread, TableFollower
 from pumicespur.schema.node_pb import StoreSettings
 from pumicespur.store import AnswerLost, AnswerTimes, Page, Row
+from pumicespur.utils import monotonic
 from tests.base import quiet_loop
 
 if TYPE_CHECKING:
@@ -45,7 +46,7 @@
         """Answer a reading of the rows themselves."""
         return await self._answer("rows")
 
-    async def scan(self, name: str, part: str) -> Result[Page, Fault]:
+    async def scan(self, name: str, part: str, patience_s: float = math.inf) -> Result[Page, Fault]:
         """Answer a whole reading."""
         return await self._answer("all")
 
@@ -75,7 +76,11 @@
         self.heard.append((len(rows), whole))
 
     async def follow(
-        self, catch_up: CatchUp, *answers: Result[Page, Fault], rereads: bool = False
+        self,
+        catch_up: CatchUp,
+        *answers: Result[Page, Fault],
+        rereads: bool = False,
+        max_age_s: float = math.inf,
     ) -> list[str]:
         """Follow until the script is over; return what was asked."""
         table = ScriptedTable(list(answers))
@@ -85,8 +90,9 @@
             "op",
             self.hear,
             catch_up,
-            reread=Reread(table.rows, whole=False) if rereads else None,
+            reread=Reread(table.rows, whole=False, max_age_s=max_age_s) if rereads else None,
         )
+        self.follower = follower
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follower.run)
             await table.done.wait()
@@ -101,6 +107,27 @@
         self.assertEqual(["all", "since 5", "rows", "since 5"], asked)
         self.assertEqual([(1, True), (1, False), (1, False)], self.heard)
 
+    async def test_rows_are_read_themselves_before_what_is_known_is_too_old(self) -> None:
+        answers = (page(5, 5), page(5), page(0, 7), page(8, 8))
+        asked = await self.follow(CatchUp(math.inf), *answers, rereads=True, max_age_s=0.0)
+        self.assertEqual(["all", "rows", "since 5", "rows"], asked)
+
+    async def test_a_quiet_answer_proves_nothing_where_rows_change_all_the_time(self) -> None:
+        answers = (page(5, 5), page(6))
+        await self.follow(CatchUp(math.inf), *answers, rereads=True, max_age_s=60.0)
+        self.assertEqual(5, self.follower.reading.version)
+
+    async def test_an_answer_that_was_cut_off_proves_nothing_newer(self) -> None:
+        answers = (page(5, 5), page(6, 6, complete=False))
+        await self.follow(CatchUp(math.inf), *answers)
+        self.assertEqual(5, self.follower.reading.version)
+
+    async def test_what_is_known_is_as_old_as_the_request(self) -> None:
+        began = monotonic()
+        await self.follow(CatchUp(math.inf), page(5, 5), page(6))
+        self.assertEqual(6, self.follower.reading.version)
+        self.assertLessEqual(began, self.follower.reading.asked_at)
+
     async def test_changes_follow_the_first_reading(self) -> None:
         late = CatchUp(math.inf, when_late=True)
         asked = await self.follow(late, page(5, 5), page(6, 6), page(6))
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -60,6 +60,7 @@
 )
 from pumicespur.store import AnswerLost, AnswerTimes, Fault, Page, Transaction, Unavailable
 from pumicespur.utils import monotonic
+from tests.base import default_settings
 
 POOL = PoolId("main")
 ROUTE = Route(RouteName("quick"), "host", "/quick/", POOL, 3.0, 0, 2, 1.5, 0.6)
@@ -530,14 +531,19 @@
                     raise EOFError
                 return Error(AnswerLost("nothing came"))
 
-            async def scan(self, table: str, part: str) -> Result[Page, Fault]:
+            async def scan(self, table: str, part: str, patience_s: float) -> Result[Page, Fault]:
                 parts.append(part)
                 return Ok(Page([], 7))
 
         Table.times.note_answer(monotonic(), 0.01)
         pool = make_pool()
         intake = JobIntake(
-            pool, cast("Any", Table()), cast("Any", None), 5.0, lambda: None, lambda job: None
+            pool,
+            cast("Any", Table()),
+            cast("Any", None),
+            default_settings(),
+            lambda: None,
+            lambda job: None,
         )
         with self.assertRaises(EOFError):
             await intake.follow()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -7,15 +7,129 @@
 from __future__ import annotations
 
 import asyncio
+import unittest
+from dataclasses import replace
 from typing import Any
 
+from pumicespur.jobs._beliefs import Beliefs, start_timeout_s, workers_max_age_s
+from pumicespur.jobs._job import TaskState
+from pumicespur.jobs._lease import EarlierLeases
+from pumicespur.jobs._placement import put
+from pumicespur.jobs._watch import WorkerWatch
+from pumicespur.model import AccountId, Capacity, ClientAccount, WorkerState
+from pumicespur.schema.jobs_pb import StepRecord
+from pumicespur.schema.node_pb import WorkerSettings
+from pumicespur.store import Reading
+from pumicespur.utils import monotonic
+from tests.base import quiet_loop
+from tests.test_jobs import make_record, make_worker, submit
 from tests.test_node import STEP, NodeCase, job_id
+from tests.test_watch import ScriptedHolder
 
 DRAIN_S = 0.6
 """Time that nodes under test have to know that a worker leaves, as their settings tell."""
 
 LONE = {**STEP, "count": 1}
 
+TWO_TASKS = StepRecord(count=2, cpu_millis=1000)
+
+
+class LeavingWhileRecordedTest(unittest.IsolatedAsyncioTestCase):
+    """A worker whose state changes between the choice of it and the order."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.holder = ScriptedHolder()
+        self.settings = self.holder.settings.workers
+        self.drain_s = self.settings.drain_ms / 1000
+        self.worker = make_worker("w", cpu=4000)
+        self.watch = WorkerWatch(self.holder, self.worker, EarlierLeases(0.0))
+        self.watch.load.reachable = True
+        self.watch.lease.note(0.0, monotonic())
+        self.task = submit(self.holder.pool, make_record(StepRecord(count=1, cpu_millis=1))).tasks[
+            0
+        ]
+        put(self.task, self.watch.load)
+
+    async def test_a_start_is_not_ordered_on_a_worker_that_has_come_to_leave(self) -> None:
+        self.holder.pool.add_worker(replace(self.worker, state=WorkerState.DRAINING))
+        await self.watch.start(self.task, 1)
+        self.assertEqual(0, self.holder.orders.starts)
+        self.assertIs(TaskState.WAITING, self.task.state)
+
+    async def test_a_start_is_not_ordered_on_a_worker_that_is_to_be_emptied_by_now(self) -> None:
+        self.watch.load.evacuating = True
+        await self.watch.start(self.task, 1)
+        self.assertEqual(0, self.holder.orders.starts)
+
+    async def test_a_start_is_not_ordered_on_a_worker_that_is_not_listed_any_more(self) -> None:
+        self.watch.load.listed = False
+        await self.watch.start(self.task, 1)
+        self.assertEqual(0, self.holder.orders.starts)
+
+    async def test_a_start_is_not_ordered_where_the_label_has_gone(self) -> None:
+        self.task.spec.required_label = "large"
+        await self.watch.start(self.task, 1)
+        self.assertEqual(0, self.holder.orders.starts)
+
+    async def test_a_start_is_ordered_where_nothing_has_changed(self) -> None:
+        await self.watch.start(self.task, 1)
+        self.assertEqual(1, self.holder.orders.starts)
+
+    async def test_a_start_is_not_ordered_once_its_account_is_over_a_fallen_limit(self) -> None:
+        limits = self.holder.pool.limits
+        account = AccountId("crown")
+        job = submit(self.holder.pool, make_record(TWO_TASKS, job="2"))
+        job.account = account
+        for task in job.tasks:
+            put(task, self.watch.load)
+        limits.set_accounts({account: ClientAccount(account, 1.0, Capacity(1500, 0))})
+        await self.watch.start(job.tasks[0], 1)
+        await self.watch.start(job.tasks[1], 1)
+        self.assertEqual(1, self.holder.orders.starts)
+
+    async def test_no_start_is_ordered_by_a_list_that_is_too_old(self) -> None:
+        self.holder.workers_age_s = self.drain_s - start_timeout_s(self.settings) + 0.01
+        await self.watch.start(self.task, 1)
+        self.assertEqual(0, self.holder.orders.starts)
+
+    async def test_no_start_is_ordered_while_cancellations_may_be_unheard(self) -> None:
+        self.holder.submissions_age_s = self.settings.cancel_ms / 1000
+        await self.watch.start(self.task, 1)
+        self.assertEqual(0, self.holder.orders.starts)
+
+    async def test_the_worker_refuses_a_start_that_comes_once_its_beliefs_are_too_old(self) -> None:
+        self.holder.workers_age_s = 1.0
+        sent_at = monotonic()
+        await self.watch.start(self.task, 1)
+        clock_ms = (sent_at - self.watch.lease.heard_at) * 1000
+        left_ms = self.holder.orders.orders[0].deadline_ms - clock_ms
+        self.assertLess(left_ms, (self.drain_s - 1.0) * 1000)
+        self.assertGreater(left_ms, (self.drain_s - 1.0) * 900)
+
+
+class BeliefsTest(unittest.TestCase):
+    """How old what a start rests on may be."""
+
+    def settings(self, drain_ms: int) -> WorkerSettings:
+        return WorkerSettings(call_timeout_s=0.5, drain_ms=drain_ms, cancel_ms=3000)
+
+    def test_age_and_call_fit_into_the_time_allowed(self) -> None:
+        for drain_ms in (200, 600, 2000, 3000, 60_000):
+            settings = self.settings(drain_ms)
+            total_s = workers_max_age_s(settings) + start_timeout_s(settings)
+            self.assertAlmostEqual(drain_ms / 1000, total_s)
+            self.assertGreater(workers_max_age_s(settings), 0)
+
+    def test_what_was_never_read_is_out_of_date(self) -> None:
+        self.assertTrue(Beliefs().outdated(self.settings(2000), 10.0))
+
+    def test_each_table_is_judged(self) -> None:
+        settings, fresh = self.settings(2000), Reading(1, 10.0)
+        self.assertEqual("", Beliefs(fresh, fresh).outdated(settings, 11.0))
+        self.assertIn("workers", Beliefs(Reading(1, 9.0), fresh).outdated(settings, 11.0))
+        self.assertIn("cancel", Beliefs(fresh, Reading(1, 8.0)).outdated(settings, 11.0))
+
 
 class LeavingCase(NodeCase):
     """Two workers; the job of a test runs on the first one alone until that leaves."""
--- a/tests/test_lives_model.py
+++ b/tests/test_lives_model.py
@@ -44,7 +44,7 @@
 )
 from pumicespur.schema.jobs_pb import JobPhase, ProgressRecord, StepRecord
 from pumicespur.schema.node_pb import WorkerSettings
-from pumicespur.store import AnswerLost, Unavailable, Write
+from pumicespur.store import AnswerLost, Reading, Unavailable, Write
 from pumicespur.utils import monotonic
 from pumicespur.view import NodeView
 from tests.base import quiet_loop
@@ -63,6 +63,9 @@
 TROUBLE_S = 1.0
 """How long workers start again and orders go astray."""
 
+READ_S = 0.1
+"""Pause between readings of the tables."""
+
 CALM_S = 20.0
 """Longest time after that until everything is in order; a plan takes some hundredths of it."""
 
@@ -301,6 +304,7 @@
             workers = self.kind(self.chance, tasks)
             for name, lives in workers.lives.items():
                 self.view.workers[name] = workers.entry(name, lives[-1])
+            tasks.start_soon(self._read_on)
             scope = anyio.CancelScope()
             tasks.start_soon(self._own, workers, scope)
             async with anyio.create_task_group() as troubles:
@@ -320,6 +324,14 @@
             tasks.cancel_scope.cancel()
         return [*workers.findings, *left]
 
+    async def _read_on(self) -> None:
+        """Know the tables as of now; what the owner is told late is the plan's own matter."""
+        while True:
+            self.view.workers_reading = Reading(1, monotonic())
+            if self.owner is not None:
+                self.owner.intake.reading = Reading(1, monotonic())
+            await anyio.sleep(READ_S)
+
     async def _hand_in(self) -> None:
         """Hand jobs in one by one."""
         while self.to_come:
@@ -339,6 +351,8 @@
                 clock_drift=0.02,
                 owner_silence_s=8,
                 call_timeout_s=0.5,
+                drain_ms=2000,
+                cancel_ms=3000,
             )
         )
         token = self.records.token
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,10 +17,10 @@
 from pumicespur.model import Configuration, PoolId, PoolSettings, WorkerName, WorkerState, worker_id
 from pumicespur.node._workers import WorkerList
 from pumicespur.platform import decode_worker
-from pumicespur.schema.node_pb import StoreSettings
 from pumicespur.store import Row
 from pumicespur.view import NodeView
 from standins.hosted import FOREIGN_ENTRIES, USUAL_ENTRY
+from tests.base import default_settings
 from tests.test_jobs import make_worker
 from tests.test_node import STEP, NodeCase, job_id
 
@@ -100,7 +100,7 @@
     def setUp(self) -> None:
         self.view = NodeView()
         keeper: Any = SimpleNamespace(sync_workers=lambda: None)
-        self.list = WorkerList(StoreSettings(), self.view, cast("Any", None), keeper)
+        self.list = WorkerList(default_settings(), self.view, cast("Any", None), keeper)
 
     def take(self, key: str, value: bytes, version: int = 1) -> None:
         self.list._take([Row(key, value, version)], False)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,7 +8,6 @@
 
 from expression import Error, Ok, Result
 
-from pumicespur.config import NodeSettings
 from pumicespur.jobs._beliefs import Beliefs
 from pumicespur.jobs._job import Loss, TaskState
 from pumicespur.jobs._lease import EarlierLeases
@@ -20,15 +19,15 @@
     RunEnd,
     Running,
     StartedAgain,
+    StartOrder,
     TaskEnd,
     WorkerName,
     worker_id,
 )
 from pumicespur.schema.jobs_pb import StepRecord
-from pumicespur.schema.node_pb import WorkerSettings
 from pumicespur.store import AnswerLost, Reading
 from pumicespur.utils import monotonic
-from tests.base import quiet_loop
+from tests.base import default_settings, quiet_loop
 from tests.test_jobs import make_pool, make_record, make_worker, submit
 
 if TYPE_CHECKING:
@@ -47,6 +46,7 @@
     """A run that has begun and ended when the first stop arrives."""
     stops: int = 0
     starts: int = 0
+    orders: list[StartOrder] = field(default_factory=list)
     running: list[Running] = field(default_factory=list)
     last_seen: list[int] = field(default_factory=list)
     """What each look acknowledged."""
@@ -54,9 +54,10 @@
     faults: list[Any] = field(default_factory=list)
     """What the next looks meet instead of an account, first the first one."""
 
-    async def start(self, *arguments: Any) -> Result[None, Any]:
+    async def start(self, worker: Any, token: int, order: StartOrder) -> Result[None, Any]:
         """Take a start."""
         self.starts += 1
+        self.orders.append(order)
         return Ok(None)
 
     async def hold(
@@ -81,18 +82,22 @@
     """A pool's owner without rounds."""
 
     def __init__(self) -> None:
-        self.settings = NodeSettings(
-            workers=WorkerSettings(lease_s=3, watch_s=0, clock_drift=0.02, owner_silence_s=8)
-        )
+        self.settings = default_settings()
+        self.settings.workers.lease_s = 3
+        self.settings.workers.watch_s = 0
         self.pool = make_pool()
         self.orders: Any = ScriptedOrders()
         self.token = 1
+        self.workers_age_s = 0.0
+        self.submissions_age_s = 0.0
         self.restarted: list[tuple[WorkerId, bool]] = []
 
     def beliefs(self) -> Beliefs:
-        """Know everything as of now."""
-        now = Reading(1, monotonic())
-        return Beliefs(now, now, 1)
+        """Know everything as of now, unless a test sets ages."""
+        now = monotonic()
+        return Beliefs(
+            Reading(1, now - self.workers_age_s), Reading(1, now - self.submissions_age_s), 1
+        )
 
     def may_extend(self, now: float) -> bool:
         """Extend leases always."""
@@ -172,6 +177,7 @@
         quiet_loop()
         self.holder = ScriptedHolder()
         self.watch = WorkerWatch(self.holder, make_worker("w"), EarlierLeases(0.0))
+        self.watch.load.reachable = True
         self.watch.lease.note(0.0, monotonic())
         record = make_record(StepRecord(count=2, cpu_millis=100))
         self.job = submit(self.holder.pool, record)
