Soak: workers that leave in five ways, a store that tells of them late, and its judge

New kinds: short notice, half of the workers at once, one after the other, an address that goes to another pool; a list of workers that is refused or whose changes nobody is told, commits of starts refused. Judged without excuses: nothing starts on a worker 0.6 s after its word that it leaves, also where links, pauses or the worker itself hold the order up, since the start carries the time after which the worker refuses it.

--- a/pumicespur/jobs/_lease.py
+++ b/pumicespur/jobs/_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 
@@ -40,11 +41,16 @@
         self.clock_ms = clock_ms
         self.heard_at = now
 
-    def grant(self, now: float, lease_s: float) -> int | None:
-        """Return a deadline on the worker's clock, or None before its clock is known."""
+    def grant(self, now: float, lease_s: float, at_most_s: float = math.inf) -> int | None:
+        """Return a deadline on the worker's clock, or None before its clock is known.
+
+        It is over `at_most_s` from now at the latest, however slow that clock runs.
+        """
         if self.clock_ms is None:
             return None
-        deadline = self.clock_ms + (now - self.heard_at + lease_s) * 1000
+        since_s = now - self.heard_at
+        left_s = min(since_s + lease_s, (since_s + at_most_s) * (1 - self.drift))
+        deadline = self.clock_ms + left_s * 1000
         self.promised_ms = max(self.promised_ms, deadline)
         return int(deadline)
 
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -349,8 +349,8 @@
         beliefs, state = self.owner.beliefs(), self.load.worker.state
         against = self._reason_against(task, beliefs, now)
         # The worker refuses it once what it rests on is too old, however late it arrives.
-        hold_s = beliefs.hold_for_s(settings, now) * (1 - settings.clock_drift)
-        deadline = self.lease.grant(now, min(settings.lease_s, hold_s))
+        hold_s = beliefs.hold_for_s(settings, now)
+        deadline = self.lease.grant(now, settings.lease_s, hold_s)
         if against or deadline is None:
             self._free_if_same(task, run, against or "the worker's clock is not known")
             METRICS.starts_undone.inc({"pool": self.owner.pool.pool, "reason": against})
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -110,6 +110,8 @@
         FaultKind.RESTART_UNDER_ORDERS,
         FaultKind.RESTART_UNDER_ORDERS,
     ),
+    Mutant.AGES_IGNORED: (FaultKind.WORKERS_SCALED_IN, FaultKind.LIST_UNREAD),
+    Mutant.LEAVING_NOT_ASKED_AGAIN: (FaultKind.WORKERS_RELEASED, FaultKind.COMMITS_REFUSED),
     Mutant.LIMITS_IGNORED: (FaultKind.HOT_ACCOUNT, FaultKind.LIMIT_FALLS),
 }
 """Faults that show what each mutant lacks when they overlap."""
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -25,6 +25,9 @@
 CANCEL_S = 2.0
 """Time after a confirmed cancellation, in calm, in which its tasks end: a lease and two looks."""
 
+DRAIN_S = 0.6
+"""Time after a worker's word that it leaves until nothing may start there (nodes' settings)."""
+
 STOP_S = 0.4
 """Time by which a stop may be carried out after it was ordered."""
 
@@ -84,6 +87,7 @@
             self._attempts(runs),
             self._crashes(runs),
             self._rooms(),
+            self._leaving(),
             self._limits(),
             self._keys(),
             self._asked_for(),
@@ -158,6 +162,11 @@
         calm = self.injector.calm_since(at) + SETTLED_S < at - CONFIGURED_S
         return at - CONFIGURED_S if calm else float("-inf")
 
+    def _leaving(self) -> Iterator[Finding]:
+        """Judge without excuses: an order that comes too late is one that the worker refuses."""
+        for run in self.world.starts_on_leaving(DRAIN_S):
+            yield Finding("nothing starts on a worker that leaves", str(run))
+
     def _limits(self) -> Iterator[Finding]:
         found = runs_over_limit(
             self.world.book, self.jobs, self.world.history, self._known_since, TASK_CPU
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,6 +11,7 @@
 
 from pumicespur.utils import monotonic
 from soak._accounts import LOW_LIMIT, NAMES, USUAL_LIMIT
+from soak._leaving import LEAVING_KINDS, UNHEARD_KINDS, keep_unheard, let_leave
 from soak._plan import FaultKind
 from soak._restarts import RESTART_KINDS, restart_workers
 from soak._world import FOREIGN
@@ -130,6 +131,10 @@
                 await self._change_account(fault)
             case FaultKind.HOT_ACCOUNT if self.callers:
                 await self.callers[fault.target % len(self.callers)].rush(_account(fault))
+            case kind if kind in LEAVING_KINDS:
+                await let_leave(self.world, fault)
+            case kind if kind in UNHEARD_KINDS:
+                await keep_unheard(self.world, fault)
             case kind if kind in RESTART_KINDS:
                 await restart_workers(self.world, fault)
             case FaultKind.FOREIGN_ENTRIES:
@@ -309,9 +314,7 @@
         worker = workers[fault.target % len(workers)]
         match fault.kind:
             case FaultKind.WORKER_CRASH:
-                await self._replace(worker, fault.for_s)
-            case FaultKind.WORKER_DRAINS:
-                await self._drain(worker, fault.for_s)
+                await self.world.replace_worker(worker, fault.for_s)
             case FaultKind.WORKER_SHRINKS:
                 await self._while(fault, lambda on: self._resize(worker, on))
             case FaultKind.WORKER_CLOCK_SLOW:
@@ -334,22 +337,3 @@
         switch(True)
         await asyncio.sleep(fault.for_s)
         switch(False)
-
-    async def _drain(self, worker: HostedWorker, for_s: float) -> None:
-        """Let a worker say that it leaves, serve on and leave; another life follows."""
-        row = ("servers", "", worker.id)
-        if self.world.store.value(row) is None:
-            return
-        self.world.store.put(row, worker.description("draining"))
-        await asyncio.sleep(for_s)
-        await self._replace(worker, for_s / 2)
-
-    async def _replace(self, worker: HostedWorker, for_s: float) -> None:
-        """End a worker for good; its instance runs another one after a while."""
-        name = worker.instance
-        if self.world.workers.get(name) is not worker:
-            return
-        await self.world.take_down(name)
-        await asyncio.sleep(for_s)
-        if name not in self.world.workers and name not in self.world.fleet.busy:
-            await self.world.bring_up(name, self.world.fleet.pools[name])
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import json
 from dataclasses import dataclass, field, replace
@@ -123,6 +124,26 @@
             entry["address"] = link.address
         return replace(row, value=base64.b64encode(json.dumps(entry).encode()).decode())
 
+    async def replace_worker(
+        self, worker: HostedWorker, for_s: float, pool: str | None = None
+    ) -> None:
+        """End a worker for good; another one follows on its instance.
+
+        It comes after a while, or at once, at the same address, in another pool.
+        """
+        name = worker.instance
+        if self.workers.get(name) is not worker:
+            return
+        await self.take_down(name)
+        if pool is not None:
+            stranger = HostedWorker(f"{worker.id}-next", pool, name, worker.rack, self.history)
+            await self._begin_life(stranger, int(worker.address.rpartition(":")[2]))
+            await self.publish(stranger)
+            return
+        await asyncio.sleep(for_s)
+        if name not in self.workers and name not in self.fleet.busy:
+            await self.bring_up(name, self.fleet.pools[name])
+
     def serving_workers(self) -> list[HostedWorker]:
         """Return the workers of the pool, in the order of their instances."""
         return [self.workers[name] for name in sorted(self.workers)]
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from dataclasses import replace
 from enum import Enum
@@ -13,6 +14,7 @@
 from pumicespur.commands import node
 from pumicespur.jobs import (
     _availability,
+    _beliefs,
     _journal,
     _lease,
     _limits,
@@ -44,6 +46,8 @@
     LIMITS_IGNORED = "limits-ignored"
     BIRTHS_IGNORED = "births-ignored"
     OPEN_STARTS_FORGOTTEN = "open-starts-forgotten"
+    AGES_IGNORED = "ages-ignored"
+    LEAVING_NOT_ASKED_AGAIN = "leaving-not-asked-again"
 
 
 TRANSACTION = _journal.Journal._transaction
@@ -122,6 +126,11 @@
         case Mutant.BIRTHS_IGNORED:
             _replace(_declarations, "decode_birth", lambda born: None)
             _replace(_orders, "decode_birth", lambda born: None)
+        case Mutant.AGES_IGNORED:
+            _replace(_beliefs.Beliefs, "outdated", lambda *arguments: "")
+            _replace(_beliefs.Beliefs, "hold_for_s", lambda *arguments: math.inf)
+        case Mutant.LEAVING_NOT_ASKED_AGAIN:
+            _replace(_watch.WorkerWatch, "_reason_against", lambda *arguments: "")
         case Mutant.OPEN_STARTS_FORGOTTEN:
             _replace(_pool.PoolState, "drop_worker", _drop_all)
         case Mutant.ROOM_NOT_READ_AGAIN:
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -59,8 +59,6 @@
     """Share of its speed at which the run may work, in percent."""
     since_leaving_s: float | None = None
     """How long the store had known at the start that the worker leaves; None if it did not."""
-    done_late: bool = False
-    """The worker carried the order out late; its sender is not to blame for the time."""
 
 
 @dataclass
@@ -152,14 +150,14 @@
         await self.served.open(port)
         self.address = self.served.address
 
-    def description(self, state: str = "ready") -> bytes:
+    def description(self) -> bytes:
         """Return what the worker keeps in the store about itself."""
         return json.dumps(
             {
                 "backend": self.pool,
                 "address": self.address,
                 "zone": "hall",
-                "state": state,
+                "state": "ready" if self.leaving_at is None else "draining",
                 "capacity": {"cpu": self.cpu, "memMb": self.memory_mb},
                 "labels": ["a", self.rack],
                 "machine": self.instance,
@@ -241,9 +239,9 @@
                 return
             life = life.next_life
         if life.alive:
-            life._take_start(body, late=True)
+            life._take_start(body)
 
-    def _take_start(self, body: dict[str, Any], *, late: bool = False) -> web.Response:
+    def _take_start(self, body: dict[str, Any]) -> web.Response:
         refused = self._note_order(body)
         if refused is not None:
             return refused
@@ -255,10 +253,10 @@
             return self._refuse("old")
         if body["deadlineMs"] < self.clock_ms():
             return self._refuse("late")
-        self._begin(body, late)
+        self._begin(body)
         return web.json_response({"clockMs": self.clock_ms()})
 
-    def _begin(self, body: dict[str, Any], late: bool) -> None:
+    def _begin(self, body: dict[str, Any]) -> None:
         run = Run(
             body["task"],
             body["run"],
@@ -269,7 +267,6 @@
             monotonic(),
             ticket=body.get("ticket", ""),
             since_leaving_s=None if self.leaving_at is None else monotonic() - self.leaving_at,
-            done_late=late,
         )
         self.running[run.task] = run
         self.history.append(run)
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -184,18 +184,12 @@
     def drain_worker(self, instance: str) -> None:
         """Let a worker say that it leaves; it serves on."""
         worker = self.workers[instance]
-        self.store.put(("servers", "", worker.id), worker.description("draining"))
         worker.leaving_at = worker.leaving_at or monotonic()
+        self.store.put(("servers", "", worker.id), worker.description())
 
     def starts_on_leaving(self, allowed_s: float) -> list[Run]:
-        """Return runs that were ordered and began so long after their worker said it leaves."""
-        return [
-            run
-            for run in self.history
-            if run.since_leaving_s is not None
-            and run.since_leaving_s > allowed_s
-            and not run.done_late
-        ]
+        """Return runs that began later than so long after their worker said that it leaves."""
+        return [run for run in self.history if (run.since_leaving_s or 0.0) > allowed_s]
 
     def resize_worker(self, instance: str, cpu: int) -> None:
         """Let a worker's room shrink or grow, which its entry shows."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -287,7 +287,7 @@
         await self.world.wait_for(
             lambda: '"worker answers"' in self.node.log.read_text(), "workers are watched"
         )
-        self.world.store.put(("servers", "", worker.id), worker.description("draining"))
+        self.world.drain_worker("m-0")
         await self.world.wait_for(
             lambda: '"worker drains"' in self.node.log.read_text(), "the owner has heard"
         )
