A report is as old as its telling; what an owner told to be empty stays so while it is acted on

The same cause elsewhere: moves and waves rest on owners' reports, and what is to be emptied on the holder's. Both counted from when they were heard, so that a report told long before (its teller turned away by the store since) was fresh to whoever read it first; and an owner that had not heard the holder for 3 s gave a worker tasks again at once, although its last word that it is empty could be acted on for 5 s more (report 3 s, proof of the duty 1 s, the order's call 1 s). Reports now carry their age by the store's clock; an owner without the holder's word tells nobody that a worker is kept empty, and keeps it so for 6 s.

--- a/pumicespur/jobs/_load.py
+++ b/pumicespur/jobs/_load.py
@@ -19,6 +19,10 @@
 EJECT_S = 2.0
 """First time for which a failing worker is left out; it doubles with each further time."""
 
+ACTED_ON_S = 6.0
+"""Time for which the fleet's holder may act on a report: the report's age, the holder's proof of
+its duty, the time-out of its order, and a heartbeat."""
+
 MAX_EJECT_S = 16.0
 """Longest time for which a failing worker is left out, so that it is tried again."""
 
@@ -47,7 +51,11 @@
     reachable: bool = False
     """Whether it answered the last call."""
     evacuating: bool = False
-    """The fleet's holder wants it emptied."""
+    """It is kept empty for the fleet's holder."""
+    wanted_empty: bool = False
+    """The holder was heard of lately, and wants it emptied."""
+    told_empty_at: float = float("-inf")
+    """Monotonic time at which a report last told the holder so."""
     told_tasks: int = 0
     """Tasks that the last report told of."""
     paced_at: float = 0.0
@@ -89,6 +97,18 @@
         """Return what the worker runs on; its own id where it names no instance."""
         return self.worker.instance or InstanceId(self.worker.id)
 
+    def note_evacuation(self, wanted: bool | None, now: float) -> bool:
+        """Take the holder's word, None if it is silent; return whether anything changes.
+
+        What a report told is acted on for a while, also by a holder that is not heard of any more.
+        """
+        self.wanted_empty = bool(wanted)
+        kept = wanted is None and now - self.told_empty_at < ACTED_ON_S
+        evacuating = self.wanted_empty or (self.evacuating and kept)
+        changed = evacuating != self.evacuating
+        self.evacuating = evacuating
+        return changed
+
     @property
     def leaving(self) -> bool:
         """Whether the worker's end is planned."""
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -389,11 +389,12 @@
 
     def _note_evacuations(self) -> None:
         """Take in which workers are to be emptied, and tell at once what has become empty."""
-        wanted = self.view.evacuations(EVACUATION_MAX_AGE_S)
+        names = self.view.evacuations(EVACUATION_MAX_AGE_S)
+        now = monotonic()
         news = False
         for load in self.pool.loads.values():
-            if load.evacuating != (load.worker.name in wanted):
-                load.evacuating = not load.evacuating
+            wanted = None if names is None else load.worker.name in names
+            if load.note_evacuation(wanted, now):
                 news = True
             if load.evacuating and not load.tasks and load.told_tasks:
                 news = True
--- a/pumicespur/jobs/_reports.py
+++ b/pumicespur/jobs/_reports.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.schema.jobs_pb import PoolReport, WaitingCount, WorkerReport
+from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
     from pumicespur.jobs._load import WorkerLoad
@@ -23,11 +24,13 @@
 
 def _report_worker(load: WorkerLoad) -> WorkerReport:
     load.told_tasks = len(load.tasks)
+    if load.wanted_empty:
+        load.told_empty_at = monotonic()
     held = sum(1 for task in load.tasks if task.spec.long_running and not task.job.ended)
     return WorkerReport(
         worker=load.worker.name,
         tasks=len(load.tasks),
         held_tasks=held,
         reachable=load.reachable,
-        evacuating=load.evacuating,
+        evacuating=load.wanted_empty,
     )
--- a/pumicespur/node/_hearing.py
+++ b/pumicespur/node/_hearing.py
@@ -236,7 +236,18 @@
         process = ProcessId(report.process)
         known = self.view.reports.get(process)
         if known is None or row.version > known.version:
-            self.view.reports[process] = SeenReport(report, now, row.version)
+            told_at = now - self._told_before_s(report, now)
+            self.view.reports[process] = SeenReport(report, told_at, row.version)
+
+    def _told_before_s(self, report: DutyReport, now: float) -> float:
+        """Return how long ago a report was told at most, which may be long before it is read.
+
+        The last word of a process that the store turns away since then is no news.
+        """
+        clock = self.table.clock
+        if not report.told_ms or not clock.known:
+            return 0.0
+        return max(0.0, clock.at_most_ms(now) - report.told_ms) / 1000
 
     def _see_owners(self, rows: Sequence[Row], whole: bool) -> None:
         """Hear of takeovers and releases as they happen.
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -33,10 +33,10 @@
 
 @dataclass(frozen=True)
 class SeenReport:
-    """What a process tells of its duties, and when that was first seen (monotonic seconds)."""
+    """What a process tells of its duties, and when it was told at the earliest (monotonic s)."""
 
     report: DutyReport
-    seen_at: float
+    told_at: float
     version: int = 0
     """The report's version in the store, to tell a newer one."""
 
@@ -129,7 +129,7 @@
         now = monotonic()
         newest: dict[PoolId, PoolReport] = {}
         for seen in self.reports.values():
-            if now - seen.seen_at > max_age_s:
+            if now - seen.told_at > max_age_s:
                 continue
             for report in seen.report.pools:
                 known = newest.get(PoolId(report.pool))
@@ -141,12 +141,15 @@
         """Return what the owner of a pool told lately, under the newest token."""
         return self.fresh_reports(max_age_s).get(pool)
 
-    def evacuations(self, max_age_s: float) -> set[WorkerName]:
+    def evacuations(self, max_age_s: float) -> set[WorkerName] | None:
         """Return the workers that the newest holder of the fleet's duty wants emptied.
 
-        They stand for all of their lives: what is emptied is the instance.
+        None if no holder told so lately enough. They stand for all of their lives: what is
+        emptied is the instance.
         """
         now = monotonic()
-        fresh = [s.report for s in self.reports.values() if now - s.seen_at <= max_age_s]
+        fresh = [s.report for s in self.reports.values() if now - s.told_at <= max_age_s]
         newest = max(fresh, key=lambda report: report.fleet_token, default=None)
-        return set() if newest is None else {WorkerName(name) for name in newest.evacuations}
+        if newest is None or not newest.fleet_token:
+            return None
+        return {WorkerName(name) for name in newest.evacuations}
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,20 +9,25 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 from pumicespur.jobs._beliefs import Beliefs, start_timeout_s, workers_max_age_s
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._lease import EarlierLeases
+from pumicespur.jobs._load import ACTED_ON_S
 from pumicespur.jobs._placement import put
+from pumicespur.jobs._reports import report_pool
 from pumicespur.jobs._watch import WorkerWatch
-from pumicespur.model import AccountId, Capacity, ClientAccount, WorkerState
-from pumicespur.schema.jobs_pb import StepRecord
+from pumicespur.model import AccountId, Capacity, ClientAccount, ProcessId, WorkerState
+from pumicespur.node._hearing import Hearing
+from pumicespur.schema.jobs_pb import DutyReport, PoolReport, StepRecord
 from pumicespur.schema.node_pb import WorkerSettings
-from pumicespur.store import Reading
+from pumicespur.store import Reading, Row, StoreClock
 from pumicespur.utils import monotonic
-from tests.base import quiet_loop
-from tests.test_jobs import make_record, make_worker, submit
+from pumicespur.view import NodeView, SeenReport
+from tests.base import default_settings, quiet_loop
+from tests.test_jobs import make_pool, make_record, make_worker, submit
 from tests.test_node import STEP, NodeCase, job_id
 from tests.test_watch import ScriptedHolder
 
@@ -131,6 +136,60 @@
         self.assertIn("cancel", Beliefs(fresh, Reading(1, 8.0)).outdated(settings, 11.0))
 
 
+class KeptEmptyTest(unittest.TestCase):
+    """A worker that its owner has told to be empty, and a fleet's holder that falls silent."""
+
+    def setUp(self) -> None:
+        self.pool = make_pool(make_worker("w"))
+        (self.load,) = self.pool.loads.values()
+
+    def told(self) -> bool:
+        return report_pool(self.pool, 1).workers[0].evacuating
+
+    def test_it_is_kept_empty_for_as_long_as_the_holder_may_act_on_it(self) -> None:
+        self.assertTrue(self.load.note_evacuation(True, monotonic()))
+        self.assertTrue(self.told())
+        now = monotonic()
+        self.load.note_evacuation(None, now)
+        self.assertTrue(self.load.evacuating)
+        self.assertTrue(self.load.note_evacuation(None, now + ACTED_ON_S))
+        self.assertFalse(self.load.evacuating)
+
+    def test_meanwhile_nobody_is_told_so_again(self) -> None:
+        self.load.note_evacuation(True, monotonic())
+        self.load.note_evacuation(None, monotonic())
+        self.assertFalse(self.told())
+
+    def test_it_takes_tasks_again_as_soon_as_the_holder_says_so(self) -> None:
+        self.load.note_evacuation(True, monotonic())
+        self.assertTrue(self.told())
+        self.load.note_evacuation(False, monotonic())
+        self.assertFalse(self.load.evacuating)
+
+
+class OldReportTest(unittest.TestCase):
+    """A report that is read long after it was told."""
+
+    def test_it_is_as_old_as_its_telling(self) -> None:
+        view = NodeView()
+        table: Any = SimpleNamespace(clock=StoreClock())
+        now = monotonic()
+        table.clock.note(60_000, now, now)
+        duties: Any = SimpleNamespace(fleet=None, pool_owners=list)
+        nobody: Any = None
+        hearing = Hearing(default_settings(), view, table, duties, nobody, nobody, nobody)
+        pools = [PoolReport(pool="main", fencing_token=4)]
+        for told_ms, known in ((50_000, False), (59_000, True)):
+            report = DutyReport(process="owner", pools=pools, told_ms=told_ms, evacuations=["w"])
+            hearing.take_reports([Row("reports/o/newest", report.to_binary(), told_ms)], False)
+            self.assertEqual(known, bool(view.fresh_reports(3.0)))
+
+    def test_without_a_holder_nothing_is_known_of_evacuations(self) -> None:
+        view = NodeView()
+        view.reports[ProcessId("owner")] = SeenReport(DutyReport(process="owner"), monotonic())
+        self.assertIsNone(view.evacuations(3.0))
+
+
 class LeavingCase(NodeCase):
     """Two workers; the job of a test runs on the first one alone until that leaves."""
 
