Starts of a worker stand in a module of their own

Ordering a start and settling one without an answer moved to jobs/_worker_starts.py, in shorter steps; the watch keeps leases, accounts and the life's end.

--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -251,7 +251,7 @@
         watch = WorkerWatch(self, worker, self.restarts.leases_of(worker, monotonic()))
         watch.blamed = blamed
         for task in tasks:
-            watch.adopt(task, self.ownership.acquired_at)
+            watch.starts.adopt(task, self.ownership.acquired_at)
         watch.to_bar = self.restarts.barred_runs(worker, monotonic())
         self.pool.adopt_inherited(watch.load)
         self.watches[worker.id] = watch
@@ -457,7 +457,7 @@
             watch.note_recorded(number)
         for task, run, worker in batch.starts:
             if worker in self.watches:
-                self.spawn(self.watches[worker].start, task, run)
+                self.spawn(self.watches[worker].starts.order, task, run)
             elif task.run == run and task.worker == worker:
                 self.pool.free(task)
         if self.pool.dirty or self.pool.limits.changed:
--- a/pumicespur/jobs/_watch.py
+++ b/pumicespur/jobs/_watch.py
@@ -8,21 +8,18 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.jobs._beliefs import start_timeout_s
 from pumicespur.jobs._crashes import TRIAL_LOOK_S, count_suspects, note_running
-from pumicespur.jobs._job import Loss, TaskState
+from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs._lease import WorkerLease
-from pumicespur.jobs._starts import OpenStarts, UnansweredStart
 from pumicespur.jobs._stops import ForeignRuns, stop_stalled
-from pumicespur.model import Account, OtherLife, Refused, StartedAgain, StartOrder
-from pumicespur.store import AnswerLost, Unavailable
+from pumicespur.jobs._worker_starts import WorkerStarts
+from pumicespur.model import FENCED, Account, OtherLife, Refused, StartedAgain
 from pumicespur.utils import METRICS, monotonic
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from pumicespur.jobs._beliefs import Beliefs
     from pumicespur.jobs._holding import PoolHolder
     from pumicespur.jobs._job import Task
     from pumicespur.jobs._lease import EarlierLeases
@@ -40,20 +37,9 @@
 LAPSE_SLACK_S = 0.3
 """Time beyond the end of a lease that a worker is given to end its tasks and a late timer."""
 
-FULL_PAUSE_S = 0.3
-"""Time for which a worker that refused for want of room gets nothing; about one stop."""
-
-SICK_PAUSE_S = 1.0
-"""Time for which a worker that refused as unhealthy gets nothing."""
-
 AT_WORK = 100
 """Percent of a long-running task that is at work."""
 
-FENCED = "fence"
-FULL = "room"
-NO_TICKET = "ticket"
-SICK = ("429", "503")
-
 
 class WorkerWatch:
     """The owner's dealings with one life of a worker."""
@@ -63,17 +49,15 @@
         self.id = worker.id
         self.load = owner.pool.add_worker(worker)
         self.lease = WorkerLease(owner.settings.workers.clock_drift, earlier)
+        self.starts = WorkerStarts(self)
         self.seen = 0
         """Number of the newest end that was taken in."""
         self.recorded = 0
         """Number of the newest end that is recorded."""
         self.acknowledged = 0
         """Number up to which the worker may be told to drop its ends, see `_last_seen`."""
-        self.open_starts = OpenStarts()
         self.held_back = False
         """The last account listed ends that can't be dropped yet; the next one comes at once."""
-        self.unsettled: dict[Task, UnansweredStart] = {}
-        """Starts without an answer; the worker's account settles them."""
         self.foreign = ForeignRuns()
         self.changed = anyio.Event()
         self.failures = 0
@@ -83,8 +67,6 @@
         """The worker has another life, to which open starts were left."""
         self.to_bar: list[RunKey] = []
         """Runs that an earlier life was told to refuse and this one has to refuse as well."""
-        self.pending: set[Task] = set()
-        """Tasks that are being ordered to start."""
         self.blamed = False
         """Tasks carry the worker's loss, which is taken back if it answers again."""
 
@@ -126,7 +108,7 @@
 
     def _allow_acknowledging(self) -> None:
         """Let the worker drop the ends that are recorded, once no start is open."""
-        if not self.open_starts.tasks:
+        if not self.starts.open.tasks:
             self.acknowledged = self.recorded
 
     def _last_seen(self) -> int:
@@ -136,16 +118,7 @@
         ended nothing that matters unless an open start reached it, so that none is named while
         there is one, not even what was dropped before.
         """
-        return 0 if self.open_starts.tasks else self.acknowledged
-
-    def adopt(self, task: Task, since: float) -> None:
-        """Count a start that another process or another life of the worker was left with."""
-        meant_for = task.worker if task.worker != self.id else None
-        task.worker = self.id
-        task.state = TaskState.STARTING
-        self.load.add(task)
-        self.open_starts.tasks.add(task)
-        self.unsettled[task] = UnansweredStart(task.run, since, meant_for=meant_for)
+        return 0 if self.starts.open.tasks else self.acknowledged
 
     async def _look(self, now: float) -> bool:
         """Extend the lease and read the account; return whether to look again at once."""
@@ -153,7 +126,7 @@
         wait_s = settings.watch_s if self.lease.clock_ms is not None else 0.0
         if self.load.reserved or count_suspects(self.load):
             wait_s = min(wait_s, TRIAL_LOOK_S)
-        if self.seen > self.acknowledged or self.unsettled or self.failures:
+        if self.seen > self.acknowledged or self.starts.unsettled or self.failures:
             wait_s = 0.0
         # A worker that did not answer is promised nothing more, so that its lease does end. What
         # answers next may be another life: it must not drop its own ends under the numbers of
@@ -170,7 +143,7 @@
                 self._note_contradictions(account, last_seen)
                 self.lease.note(account.clock_ms, monotonic())
                 await self._take_in(account, now)
-                return not self.unsettled
+                return not self.starts.unsettled
             case Result(error=OtherLife()):
                 self.end("another life answers")
                 return True
@@ -180,7 +153,7 @@
             case Result(error=Refused(reason=reason)) if reason == FENCED:
                 raise OwnershipLostError(f"worker {self.id} has seen a newer token")
             case Result(error=fault):
-                self._note_failure(str(fault))
+                self.note_failure(str(fault))
                 return False
 
     def _note_contradictions(self, account: Account, acknowledged: int) -> None:
@@ -198,7 +171,8 @@
             acknowledged=acknowledged,
         )
 
-    def _note_failure(self, reason: str) -> None:
+    def note_failure(self, reason: str) -> None:
+        """Note a call without an answer: nothing more is given or promised for now."""
         if self.failures == 0:
             self.owner.pool.note_silence(self.load, monotonic())
         self.failures += 1
@@ -224,10 +198,10 @@
         self.owner.pool.settle_inherited(self.id, running)
         self._note_running(running, sent_at, now)
         self._note_unknown_runs(running)
-        self.open_starts.note_account(self.id, running)
+        self.starts.open.note_account(self.id, running)
         self._allow_acknowledging()
-        self.held_back = bool(account.ended and self.open_starts.tasks)
-        await self._settle(running, sent_at)
+        self.held_back = bool(account.ended and self.starts.open.tasks)
+        await self.starts.settle(running, sent_at)
         for name, run in self.foreign.choose(self.owner.pool, self.load, running, now):
             self.owner.spawn(self.stop, name, run, "not wanted here")
         for task in stop_stalled(self.load, now):
@@ -239,14 +213,14 @@
         for task in list(self.load.tasks):
             found = running.get((task.name, task.run))
             if task.job.ended or task.worker != self.id:
-                if found is None and not self._may_arrive(task):
+                if found is None and not self.starts.may_arrive(task):
                     self.load.remove(task)
                     self.owner.wake()
                 continue
             if found is None:
                 continue
             if task.state is TaskState.STARTING:
-                self._confirm(task)
+                self.starts.confirm(task)
             note_running(self.load, task, sent_at - task.seen_at)
             if task.percent != found.percent:
                 task.progressed_at = now
@@ -256,10 +230,6 @@
             task.checkpoint = found.checkpoint
             task.figure = found.figure
 
-    def _may_arrive(self, task: Task) -> bool:
-        """Whether a start is on its way or its fate is unknown: it may still take its room."""
-        return task in self.pending or task in self.unsettled
-
     def _note_unknown_runs(self, running: Iterable[tuple[TaskName, int]]) -> None:
         """Note whether the worker carries runs whose room is not counted.
 
@@ -271,66 +241,6 @@
             self.owner.wake()
         self.load.unknown_runs = unknown
 
-    def _confirm(self, task: Task, started_at: float = 0.0) -> None:
-        task.state = TaskState.RUNNING
-        task.started_at = started_at
-        task.progressed_at = task.seen_at = monotonic()
-        task.job.begun = True
-        if task.spec.long_running and task.away_since is None:
-            task.away_since = task.progressed_at
-        start = self.unsettled.pop(task, None)
-        if start is not None and start.meant_for is not None:
-            self.owner.pool.forgive_task(task, start.meant_for)
-
-    async def _settle(self, running: dict[tuple[TaskName, int], Running], sent_at: float) -> None:
-        """Find out what became of starts that got no answer.
-
-        A stop keeps a run that has not arrived from starting later. The run may have ended
-        before the stop, so only an account asked for after the stop was answered tells that it
-        never began; then the task may start elsewhere.
-        """
-        for task, start in list(self.unsettled.items()):
-            if task.run != start.run or task.worker != self.id or (task.name, start.run) in running:
-                self.unsettled.pop(task, None)
-            elif start.barred_at is None and sent_at >= start.since:
-                await self._bar(task, start)
-            elif start.barred_at is not None and sent_at >= start.barred_at:
-                self.unsettled.pop(task, None)
-                self._note_lost_start(task, start)
-                self._free_if_same(task, start.run, "start did not arrive")
-
-    def _note_lost_start(self, task: Task, start: UnansweredStart) -> None:
-        """Count the loss of the earlier life with a start that was meant for it."""
-        life = start.meant_for
-        if life is not None and all(loss.worker != life for loss in task.losses):
-            self.owner.pool.lose_run(task, Loss(life, self.load.instance, alone=False))
-
-    async def _bar(self, task: Task, start: UnansweredStart) -> None:
-        """Keep a run that may not have arrived yet from starting."""
-        stopped = await self.owner.orders.stop(
-            self.load.worker, self.owner.token, task.name, start.run
-        )
-        if stopped.is_ok():
-            start.barred_at = monotonic()
-            self.owner.note_barred(self.id, (task.name, start.run))
-
-    def _free_if_same(self, task: Task, run: int, reason: str) -> None:
-        if task.run != run or task.worker != self.id or task.state is TaskState.DONE:
-            return
-        log.info(
-            "start undone",
-            job=task.job.id,
-            task=task.name,
-            run=run,
-            worker=self.id,
-            reason=reason,
-        )
-        self.open_starts.tasks.discard(task)
-        self.owner.pool.free(task)
-        if task.spec.gang:
-            self.owner.stop_gang(task.group, run)
-        self.owner.wake()
-
     async def stop(self, name: TaskName, run: int, reason: str) -> None:
         """Order a run to stop; the worker's account shows when it has."""
         log.info("stop ordered", task=name, run=run, worker=self.id, reason=reason)
@@ -339,97 +249,6 @@
             case Result(error=fault):
                 log.warning("stop not answered", task=name, worker=self.id, reason=str(fault))
 
-    async def start(self, task: Task, run: int) -> None:
-        """Order a placed task to start, now that its place is recorded."""
-        if (task.state, task.worker, task.run) != (TaskState.PLACED, self.id, run):
-            # While its place was recorded, an earlier run ended well or the worker was lost.
-            return
-        now = monotonic()
-        settings = self.owner.settings.workers
-        beliefs, state = self.owner.beliefs(), self.load.worker.state
-        against = self._reason_against(task, beliefs, now)
-        # The worker refuses it once what it rests on is too old, however late it arrives.
-        hold_s = beliefs.hold_for_s(settings, now)
-        deadline = self.lease.grant(now, settings.lease_s, hold_s)
-        if against or deadline is None:
-            self._free_if_same(task, run, against or "the worker's clock is not known")
-            METRICS.starts_undone.inc({"pool": self.owner.pool.pool, "reason": against})
-            return
-        task.state = TaskState.STARTING
-        order = StartOrder(
-            task.name,
-            run,
-            task.job.record.payload,
-            task.checkpoint,
-            deadline,
-            task.ticket,
-            start_timeout_s(settings),
-        )
-        self.pending.add(task)
-        self.open_starts.tasks.add(task)
-        answer = await self.owner.orders.start(self.load.worker, self.owner.token, order)
-        self.pending.discard(task)
-        outcome = "taken" if answer.is_ok() else type(answer.error).__name__
-        log.info(
-            "start ordered",
-            job=task.job.id,
-            task=task.name,
-            run=run,
-            worker=self.id,
-            token=self.owner.token,
-            outcome=outcome,
-            worker_share=round(self.load.share(), 2),
-            worker_state=state.value,
-            placed_s=round(now - task.placed_at, 3),
-            took_s=round(monotonic() - now, 3),
-            **beliefs.describe(now),
-        )
-        METRICS.starts.inc({"pool": self.owner.pool.pool, "outcome": outcome})
-        METRICS.belief_ages.observe({"table": "workers"}, beliefs.workers.age_s(now))
-        METRICS.belief_ages.observe({"table": "submissions"}, beliefs.submissions.age_s(now))
-        if self.gone and (answer.is_ok() or isinstance(answer.error, AnswerLost)):
-            if self.restarted:
-                # The next life may have taken it, and settles it.
-                return
-            # The worker's end was known before this answer, so the start was not counted then.
-            self.owner.pool.lose_run(task, Loss(self.id, self.load.instance, alone=False))
-        if task.run != run or task.worker != self.id:
-            return
-        match answer:
-            case Result(tag="ok"):
-                self._confirm(task, now)
-            case Result(error=OtherLife()):
-                self._free_if_same(task, run, "another life answers")
-                self.end("another life answers")
-            case Result(error=Refused(reason=reason)) if reason == FENCED:
-                raise OwnershipLostError(f"worker {self.id} has seen a newer token")
-            case Result(error=Refused(reason=reason)):
-                self._note_refusal(task, reason, now)
-                self._free_if_same(task, run, f"refused: {reason}")
-            case Result(error=Unavailable(reason=reason)):
-                self._note_failure(reason)
-                self._free_if_same(task, run, reason)
-            case Result(error=AnswerLost()):
-                self.unsettled[task] = UnansweredStart(run, monotonic())
-
-    def _reason_against(self, task: Task, beliefs: Beliefs, now: float) -> str:
-        """Return what has come to speak against a start since it was decided; empty if nothing.
-
-        While it was recorded, its worker may have said that it leaves, and whoever tells so may
-        have fallen silent.
-        """
-        if task.job.ended or self.gone or not self.owner.may_extend(now):
-            return "not ordered"
-        if self.load.over_full():
-            return "the worker's room has shrunk"
-        if not self.load.open(now):
-            return "the worker takes no more tasks"
-        if not self.load.has_label(task.spec):
-            return "the worker has another label"
-        if not self.owner.pool.limits.within(task.job.account):
-            return "the account's limit has fallen"
-        return beliefs.outdated(self.owner.settings.workers, now)
-
     async def pace(self, task: Task, percent: int) -> None:
         """Let a filling task work at a share of its speed."""
         run = task.run
@@ -441,14 +260,6 @@
         if taken and task.run == run:
             task.pace = percent
 
-    def _note_refusal(self, task: Task, reason: str, now: float) -> None:
-        if reason == FULL:
-            self.load.avoid_until = now + FULL_PAUSE_S
-        elif reason in SICK:
-            self.load.avoid_until = now + SICK_PAUSE_S
-        elif reason == NO_TICKET:
-            task.group.tickets.pop(self.id, None)
-
     def _check_lapse(self) -> None:
         """Let tasks wait again once the worker's lease is surely over."""
         if self.gone or self.load.reachable or self.failures == 0:
@@ -462,10 +273,10 @@
         self._lose_runs("its lease is over", ended=False)
         self.owner.pool.settle_inherited(self.id)
         for task in list(self.load.tasks):
-            self.unsettled.pop(task, None)
+            self.starts.unsettled.pop(task, None)
             self.load.remove(task)
             if task.worker == self.id and not task.job.ended:
-                self._free_if_same(task, task.run, "the worker's lease is over")
+                self.starts.free_if_same(task, task.run, "the worker's lease is over")
 
     def end(self, reason: str) -> None:
         """Note that this life of the worker is over, with all that it ran."""
@@ -474,7 +285,7 @@
         self.gone = True
         log.info("worker gone", pool=self.owner.pool.pool, worker=self.id, reason=reason)
         self._lose_runs(reason, ended=True)
-        self.owner.pool.drop_worker(self.id, self.open_starts.tasks if self.restarted else ())
+        self.owner.pool.drop_worker(self.id, self.starts.open.tasks if self.restarted else ())
         self.owner.wake()
 
     def end_with_successor(self, *, leased: bool) -> None:
@@ -484,7 +295,7 @@
         """
         if not self.gone:
             self.restarted = True
-            self.owner.note_restart(self.id, leased=leased or bool(self.open_starts.tasks))
+            self.owner.note_restart(self.id, leased=leased or bool(self.starts.open.tasks))
             self.end("it has started again")
 
     def _lose_runs(self, reason: str, *, ended: bool) -> None:
@@ -492,7 +303,7 @@
         lost = [task for task in self.load.tasks if task.wants(self.id, task.run)]
         if self.failures == 0:
             self.owner.pool.note_silence(self.load, monotonic())
-        blamed = self.owner.pool.lose_runs(self.load, self.pending, ended=ended)
+        blamed = self.owner.pool.lose_runs(self.load, self.starts.pending, ended=ended)
         self.blamed = self.blamed or bool(blamed)
         for task in lost:
             log.warning(
--- a/pumicespur/model/__init__.py
+++ b/pumicespur/model/__init__.py
@@ -41,7 +41,7 @@
     worker_id,
     worker_name,
 )
-from pumicespur.model._orders import Account, OtherLife, Refused, StartedAgain, StartOrder
+from pumicespur.model._orders import FENCED, Account, OtherLife, Refused, StartedAgain, StartOrder
 from pumicespur.model._outcomes import Cancellation, Submission
 from pumicespur.model._workers import (
     Capacity,
@@ -55,6 +55,7 @@
 )
 
 __all__ = [
+    "FENCED",
     "ANYONE",
     "Account",
     "AccountId",
--- a/pumicespur/model/_orders.py
+++ b/pumicespur/model/_orders.py
@@ -10,6 +10,10 @@
     from pumicespur.model._workers import Running, TaskEnd
 
 
+FENCED = "fence"
+"""Reason for which a worker refuses an order under an older token."""
+
+
 @dataclass(frozen=True)
 class OtherLife:
     """The worker that was meant is gone; something else answers at its address."""
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -21,6 +21,7 @@
     _pool,
     _service,
     _watch,
+    _worker_starts,
 )
 from pumicespur.model import ANYONE
 from pumicespur.node import _follow
@@ -75,9 +76,9 @@
     return _service.Submission.ACCEPTED if unknown else outcome
 
 
-async def _forget_start(self: _watch.WorkerWatch, task: Any, start: Any) -> None:
+async def _forget_start(self: _worker_starts.WorkerStarts, task: Any, start: Any) -> None:
     self.unsettled.pop(task, None)
-    self._free_if_same(task, start.run, "start did not arrive")
+    self.free_if_same(task, start.run, "start did not arrive")
 
 
 def _drop_all(self: _pool.PoolState, worker: Any, keep: Any = ()) -> None:
@@ -110,7 +111,7 @@
         case Mutant.LOST_ANSWERS_COUNT_AS_ACCEPTED:
             _replace(_service.JobService, "submit", _accept_whatever)
         case Mutant.UNANSWERED_STARTS_FORGOTTEN:
-            _replace(_watch.WorkerWatch, "_bar", _forget_start)
+            _replace(_worker_starts.WorkerStarts, "_bar", _forget_start)
         case Mutant.BUDGETS_IGNORED:
             _replace(_availability, "away_beside", lambda *arguments: 0)
         case Mutant.READINGS_BROKEN_OFF:
@@ -130,7 +131,7 @@
             _replace(_beliefs.Beliefs, "outdated", lambda *arguments: "")
             _replace(_beliefs.Beliefs, "hold_for_s", lambda *arguments: math.inf)
         case Mutant.LEAVING_NOT_ASKED_AGAIN:
-            _replace(_watch.WorkerWatch, "_reason_against", lambda *arguments: "")
+            _replace(_worker_starts.WorkerStarts, "_reason_against", lambda *arguments: "")
         case Mutant.OPEN_STARTS_FORGOTTEN:
             _replace(_pool.PoolState, "drop_worker", _drop_all)
         case Mutant.ROOM_NOT_READ_AGAIN:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -58,27 +58,27 @@
 
     async def test_a_start_is_not_ordered_on_a_worker_that_has_come_to_leave(self) -> None:
         self.holder.pool.add_worker(replace(self.worker, state=WorkerState.DRAINING))
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         self.assertEqual(0, self.holder.orders.starts)
         self.assertIs(TaskState.WAITING, self.task.state)
 
     async def test_a_start_is_not_ordered_on_a_worker_that_is_to_be_emptied_by_now(self) -> None:
         self.watch.load.evacuating = True
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         self.assertEqual(0, self.holder.orders.starts)
 
     async def test_a_start_is_not_ordered_on_a_worker_that_is_not_listed_any_more(self) -> None:
         self.watch.load.listed = False
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         self.assertEqual(0, self.holder.orders.starts)
 
     async def test_a_start_is_not_ordered_where_the_label_has_gone(self) -> None:
         self.task.spec.required_label = "large"
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         self.assertEqual(0, self.holder.orders.starts)
 
     async def test_a_start_is_ordered_where_nothing_has_changed(self) -> None:
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         self.assertEqual(1, self.holder.orders.starts)
 
     async def test_a_start_is_not_ordered_once_its_account_is_over_a_fallen_limit(self) -> None:
@@ -89,24 +89,24 @@
         for task in job.tasks:
             put(task, self.watch.load)
         limits.set_accounts({account: ClientAccount(account, 1.0, Capacity(1500, 0))})
-        await self.watch.start(job.tasks[0], 1)
-        await self.watch.start(job.tasks[1], 1)
+        await self.watch.starts.order(job.tasks[0], 1)
+        await self.watch.starts.order(job.tasks[1], 1)
         self.assertEqual(1, self.holder.orders.starts)
 
     async def test_no_start_is_ordered_by_a_list_that_is_too_old(self) -> None:
         self.holder.workers_age_s = self.drain_s - start_timeout_s(self.settings) + 0.01
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         self.assertEqual(0, self.holder.orders.starts)
 
     async def test_no_start_is_ordered_while_cancellations_may_be_unheard(self) -> None:
         self.holder.submissions_age_s = self.settings.cancel_ms / 1000
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         self.assertEqual(0, self.holder.orders.starts)
 
     async def test_the_worker_refuses_a_start_that_comes_once_its_beliefs_are_too_old(self) -> None:
         self.holder.workers_age_s = 1.0
         sent_at = monotonic()
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         clock_ms = (sent_at - self.watch.lease.heard_at) * 1000
         left_ms = self.holder.orders.orders[0].deadline_ms - clock_ms
         self.assertLess(left_ms, (self.drain_s - 1.0) * 1000)
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -54,9 +54,9 @@
         first, second, _ = self.job.tasks
         for task in (first, second):
             put(task, self.watch.load)
-        await self.watch.start(first, 1)
+        await self.watch.starts.order(first, 1)
         self.shrink(500)
-        await self.watch.start(second, 1)
+        await self.watch.starts.order(second, 1)
         self.assertEqual(1, self.holder.orders.starts)
         self.assertIs(TaskState.WAITING, second.state)
         self.assertEqual(500, self.watch.load.cpu_millis)
@@ -77,7 +77,7 @@
             return Ok(None)
 
         self.holder.orders.start = slow_start
-        ordering = asyncio.create_task(self.watch.start(task, 1))
+        ordering = asyncio.create_task(self.watch.starts.order(task, 1))
         await asyncio.sleep(0)
         self.holder.pool.cancel(self.job)
         await self.account()
@@ -89,7 +89,7 @@
         task = self.job.tasks[0]
         put(task, self.watch.load)
         task.state = TaskState.STARTING
-        self.watch.unsettled[task] = UnansweredStart(1, monotonic() + 60)
+        self.watch.starts.unsettled[task] = UnansweredStart(1, monotonic() + 60)
         self.holder.pool.cancel(self.job)
         await self.account()
         self.assertEqual(500, self.watch.load.cpu_millis)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -139,7 +139,7 @@
         self.task: Task = job.tasks[0]
         put(self.task, self.watch.load)
         self.task.state = TaskState.STARTING
-        self.watch.unsettled[self.task] = UnansweredStart(self.task.run, monotonic())
+        self.watch.starts.unsettled[self.task] = UnansweredStart(self.task.run, monotonic())
 
     def name(self) -> TaskName:
         return self.task.name
@@ -161,11 +161,11 @@
         await self.look()
         self.assertIs(TaskState.WAITING, self.task.state)
         self.assertEqual(1, self.holder.orders.stops)
-        self.assertEqual({}, self.watch.unsettled)
+        self.assertEqual({}, self.watch.starts.unsettled)
 
     async def test_account_asked_for_before_the_call_was_given_up_tells_nothing(self) -> None:
         # A lasting task that had just begun was stopped: an older account did not list it.
-        self.watch.unsettled[self.task].since = monotonic() + 60
+        self.watch.starts.unsettled[self.task].since = monotonic() + 60
         await self.look()
         self.assertEqual(0, self.holder.orders.stops)
 
@@ -191,14 +191,14 @@
         put(self.task, self.watch.load)
         earlier = TaskEnd(1, self.task.name, 1, RunEnd.DONE, "")
         self.holder.pool.note_end(self.watch.id, earlier, monotonic())
-        await self.watch.start(self.task, 2)
+        await self.watch.starts.order(self.task, 2)
         self.assertIs(TaskState.DONE, self.task.state)
         self.assertEqual(0, self.holder.orders.starts)
         self.assertEqual(b"\x01", self.job.progress(0).done)
 
     async def test_placed_task_is_ordered(self) -> None:
         put(self.task, self.watch.load)
-        await self.watch.start(self.task, 1)
+        await self.watch.starts.order(self.task, 1)
         self.assertEqual(1, self.holder.orders.starts)
         self.assertIs(TaskState.RUNNING, self.task.state)
 
@@ -219,7 +219,7 @@
 
     async def begin(self, task: Task) -> None:
         put(task, self.watch.load)
-        await self.watch.start(task, task.run)
+        await self.watch.starts.order(task, task.run)
 
     async def end_first(self) -> None:
         """Let one of two tasks end after both were seen at work."""
@@ -307,7 +307,7 @@
         await self.before._look(monotonic())
         for task in job.tasks:
             put(task, self.before.load)
-            await self.before.start(task, 1)
+            await self.before.starts.order(task, 1)
             if task is self.seen:
                 self.orders.running = [Running(task.name, 1, "", 0, 0.0)]
                 await self.before._look(monotonic())
@@ -325,7 +325,7 @@
 
     async def test_an_open_start_waits_for_what_the_next_life_tells(self) -> None:
         self.assertEqual(self.before.id, self.open.worker)
-        self.after.adopt(self.open, monotonic())
+        self.after.starts.adopt(self.open, monotonic())
         await self.look()
         self.assertEqual((1, TaskState.STARTING), (self.orders.stops, self.open.state))
         await self.look()
@@ -334,14 +334,14 @@
 
     async def test_an_open_start_that_the_next_life_took_goes_on(self) -> None:
         self.open.losses = [Loss(self.before.id, self.before.load.instance, alone=True)]
-        self.after.adopt(self.open, monotonic())
+        self.after.starts.adopt(self.open, monotonic())
         self.orders.running = [Running(self.open.name, 1, "", 0, 0.0)]
         await self.look()
         self.assertIs(TaskState.RUNNING, self.open.state)
         self.assertEqual((0, []), (self.orders.stops, self.open.losses))
 
     async def test_its_ends_are_taken_in_from_one_on(self) -> None:
-        self.after.adopt(self.open, monotonic())
+        self.after.starts.adopt(self.open, monotonic())
         self.orders.ends = [TaskEnd(1, self.open.name, 1, RunEnd.DONE, "")]
         await self.look()
         self.assertEqual(0, self.orders.last_seen[-1])
