A start also rests on its account's limit and its ticket; an order expires with its oldest belief

Looking for the same cause in the rest of what a start rests on: limits are judged by the configuration in force here, which others may have replaced for longer than the platform allows (heard by heartbeats); then no task of an account with a limit is placed or ordered. A ticket may run out while the start is recorded; it is asked for again. The time after which a worker refuses a start counted the age of the list of workers alone, and now that of the submissions too, so that a cancelled job's start can't arrive late.

--- a/pumicespur/jobs/_beliefs.py
+++ b/pumicespur/jobs/_beliefs.py
@@ -56,7 +56,10 @@
 
     def hold_for_s(self, settings: WorkerSettings, now: float) -> float:
         """Return for how long a start that rests on them may still begin, in seconds."""
-        return settings.drain_ms / 1000 - self.workers.age_s(now)
+        return min(
+            settings.drain_ms / 1000 - self.workers.age_s(now),
+            settings.cancel_ms / 1000 - self.submissions.age_s(now),
+        )
 
     def describe(self, now: float) -> dict[str, float]:
         """Return versions and ages in seconds, for a log line."""
--- a/pumicespur/jobs/_limits.py
+++ b/pumicespur/jobs/_limits.py
@@ -43,6 +43,9 @@
     """Limits of accounts that the operators have dropped while their jobs were there."""
     changed: dict[AccountId, None] = field(default_factory=dict)
     """Accounts whose ledger is to be recorded, oldest first."""
+    doubtful: bool = False
+    """Another configuration has been in force elsewhere for too long for its limits to be passed
+    over, and is not known here."""
     lacking: set[AccountId] = field(default_factory=set)
     asked: set[AccountId] = field(default_factory=set)
     """Accounts of which another pool waits to hear what was taken from it, or what is used."""
@@ -97,6 +100,8 @@
         limit = self.limit_of(account)
         if limit == UNLIMITED:
             return True
+        if self.doubtful:
+            return False
         part = self.part_of(account)
         used = self.use.of(account)
         share = used.share_of(limit, task, count)
@@ -113,7 +118,8 @@
         if not account or limit == UNLIMITED:
             return True
         used = self.use.of(account)
-        return used.share_of(limit) <= self.part_of(account).available or used.tasks <= 1
+        fits = used.share_of(limit) <= self.part_of(account).available or used.tasks <= 1
+        return fits and not self.doubtful
 
     def note_blocked(
         self, account: AccountId, task: StepRecord, count: int, together: int = 1
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -10,7 +10,7 @@
 
 from pumicespur.jobs._advice import AdviceDesk
 from pumicespur.jobs._availability import tasks_to_move
-from pumicespur.jobs._beliefs import Beliefs
+from pumicespur.jobs._beliefs import Beliefs, start_timeout_s
 from pumicespur.jobs._intake import JobIntake
 from pumicespur.jobs._job import Job, Loss, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
@@ -338,6 +338,7 @@
             if not self.stopping:
                 self._evacuate()
                 self._free_left_starts(monotonic())
+                self._note_limits(monotonic())
                 self.parts.hear(monotonic())
                 if self._may_start(monotonic()):
                     self.pool.place(monotonic(), now_ms())
@@ -353,6 +354,22 @@
                 await self.journal.release(self.settings.process.id)
                 return
 
+    def _note_limits(self, now: float) -> None:
+        """Judge by the newest limits, and by none while newer ones must be in force."""
+        limits = self.pool.limits
+        limits.set_accounts(self.view.configuration.accounts)
+        settings = self.settings
+        allowed_s = settings.process.configuration_ms / 1000 - start_timeout_s(settings.workers)
+        doubtful = self.view.outdated_s(now) > allowed_s
+        if doubtful != limits.doubtful:
+            limits.doubtful = doubtful
+            log.warning(
+                "limits out of date" if doubtful else "limits up to date",
+                pool=self.pool.pool,
+                configuration=self.view.configuration.version,
+                newest=self.view.newest_heard(),
+            )
+
     def _may_start(self, now: float) -> bool:
         """Whether enough is known for starts to be decided; leases go on in any case."""
         reason = self.beliefs().outdated(self.settings.workers, now)
@@ -446,7 +463,7 @@
         now = now_ms()
         # The commit may have taken long: what was heard meanwhile counts for its orders too.
         self._note_evacuations()
-        self.pool.limits.set_accounts(self.view.configuration.accounts)
+        self._note_limits(monotonic())
         self.parts.note_recorded(batch.parts)
         for job in batch.ended:
             self.intake.ended[job.id] = now
--- a/pumicespur/jobs/_worker_starts.py
+++ b/pumicespur/jobs/_worker_starts.py
@@ -159,7 +159,9 @@
         if not self.load.has_label(task.spec):
             return "the worker has another label"
         if not self.owner.pool.limits.within(task.job.account):
-            return "the account's limit has fallen"
+            return "the account's limit has fallen or may have"
+        if task.job.advised and not task.group.ticket(self.id, now):
+            return "its ticket is over"
         return beliefs.outdated(self.owner.settings.workers, now)
 
     def _note_refusal(self, task: Task, reason: str, now: float) -> None:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -93,6 +93,23 @@
         await self.watch.starts.order(job.tasks[1], 1)
         self.assertEqual(1, self.holder.orders.starts)
 
+    async def test_a_start_under_a_limit_waits_while_the_limit_may_have_changed(self) -> None:
+        limits = self.holder.pool.limits
+        account = AccountId("crown")
+        self.task.job.account = account
+        limits.set_accounts({account: ClientAccount(account, 1.0, Capacity(1500, 0))})
+        limits.doubtful = True
+        await self.watch.starts.order(self.task, 1)
+        self.assertEqual(0, self.holder.orders.starts)
+        self.assertFalse(limits.allows(account, TWO_TASKS, monotonic()))
+        limits.doubtful = False
+        self.assertTrue(limits.allows(account, TWO_TASKS, monotonic()))
+
+    async def test_a_start_whose_ticket_is_over_is_not_ordered(self) -> None:
+        self.task.job.advised = True
+        await self.watch.starts.order(self.task, 1)
+        self.assertEqual(0, self.holder.orders.starts)
+
     async def test_no_start_is_ordered_by_a_list_that_is_too_old(self) -> None:
         self.holder.workers_age_s = self.drain_s - start_timeout_s(self.settings) + 0.01
         await self.watch.starts.order(self.task, 1)
@@ -129,6 +146,12 @@
     def test_what_was_never_read_is_out_of_date(self) -> None:
         self.assertTrue(Beliefs().outdated(self.settings(2000), 10.0))
 
+    def test_an_order_holds_for_as_long_as_each_of_them_allows(self) -> None:
+        settings = self.settings(2000)
+        fresh, old = Reading(1, 10.0), Reading(1, 8.5)
+        self.assertAlmostEqual(2.0, Beliefs(fresh, fresh).hold_for_s(settings, 10.0))
+        self.assertAlmostEqual(1.5, Beliefs(fresh, old).hold_for_s(settings, 10.0))
+
     def test_each_table_is_judged(self) -> None:
         settings, fresh = self.settings(2000), Reading(1, 10.0)
         self.assertEqual("", Beliefs(fresh, fresh).outdated(settings, 11.0))
