Pools are taken once everyone has told of itself again, not 1.2 s after a start

Cause: a process that starts hears only of heartbeats written after it listens. All 43 start within 10 ms, so that small ones had not heard of large ones when they chose by size, 1.2 s after their start.

--- a/pumicespur/node/_keeper.py
+++ b/pumicespur/node/_keeper.py
@@ -35,8 +35,10 @@
 
 log = Logger(__name__)
 
-SETTLE_S = 1.2
-"""Time after a start before pools are taken, so that processes that start together share them."""
+SETTLE_S = 0.3
+"""Time after a start, beside the longest pause between two signs of life, before pools are taken:
+whoever started before this process listened has told of itself again by then. Without it, small
+instances that started together with large ones took busy pools."""
 
 LOOK_S = 0.25
 """Longest pause between looks at who owns what, for what changes by time alone."""
@@ -142,7 +144,7 @@
         now = monotonic()
         if self.succession.names_this_process(owner):
             return True
-        if now - self.started_at < SETTLE_S:
+        if now - self.started_at < self.beats.idle_pause_s() + SETTLE_S:
             return False
         if not self.hearing.hears(now):
             return False
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -15,7 +15,7 @@
 from pumicespur.node._beats import HeartbeatWriter
 from pumicespur.node._duties import Duties
 from pumicespur.node._hearing import RENEW_AGAIN_S, count_waiting
-from pumicespur.node._keeper import OwnershipKeeper
+from pumicespur.node._keeper import SETTLE_S, OwnershipKeeper
 from pumicespur.node._predecessors import Predecessors
 from pumicespur.node._succession import RANK_S
 from pumicespur.node._tables import HEARTBEATS_TABLE, PRESENCE_TABLE
@@ -89,6 +89,28 @@
         return PoolId(pool)
 
 
+class StartedTogetherTest(KeeperCase):
+    """Processes that start at one time, some of which wrote their first heartbeat unheard."""
+
+    def is_due(self, started_s: float) -> bool:
+        """Whether the keeper would take the pool, so long after its start."""
+        now = monotonic()
+        self.keeper.started_at = now - started_s
+        self.hearing.heard_at = now
+        self.keeper.view.owners[PoolId("main")] = SeenOwner(OwnerRecord(), 0, now)
+        return asyncio.run(self.keeper._is_due(PoolId("main")))
+
+    def test_a_small_one_takes_no_pool_before_a_large_one_can_be_heard_of(self) -> None:
+        self.assertFalse(self.is_due(self.keeper.beats.idle_pause_s()))
+
+    def test_nor_then_if_there_is_a_large_one(self) -> None:
+        self.hear("large", monotonic(), capacity=2.0)
+        self.assertFalse(self.is_due(self.keeper.beats.idle_pause_s() + SETTLE_S))
+
+    def test_it_does_if_there_is_none(self) -> None:
+        self.assertTrue(self.is_due(self.keeper.beats.idle_pause_s() + SETTLE_S))
+
+
 class ConfigurationBehindTest(KeeperCase):
     """Another process has a newer configuration."""
 
