Nodes under test know a leaving worker within 1.2 s instead of 0.6 s

The settings of the stand-ins' nodes gave them 0.6 s, a fifth of what platforms give. The bound under test and the soak's judge follow the setting; CommitWaitsTest fails with the guard taken out, as before.

--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -25,7 +25,7 @@
 CANCEL_S = 2.0
 """Time after a confirmed cancellation, in calm, in which its tasks end: a lease and two looks."""
 
-DRAIN_S = 0.6
+DRAIN_S = 1.2
 """Time after a worker's word that it leaves until nothing may start there (nodes' settings)."""
 
 STOP_S = 0.4
