--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -418,7 +418,7 @@
 
     def _update_evacuations(self) -> None:
         """Update which workers are to be evacuated; report evacuated ones at once."""
-        names = self.view.evacuations(MAX_EVACUATION_AGE_S)
+        names = self.view.workers_to_evacuate(MAX_EVACUATION_AGE_S)
         now = monotonic()
         needs_report = False
         for load in self.pool.loads.values():
--- a/pumicespur/model/_workers.py
+++ b/pumicespur/model/_workers.py
@@ -51,6 +51,8 @@
     instance: InstanceId
     leaves_in_s: float | None = None
     """Min time in seconds until a draining worker leaves; None if it does not report one."""
+    cold_for_s: float = 0.0
+    """Time in seconds for which the worker is still slow after its start; 0 once it is warm."""
 
     @property
     def name(self) -> WorkerName:
@@ -58,6 +60,15 @@
         return worker_name(self.id)
 
 
+@dataclass(frozen=True)
+class HallEvacuation:
+    """An operator's request that no task starts in a data hall, in force while its row exists."""
+
+    hall: DataHall
+    version: int
+    """Version of the row, by which a request made again after it was taken back is told apart."""
+
+
 class InstanceState(Enum):
     """State of an instance."""
 
--- a/pumicespur/schema/node_pb.py
+++ b/pumicespur/schema/node_pb.py
@@ -194,7 +194,7 @@
         heartbeat_s: float
         missing_s: float
 
-_WorkerSettingsFields: TypeAlias = Literal["lease_s", "clock_drift", "call_timeout_s", "watch_s", "owner_silence_s", "longest_lease_ms", "drain_ms", "cancel_ms", "advice"]
+_WorkerSettingsFields: TypeAlias = Literal["lease_s", "clock_drift", "call_timeout_s", "watch_s", "owner_silence_s", "longest_lease_ms", "drain_ms", "cancel_ms", "evacuate_ms", "advice"]
 
 class WorkerSettings(Message[_WorkerSettingsFields]):
     """
@@ -237,13 +237,17 @@
             ```proto
             int32 cancel_ms = 11;
             ```
+        evacuate_ms:
+            ```proto
+            int32 evacuate_ms = 12;
+            ```
         advice:
             ```proto
             string advice = 8;
             ```
     """
 
-    __slots__ = ("lease_s", "clock_drift", "call_timeout_s", "watch_s", "owner_silence_s", "longest_lease_ms", "drain_ms", "cancel_ms", "advice")
+    __slots__ = ("lease_s", "clock_drift", "call_timeout_s", "watch_s", "owner_silence_s", "longest_lease_ms", "drain_ms", "cancel_ms", "evacuate_ms", "advice")
 
     if TYPE_CHECKING:
 
@@ -258,6 +262,7 @@
             longest_lease_ms: int = 0,
             drain_ms: int = 0,
             cancel_ms: int = 0,
+            evacuate_ms: int = 0,
             advice: str = "",
         ) -> None:
             pass
@@ -270,9 +275,10 @@
         longest_lease_ms: int
         drain_ms: int
         cancel_ms: int
+        evacuate_ms: int
         advice: str
 
-_FleetSettingsFields: TypeAlias = Literal["address", "lease_ms", "move_s", "maintenance_s"]
+_FleetSettingsFields: TypeAlias = Literal["address", "lease_ms", "move_s", "maintenance_s", "tolerated_halls"]
 
 class FleetSettings(Message[_FleetSettingsFields]):
     """
@@ -299,9 +305,13 @@
             ```proto
             double maintenance_s = 4;
             ```
+        tolerated_halls:
+            ```proto
+            int32 tolerated_halls = 5;
+            ```
     """
 
-    __slots__ = ("address", "lease_ms", "move_s", "maintenance_s")
+    __slots__ = ("address", "lease_ms", "move_s", "maintenance_s", "tolerated_halls")
 
     if TYPE_CHECKING:
 
@@ -312,6 +322,7 @@
             lease_ms: int = 0,
             move_s: float = 0,
             maintenance_s: float = 0,
+            tolerated_halls: int = 0,
         ) -> None:
             pass
 
@@ -319,10 +330,11 @@
         lease_ms: int
         move_s: float
         maintenance_s: float
+        tolerated_halls: int
 
 
 _DESC = file_desc(
-    b'\n\nnode.proto\x12\rpumicespur.v1\x1a\x0esettings.proto"\xaf\x07\n\x13NodeProcessSettings\x12?\n\x02id\x18\x01 \x01(\tR\x02idB/\x8a\xb5\x18+"\'Name of this process, unique among all.(\x01\x12X\n\tdata_hall\x18\x02 \x01(\tR\x08dataHallB;\x8a\xb5\x187"3Data hall of the instance that the process runs on.(\x01\x12G\n\tlog_level\x18\x03 \x01(\tR\x08logLevelB*\x8a\xb5\x18&\n\x04INFO"\x1eDEBUG, INFO, WARNING or ERROR.\x12\x80\x01\n\x0cstop_grace_s\x18\x04 \x01(\x01R\nstopGraceSB^\x8a\xb5\x18Z\n\x016\x11\x00\x00\x00\x00\x00\x00\xe0?\x19\x00\x00\x00\x00\x00\xc0\x82@"CSeconds from a request to stop until the platform ends the process.\x12a\n\tcpu_share\x18\x06 \x01(\x01R\x08cpuShareBD\x8a\xb5\x18@\n\x011\x11\xfc\xa9\xf1\xd2MbP?\x19\x00\x00\x00\x00\x00\x00\x90@")Share of a core that the process may use.\x12u\n\tcpu_speed\x18\x07 \x01(\x01R\x08cpuSpeedBX\x8a\xb5\x18T\n\x011\x11\xfc\xa9\xf1\xd2MbP?\x19\x00\x00\x00\x00\x00\x00\x90@"=Speed of that core, as a multiple of the smallest instance\'s.\x12\xc6\x01\n\x10configuration_ms\x18\x08 \x01(\x05R\x0fconfigurationMsB\x9a\x01\x8a\xb5\x18\x95\x01\n\x043000\x11\x00\x00\x00\x00\x00\x00\xf0?\x19\x00\x00\x00\x00\x80O"A"{Milliseconds within which a new configuration is to be in force; a process that lacks one for half of them refuses callers.\x12\x8d\x01\n\x0flog_lines_per_s\x18\x05 \x01(\x05R\x0clogLinesPerSBf\x8a\xb5\x18b\n\x03400\x11\x00\x00\x00\x00\x00\x00\xf0?\x19\x00\x00\x00\x00\x00j\xf8@"ILog lines of one event that are written in a second; the rest is counted."\xb0\x02\n\x0eListenSettings\x12C\n\x07callers\x18\x01 \x01(\tR\x07callersB)\x8a\xb5\x18%"\x1fIP number and port for callers.(\x018\x01\x12s\n\treadiness\x18\x02 \x01(\tR\treadinessBU\x8a\xb5\x18Q"KIP number and port at which the platform asks whether the process is ready.(\x018\x01\x12d\n\x07metrics\x18\x03 \x01(\tR\x07metricsBJ\x8a\xb5\x18F"BIP number and port for metrics and the state dump; empty for none.8\x01"\x97\x06\n\rStoreSettings\x12G\n\x07address\x18\x01 \x01(\tR\x07addressB-\x8a\xb5\x18)"#Where the platform\'s store answers.(\x018\x01\x12\x97\x01\n\ttimeout_s\x18\x02 \x01(\x01R\x08timeoutSBz\x8a\xb5\x18v\n\x030.4\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00N@"]Seconds to wait for one answer beyond four of its mean times; a late timer and a lost packet.\x12u\n\rmax_timeout_s\x18\x06 \x01(\x01R\x0bmaxTimeoutSBQ\x8a\xb5\x18M\n\x013\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00N@"6The longest that one answer is waited for, in seconds.\x12\x93\x01\n\x07watch_s\x18\x03 \x01(\x01R\x06watchSBz\x8a\xb5\x18v\n\x015\x11\x9a\x99\x99\x99\x99\x99\xb9?\x19\x00\x00\x00\x00\x00\x00>@"_Seconds that a request for changes waits at the store; a dead connection is noticed after them.\x12r\n\x0bheartbeat_s\x18\x04 \x01(\x01R\nheartbeatSBQ\x8a\xb5\x18M\n\x030.5\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00$@"4Seconds between a process\'s heartbeats in the store.\x12\xa1\x01\n\tmissing_s\x18\x05 \x01(\x01R\x08missingSB\x83\x01\x8a\xb5\x18\x7f\n\x031.8\x11\x9a\x99\x99\x99\x99\x99\xb9?\x19\x00\x00\x00\x00\x00\x00N@"fSeconds without a new heartbeat after which a process counts as gone; three heartbeats and a late one."\xff\t\n\x0eWorkerSettings\x12\x97\x01\n\x07lease_s\x18\x01 \x01(\x01R\x06leaseSB~\x8a\xb5\x18z\n\x033.5\x11\x9a\x99\x99\x99\x99\x99\xc9?\x19\x00\x00\x00\x00\x00\xc0\x82@"aSeconds that a worker goes on with its tasks after its owner\'s last call; longer than a takeover.\x12c\n\x0bclock_drift\x18\x03 \x01(\x01R\nclockDriftBB\x8a\xb5\x18>\n\x040.02\x19\x00\x00\x00\x00\x00\x00\xe0?"-Share by which a worker\'s clock may run slow.\x12\x8a\x01\n\x0ecall_timeout_s\x18\x04 \x01(\x01R\x0ccallTimeoutSBd\x8a\xb5\x18`\n\x030.5\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00N@"GSeconds to wait for a worker\'s answer beyond what it was asked to wait.\x12\x91\x01\n\x07watch_s\x18\x05 \x01(\x01R\x06watchSBx\x8a\xb5\x18t\n\x030.8\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00\x00@"[Seconds that a worker may wait for a task to end before it answers; a quarter of the lease.\x12\x89\x01\n\x0fowner_silence_s\x18\x07 \x01(\x01R\rownerSilenceSBa\x8a\xb5\x18]\n\x018\x11\x00\x00\x00\x00\x00\x00\xe0?\x19\x00\x00\x00\x00\x00\xc0\x82@"FSeconds without the store after which an owner extends no more leases.\x12\x98\x01\n\x10longest_lease_ms\x18\t \x01(\x05R\x0elongestLeaseMsBn\x8a\xb5\x18j\n\x0510000\x11\x00\x00\x00\x00\x00\x00Y@\x19\x00\x00\x00\x00\x80O"A"OMilliseconds for which a worker goes on at most, whatever deadline it is given.\x12\xa8\x01\n\x08drain_ms\x18\n \x01(\x05R\x07drainMsB\x8c\x01\x8a\xb5\x18\x87\x01\n\x042000\x11\x00\x00\x00\x00\x00\x00Y@\x19\x00\x00\x00\x00\x80O"A"mMilliseconds after the store has taken a worker\'s word that it leaves until no task may begin there any more.\x12\x96\x01\n\tcancel_ms\x18\x0b \x01(\x05R\x08cancelMsBy\x8a\xb5\x18u\n\x043000\x11\x00\x00\x00\x00\x00\x00Y@\x19\x00\x00\x00\x00\x80O"A"[Milliseconds after a cancellation is confirmed until no task of the job may begin any more.\x12b\n\x06advice\x18\x08 \x01(\tR\x06adviceBJ\x8a\xb5\x18F"BWhere the service that advises on workers answers; empty for none.8\x01"\xac\x03\n\rFleetSettings\x12`\n\x07address\x18\x01 \x01(\tR\x07addressBF\x8a\xb5\x18B">Where the platform takes orders for instances; empty for none.8\x01\x12p\n\x08lease_ms\x18\x02 \x01(\x05R\x07leaseMsBU\x8a\xb5\x18Q\n\x043000\x11\x00\x00\x00\x00\x00\x00Y@\x19\x00\x00\x00\x00\x80O"A"7Milliseconds that must lie between two holders\' orders.\x12]\n\x06move_s\x18\x03 \x01(\x01R\x05moveSBF\x8a\xb5\x18B\n\x031.5\x19\x00\x00\x00\x00\x00 \xac@"2Seconds that an instance needs to change its pool.\x12h\n\rmaintenance_s\x18\x04 \x01(\x01R\x0cmaintenanceSBC\x8a\xb5\x18?\n\x012\x19\x00\x00\x00\x00\x00 \xac@"1Seconds that an instance is down for maintenance.b\x06proto3',
+    b'\n\nnode.proto\x12\rpumicespur.v1\x1a\x0esettings.proto"\xaf\x07\n\x13NodeProcessSettings\x12?\n\x02id\x18\x01 \x01(\tR\x02idB/\x8a\xb5\x18+"\'Name of this process, unique among all.(\x01\x12X\n\tdata_hall\x18\x02 \x01(\tR\x08dataHallB;\x8a\xb5\x187"3Data hall of the instance that the process runs on.(\x01\x12G\n\tlog_level\x18\x03 \x01(\tR\x08logLevelB*\x8a\xb5\x18&\n\x04INFO"\x1eDEBUG, INFO, WARNING or ERROR.\x12\x80\x01\n\x0cstop_grace_s\x18\x04 \x01(\x01R\nstopGraceSB^\x8a\xb5\x18Z\n\x016\x11\x00\x00\x00\x00\x00\x00\xe0?\x19\x00\x00\x00\x00\x00\xc0\x82@"CSeconds from a request to stop until the platform ends the process.\x12a\n\tcpu_share\x18\x06 \x01(\x01R\x08cpuShareBD\x8a\xb5\x18@\n\x011\x11\xfc\xa9\xf1\xd2MbP?\x19\x00\x00\x00\x00\x00\x00\x90@")Share of a core that the process may use.\x12u\n\tcpu_speed\x18\x07 \x01(\x01R\x08cpuSpeedBX\x8a\xb5\x18T\n\x011\x11\xfc\xa9\xf1\xd2MbP?\x19\x00\x00\x00\x00\x00\x00\x90@"=Speed of that core, as a multiple of the smallest instance\'s.\x12\xc6\x01\n\x10configuration_ms\x18\x08 \x01(\x05R\x0fconfigurationMsB\x9a\x01\x8a\xb5\x18\x95\x01\n\x043000\x11\x00\x00\x00\x00\x00\x00\xf0?\x19\x00\x00\x00\x00\x80O"A"{Milliseconds within which a new configuration is to be in force; a process that lacks one for half of them refuses callers.\x12\x8d\x01\n\x0flog_lines_per_s\x18\x05 \x01(\x05R\x0clogLinesPerSBf\x8a\xb5\x18b\n\x03400\x11\x00\x00\x00\x00\x00\x00\xf0?\x19\x00\x00\x00\x00\x00j\xf8@"ILog lines of one event that are written in a second; the rest is counted."\xb0\x02\n\x0eListenSettings\x12C\n\x07callers\x18\x01 \x01(\tR\x07callersB)\x8a\xb5\x18%"\x1fIP number and port for callers.(\x018\x01\x12s\n\treadiness\x18\x02 \x01(\tR\treadinessBU\x8a\xb5\x18Q"KIP number and port at which the platform asks whether the process is ready.(\x018\x01\x12d\n\x07metrics\x18\x03 \x01(\tR\x07metricsBJ\x8a\xb5\x18F"BIP number and port for metrics and the state dump; empty for none.8\x01"\x97\x06\n\rStoreSettings\x12G\n\x07address\x18\x01 \x01(\tR\x07addressB-\x8a\xb5\x18)"#Where the platform\'s store answers.(\x018\x01\x12\x97\x01\n\ttimeout_s\x18\x02 \x01(\x01R\x08timeoutSBz\x8a\xb5\x18v\n\x030.4\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00N@"]Seconds to wait for one answer beyond four of its mean times; a late timer and a lost packet.\x12u\n\rmax_timeout_s\x18\x06 \x01(\x01R\x0bmaxTimeoutSBQ\x8a\xb5\x18M\n\x013\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00N@"6The longest that one answer is waited for, in seconds.\x12\x93\x01\n\x07watch_s\x18\x03 \x01(\x01R\x06watchSBz\x8a\xb5\x18v\n\x015\x11\x9a\x99\x99\x99\x99\x99\xb9?\x19\x00\x00\x00\x00\x00\x00>@"_Seconds that a request for changes waits at the store; a dead connection is noticed after them.\x12r\n\x0bheartbeat_s\x18\x04 \x01(\x01R\nheartbeatSBQ\x8a\xb5\x18M\n\x030.5\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00$@"4Seconds between a process\'s heartbeats in the store.\x12\xa1\x01\n\tmissing_s\x18\x05 \x01(\x01R\x08missingSB\x83\x01\x8a\xb5\x18\x7f\n\x031.8\x11\x9a\x99\x99\x99\x99\x99\xb9?\x19\x00\x00\x00\x00\x00\x00N@"fSeconds without a new heartbeat after which a process counts as gone; three heartbeats and a late one."\xce\x0b\n\x0eWorkerSettings\x12\x97\x01\n\x07lease_s\x18\x01 \x01(\x01R\x06leaseSB~\x8a\xb5\x18z\n\x033.5\x11\x9a\x99\x99\x99\x99\x99\xc9?\x19\x00\x00\x00\x00\x00\xc0\x82@"aSeconds that a worker goes on with its tasks after its owner\'s last call; longer than a takeover.\x12c\n\x0bclock_drift\x18\x03 \x01(\x01R\nclockDriftBB\x8a\xb5\x18>\n\x040.02\x19\x00\x00\x00\x00\x00\x00\xe0?"-Share by which a worker\'s clock may run slow.\x12\x8a\x01\n\x0ecall_timeout_s\x18\x04 \x01(\x01R\x0ccallTimeoutSBd\x8a\xb5\x18`\n\x030.5\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00N@"GSeconds to wait for a worker\'s answer beyond what it was asked to wait.\x12\x91\x01\n\x07watch_s\x18\x05 \x01(\x01R\x06watchSBx\x8a\xb5\x18t\n\x030.8\x11\x9a\x99\x99\x99\x99\x99\xa9?\x19\x00\x00\x00\x00\x00\x00\x00@"[Seconds that a worker may wait for a task to end before it answers; a quarter of the lease.\x12\x89\x01\n\x0fowner_silence_s\x18\x07 \x01(\x01R\rownerSilenceSBa\x8a\xb5\x18]\n\x018\x11\x00\x00\x00\x00\x00\x00\xe0?\x19\x00\x00\x00\x00\x00\xc0\x82@"FSeconds without the store after which an owner extends no more leases.\x12\x98\x01\n\x10longest_lease_ms\x18\t \x01(\x05R\x0elongestLeaseMsBn\x8a\xb5\x18j\n\x0510000\x11\x00\x00\x00\x00\x00\x00Y@\x19\x00\x00\x00\x00\x80O"A"OMilliseconds for which a worker goes on at most, whatever deadline it is given.\x12\xa8\x01\n\x08drain_ms\x18\n \x01(\x05R\x07drainMsB\x8c\x01\x8a\xb5\x18\x87\x01\n\x042000\x11\x00\x00\x00\x00\x00\x00Y@\x19\x00\x00\x00\x00\x80O"A"mMilliseconds after the store has taken a worker\'s word that it leaves until no task may begin there any more.\x12\x96\x01\n\tcancel_ms\x18\x0b \x01(\x05R\x08cancelMsBy\x8a\xb5\x18u\n\x043000\x11\x00\x00\x00\x00\x00\x00Y@\x19\x00\x00\x00\x00\x80O"A"[Milliseconds after a cancellation is confirmed until no task of the job may begin any more.\x12\xcc\x01\n\x0bevacuate_ms\x18\x0c \x01(\x05R\nevacuateMsB\xaa\x01\x8a\xb5\x18\xa5\x01\n\x010\x19\x00\x00\x00\x00\x80O"A"\x96\x01Milliseconds after an operator\'s evacuation of a data hall is confirmed until no task may begin there any more; 0 if this platform evacuates no halls.\x12b\n\x06advice\x18\x08 \x01(\tR\x06adviceBJ\x8a\xb5\x18F"BWhere the service that advises on workers answers; empty for none.8\x01"\xe8\x04\n\rFleetSettings\x12`\n\x07address\x18\x01 \x01(\tR\x07addressBF\x8a\xb5\x18B">Where the platform takes orders for instances; empty for none.8\x01\x12p\n\x08lease_ms\x18\x02 \x01(\x05R\x07leaseMsBU\x8a\xb5\x18Q\n\x043000\x11\x00\x00\x00\x00\x00\x00Y@\x19\x00\x00\x00\x00\x80O"A"7Milliseconds that must lie between two holders\' orders.\x12]\n\x06move_s\x18\x03 \x01(\x01R\x05moveSBF\x8a\xb5\x18B\n\x031.5\x19\x00\x00\x00\x00\x00 \xac@"2Seconds that an instance needs to change its pool.\x12h\n\rmaintenance_s\x18\x04 \x01(\x01R\x0cmaintenanceSBC\x8a\xb5\x18?\n\x012\x19\x00\x00\x00\x00\x00 \xac@"1Seconds that an instance is down for maintenance.\x12\xb9\x01\n\x0ftolerated_halls\x18\x05 \x01(\x05R\x0etoleratedHallsB\x8f\x01\x8a\xb5\x18\x8a\x01\n\x010\x19\x00\x00\x00\x00\x00@\x8f@"|Number of data halls that may be lost at once; above 0, pools, long-running steps and pool owners are spread over the halls.b\x06proto3',
     [
         settings_pb.desc(),
     ],
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -12,7 +12,9 @@
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
-    from pumicespur.model import KeyDigest, Route, Wave, Worker
+    from collections.abc import Mapping
+
+    from pumicespur.model import DataHall, HallEvacuation, KeyDigest, Route, Wave, Worker
     from pumicespur.schema.jobs_pb import DutyReport, HeartbeatRecord, OwnerRecord, PoolReport
 
 log = Logger(__name__)
@@ -64,6 +66,11 @@
     workers_known: bool = False
     workers_progress: TableProgress = field(default_factory=TableProgress)
     """The version up to which the list of workers is known, and as of when."""
+    evacuated_halls: Mapping[DataHall, HallEvacuation] = field(default_factory=dict)
+    """Data halls in which no task may start. Followed only while this process owns a pool or is the
+    fleet leader; empty otherwise."""
+    evacuations_progress: TableProgress = field(default_factory=TableProgress)
+    """The version up to which the evacuations are known, and as of when."""
     processes: dict[ProcessId, SeenProcess] = field(default_factory=dict)
     reports: dict[ProcessId, SeenReport] = field(default_factory=dict)
     """Followed only while this process owns a pool or is the fleet leader; empty otherwise."""
@@ -148,7 +155,7 @@
         """Return the recent report on a pool under the newest fencing token."""
         return self.fresh_reports(max_age_s).get(pool)
 
-    def evacuations(self, max_age_s: float) -> set[WorkerName] | None:
+    def workers_to_evacuate(self, max_age_s: float) -> set[WorkerName] | None:
         """Return the workers that the newest fleet leader wants evacuated.
 
         None if there is no recent report of a leader. A name covers all incarnations of a worker,
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -212,7 +212,7 @@
     def test_without_a_leader_evacuations_are_unknown(self) -> None:
         view = FleetView()
         view.reports[ProcessId("owner")] = SeenReport(DutyReport(process="owner"), monotonic())
-        self.assertIsNone(view.evacuations(3.0))
+        self.assertIsNone(view.workers_to_evacuate(3.0))
 
 
 class LeavingCase(NodeCase):
