Test: the model of restarts tells a new owner of its predecessor's leases

A failed plan now prints what happened to its task. The owner was right by what it was told: the model passed EarlierLeases(0.0), that is that no earlier lease runs, while its workers run until they restart. The role node passes at least one lease after a takeover (Predecessors.track_leases), and only the first owner of a pool passes none.

The checks stay as they are.

--- a/tests/test_incarnations_model.py
+++ b/tests/test_incarnations_model.py
@@ -13,6 +13,8 @@
 import contextlib
 import itertools
 import random
+import sys
+import traceback
 import unittest
 from contextlib import ExitStack
 from dataclasses import dataclass, field
@@ -53,8 +55,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from pumicespur.jobs._job import Task
+
 PLANS = 40
 MUTANT_PLANS = 200
+LEASE_MUTANT_PLANS = 600
+"""This mutant needs a takeover while a worker with a late start is down."""
+
 MAX_CONCURRENT_PLANS = 10
 """Plans that run concurrently. With many more, delays of the event loop mask the workers' own."""
 
@@ -73,10 +80,31 @@
 """The same for a mutant, where some tasks never run again."""
 
 LONG_RUNNING_JOB = "f" * 16
+FIRST_TOKEN = 1
+"""Fencing token of the first owner of the pool."""
+
 DELIVERY_S = 0.002
 """Maximum latency of a call that is not late; shorter than any run."""
 
+LEASE_S = 60.0
+"""Length of leases; the simulated workers end no run when its lease expires."""
+
 FATES = ("answered", "answered", "answered", "response lost", "late", "refused")
+MOSTLY_LATE = ("answered", "late", "late", "late", "refused")
+
+
+def earlier_leases(token: int) -> EarlierLeases:
+    """Return when leases of earlier owners expire, for the owner that takes the pool now.
+
+    As the role `node` does, every owner but the first one assumes that its predecessor renewed
+    leases until the takeover.
+    """
+    return EarlierLeases(monotonic() + LEASE_S if token > FIRST_TOKEN else 0.0)
+
+
+def no_earlier_leases(token: int) -> EarlierLeases:
+    """Return leases that have expired, whatever earlier owners granted."""
+    return EarlierLeases(0.0)
 
 
 @dataclass(eq=False)
@@ -119,10 +147,22 @@
         self.down: set[WorkerName] = set()
         self.history: dict[TaskName, list[ModelRun]] = {}
         self.findings: list[str] = []
+        self.events: dict[TaskName, list[str]] = {}
+        """What happened to each task, for the report of a violation."""
+        self.began_at = monotonic()
         self.disturbed = True
         for number in range(WORKERS):
             self.incarnations[WorkerName(f"w-{number}")] = [Incarnation(next(self.start_times))]
 
+    def note(self, task: TaskName, event: str) -> None:
+        """Record an event in the history of a task."""
+        at_ms = (monotonic() - self.began_at) * 1000
+        self.events.setdefault(task, []).append(f"{at_ms:8.1f} ms  {event}")
+
+    def report(self, task: TaskName, violation: str) -> None:
+        """Report a violation with the history of its task."""
+        self.findings.append("\n    ".join([f"{task} {violation}", *self.events.get(task, ())]))
+
     def entry(self, name: WorkerName, incarnation: Incarnation) -> Worker:
         """Return the entry that an incarnation writes of itself."""
         return make_worker(worker_id(name, incarnation.started_ms))
@@ -131,6 +171,7 @@
         """End the current incarnation with all its runs and begin the next one."""
         for run in self.incarnations[name][-1].running.values():
             run.alive = False
+            self.note(run.task, f"run {run.number} lost as {name} restarts")
         self.incarnations[name].append(Incarnation(next(self.start_times)))
         return self.incarnations[name][-1]
 
@@ -150,9 +191,13 @@
         """Execute a start now, late or never."""
         fate = self.chance.choice(FATES) if self.disturbed else "answered"
         sent_to = self.incarnations[worker.name][-1]
+        what = f"start of run {order.run} with token {token} to {worker.id}"
+        self.note(order.task, f"{what} sent, {fate}")
         incarnation = await self._deliver(worker)
         if not isinstance(incarnation, Incarnation):
+            self.note(order.task, f"{what}: {incarnation!r}")
             return Error(incarnation)
+        self.note(order.task, f"{what} delivered to {incarnation.started_ms}")
         match fate:
             case "refused":
                 return Error(Unavailable("unhealthy"))
@@ -171,7 +216,9 @@
         since = self.incarnations[name][self.incarnations[name].index(sent_to) :]
         newest = max(incarnation.token for incarnation in since)
         revoked = any(order.run <= incarnation.refused.get(order.task, 0) for incarnation in since)
-        if name not in self.down and not revoked and token >= newest:
+        due = name not in self.down and not revoked and token >= newest
+        self.note(order.task, f"late start of run {order.run} on {name}, executed: {due}")
+        if due:
             self._begin(since[-1], token, order)
 
     def _begin(self, incarnation: Incarnation, token: int, order: StartOrder) -> None:
@@ -183,9 +230,10 @@
             return
         before = self.history.setdefault(order.task, [])
         if any(run.alive for run in before):
-            self.findings.append(f"{order.task} runs twice at once")
+            self.report(order.task, "runs twice at once")
         if any(run.how is RunEnd.DONE and run.acknowledged for run in before):
-            self.findings.append(f"{order.task} runs again after its end")
+            self.report(order.task, "runs again after its end")
+        self.note(order.task, f"run {order.run} begins on {incarnation.started_ms}")
         run = ModelRun(order.task, order.run)
         before.append(run)
         incarnation.running[order.task] = run
@@ -201,6 +249,7 @@
             return
         del incarnation.running[run.task]
         run.alive, run.how = False, how
+        self.note(run.task, f"run {run.number} ends: {how.value}")
         incarnation.refused[run.task] = max(run.number, incarnation.refused.get(run.task, 0))
         incarnation.count += 1
         incarnation.ended[incarnation.count] = (
@@ -211,10 +260,14 @@
     async def stop(self, worker: Worker, token: int, task: TaskName, run: int) -> Result[None, Any]:
         """Stop a run or revoke its start."""
         incarnation = await self._deliver(worker)
+        what = f"stop of run {run} with token {token} to {worker.id}"
         if not isinstance(incarnation, Incarnation):
+            self.note(task, f"{what}: {incarnation!r}")
             return Error(incarnation)
         if not self._note_token(incarnation, token):
+            self.note(task, f"{what}: fenced by {incarnation.started_ms}")
             return Error(Unavailable("fenced"))
+        self.note(task, f"{what} executed by {incarnation.started_ms}")
         present = incarnation.running.get(task)
         if present is None:
             incarnation.refused[task] = max(run, incarnation.refused.get(task, 0))
@@ -232,7 +285,9 @@
         if not self._note_token(incarnation, token):
             return Error(Unavailable("fenced"))
         for number in [n for n in incarnation.ended if n <= last_seen]:
-            incarnation.ended.pop(number)[0].acknowledged = True
+            run, _ = incarnation.ended.pop(number)
+            run.acknowledged = True
+            self.note(run.task, f"end of run {run.number} acknowledged")
         if wait_s and not incarnation.ended:
             await anyio.sleep(0.005)
         running = [ActiveRun(r.task, r.number, "", 100, 0.0) for r in incarnation.running.values()]
@@ -265,7 +320,7 @@
     """The rows that owners recorded, and the fencing token of the last owner."""
 
     rows: dict[str, bytes] = field(default_factory=dict)
-    token: int = 1
+    token: int = FIRST_TOKEN
 
 
 class ModelJournal:
@@ -354,7 +409,7 @@
         """Own the pool as a process that has just acquired it."""
         settings = NodeSettings(
             workers=WorkerSettings(
-                lease_s=60,
+                lease_s=LEASE_S,
                 longest_lease_ms=10_000,
                 watch_s=0.1,
                 clock_drift=0.02,
@@ -371,10 +426,11 @@
             cast("Any", None),
             cast("Any", workers),
             Ownership(POOL, token, "incarnation", monotonic()),
-            EarlierLeases(0.0),
+            earlier_leases(token),
             lambda: None,
         )
         owner.journal = cast("Any", ModelJournal(self.records, token, self.chance))
+        self._trace_requeues(owner, workers)
         for record in self.jobs:
             kept = self.records.rows.get(f"progress/{POOL}/{record.id}")
             progress = ProgressRecord.from_binary(kept) if kept else None
@@ -384,6 +440,18 @@
         with scope, contextlib.suppress(OwnershipLostError):
             await self._follow(owner)
 
+    def _trace_requeues(self, owner: PoolOwner, workers: ModelWorkers) -> None:
+        """Record in the history of each task when and by which decision the owner requeues it."""
+        requeue = owner.pool.requeue
+
+        def traced(task: Task, checkpoint: str = "") -> None:
+            callers = [frame.name for frame in traceback.extract_stack(limit=5)[:-1]]
+            decision = " < ".join(reversed(callers))
+            workers.note(task.name, f"run {task.run} requeued by owner {owner.token}: {decision}")
+            requeue(task, checkpoint)
+
+        owner.pool.requeue = traced  # type: ignore[method-assign]
+
     async def _follow(self, owner: PoolOwner) -> None:
         try:
             async with anyio.create_task_group() as owner.tasks:
@@ -486,6 +554,15 @@
             [], self.search(StartTimesIgnored, MUTANT_RECOVERY_TIMEOUT_S, MUTANT_PLANS)
         )
 
+    def test_detects_earlier_leases_that_are_not_waited_for(self) -> None:
+        module = sys.modules[__name__]
+        with (
+            mock.patch.object(module, "earlier_leases", no_earlier_leases),
+            mock.patch.object(module, "FATES", MOSTLY_LATE),
+        ):
+            found = self.search(ModelWorkers, MUTANT_RECOVERY_TIMEOUT_S, LEASE_MUTANT_PLANS)
+            self.assertNotEqual([], found)
+
     def test_detects_dropped_unconfirmed_starts(self) -> None:
         with mock.patch.object(PoolState, "drop_worker", drop_all):
             found = self.search(ModelWorkers, MUTANT_RECOVERY_TIMEOUT_S, MUTANT_PLANS)
