Platform: rows that evacuate data halls, range reads, cold workers

rows-get takes the key that ends a range (targetVersion), so that the evacuations are read without the configuration and the waves beside them. The key alone names the hall; the value is ignored.

--- a/pumicespur/platform/__init__.py
+++ b/pumicespur/platform/__init__.py
@@ -9,10 +9,12 @@
 from pumicespur.platform._callers import CallerServer
 from pumicespur.platform._declarations import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     OPERATORS_TABLE,
     WAVE_PREFIX,
     WORKERS_TABLE,
     decode_configuration,
+    decode_evacuation,
     decode_wave,
     decode_worker,
     encode_wave_state,
@@ -25,6 +27,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
     "OPERATORS_TABLE",
     "WAVE_PREFIX",
     "WORKERS_TABLE",
@@ -34,6 +37,7 @@
     "PlatformTable",
     "WorkerOrders",
     "decode_configuration",
+    "decode_evacuation",
     "decode_wave",
     "decode_worker",
     "encode_wave_state",
--- a/pumicespur/platform/_declarations.py
+++ b/pumicespur/platform/_declarations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import Annotated, TypeVar
+from typing import TYPE_CHECKING, Annotated, TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
@@ -16,6 +16,7 @@
     ClientAccount,
     Configuration,
     DataHall,
+    HallEvacuation,
     InstanceId,
     KeyDigest,
     PoolId,
@@ -31,8 +32,14 @@
     worker_id,
 )
 
+if TYPE_CHECKING:
+    from pumicespur.store import Row
+
 CONFIGURATION_KEY = "op//config"
 WAVE_PREFIX = "op//wave/"
+EVACUATION_PREFIX = "op//evacuate/"
+"""Start of the keys of evacuations; the name of the data hall follows."""
+
 OPERATORS_TABLE = "op"
 WORKERS_TABLE = "servers"
 
@@ -147,6 +154,8 @@
     """The instance that the worker runs on."""
     born: StartTimeMs = msgspec.UNSET
     remaining_ms: float | None = msgspec.field(name="remainingMs", default=None)
+    cold_ms: float | None = msgspec.field(name="coldRemainingMs", default=None)
+    """For how much longer the worker is slow after its start."""
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
@@ -192,6 +201,19 @@
     return Ok(Wave(decoded.wave, instances, decoded.duration_s, decoded.at_once))
 
 
+def decode_evacuation(row: Row) -> Result[HallEvacuation, str]:
+    """Decode the evacuation of a data hall, or return what is wrong with it.
+
+    The key alone tells the hall; operators may write anything as the row's value.
+    """
+    hall = row.key.removeprefix(EVACUATION_PREFIX)
+    if not row.key.startswith(EVACUATION_PREFIX) or not hall:
+        return Error("the key names no data hall")
+    if hall != hall.strip() or not hall.isprintable():
+        return Error("the name of the data hall has spaces around it or unprintable characters")
+    return Ok(HallEvacuation(DataHall(hall), row.version))
+
+
 def encode_wave_state(completed: bool) -> bytes:
     """Encode the state of a wave for the operators."""
     return msgspec.json.encode({"state": "completed" if completed else "running"})
@@ -224,6 +246,7 @@
             rack=find_rack(decoded.labels),
             instance=InstanceId(decoded.machine),
             leaves_in_s=None if decoded.remaining_ms is None else decoded.remaining_ms / 1000,
+            cold_for_s=max(0.0, (decoded.cold_ms or 0.0) / 1000),
         )
     )
 
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -215,16 +215,37 @@
         usual timeout of a call. The version returned is that of the first page, so that changes
         made while reading are not missed.
         """
+        query = {"table": table, "part": part, "limit": str(MAX_PAGE_ROWS)}
+        return await self._scan_pages(query, "", first_bytes_timeout_s)
+
+    async def scan_range(
+        self, table: str, part: str, first: str, end: str, first_bytes_timeout_s: float = math.inf
+    ) -> Result[Page, Fault]:
+        """Read the rows of a part with keys from `first` on and before `end`.
+
+        One call does so, unless the rows exceed what one response can hold. The timeouts and the
+        version returned are as for `scan`.
+        """
+        query = {
+            "table": table,
+            "part": part,
+            "targetVersion": end,
+            "limit": str(MAX_PAGE_ROWS),
+        }
+        return await self._scan_pages(query, first, first_bytes_timeout_s)
+
+    async def _scan_pages(
+        self, query: dict[str, str], first: str, first_bytes_timeout_s: float
+    ) -> Result[Page, Fault]:
         rows: list[Row] = []
         version = 0
         receiving_s = 0.0
-        start = ""
+        start = first
+        table = query["table"]
         while True:
-            query = {"table": table, "part": part, "from": start, "limit": str(MAX_PAGE_ROWS)}
+            path = _path_with_query(READ_PATH, query | {"from": start})
             transfer = Transfer(min(self.response_times.timeout_s(), first_bytes_timeout_s))
-            result = _decode_rows(
-                await self._read(_path_with_query(READ_PATH, query), transfer, table)
-            )
+            result = _decode_rows(await self._read(path, transfer, table))
             self._note_first_bytes(transfer)
             match result:
                 case Result(tag="ok", ok=decoded):
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -180,12 +180,13 @@
             return refused
         query = request.query
         limit = int(query.get("limit", PAGE_ROWS))
+        first, end = query.get("from", ""), query.get("targetVersion")
         found = sorted(
             (
                 row
                 for (table, part, key), row in self.rows.items()
                 if table == query["table"] and part == query.get("part", "") and not row.gone
-                if key >= query.get("from", "")
+                if key >= first and (end is None or key < end)
             ),
             key=lambda row: row.place,
         )
