Nodes follow the evacuated data halls while they own a pool or lead the fleet

The whole range is read each eighth of what is allowed, and at once when the operators' table names such a row or its removal. Answers are ordered by their version, so that a late one closes no hall again. Halls that nobody knows yet count as evacuated too: a worker may appear there before the next reading. Nothing is read where evacuate_ms is 0.

--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -12,7 +12,7 @@
 from pumicespur.jobs._describe import describe_progress
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import OWNERS_TABLE, owner_key
-from pumicespur.jobs._known_state import workers_max_age_s
+from pumicespur.jobs._known_state import evacuations_max_age_s, workers_max_age_s
 from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._owner import PoolOwner
 from pumicespur.jobs._service import JobService
@@ -30,6 +30,7 @@
     "describe_accounts",
     "describe_limit_block",
     "describe_progress",
+    "evacuations_max_age_s",
     "owner_key",
     "update_account_metrics",
     "workers_max_age_s",
--- a/pumicespur/jobs/_known_state.py
+++ b/pumicespur/jobs/_known_state.py
@@ -23,7 +23,8 @@
 
 def start_timeout_s(settings: WorkerSettings) -> float:
     """Return the timeout of the call of a start, in seconds."""
-    return min(settings.call_timeout_s, START_CALL_RATIO * settings.drain_ms / 1000)
+    allowed_ms = min(settings.drain_ms, settings.evacuate_ms or settings.drain_ms)
+    return min(settings.call_timeout_s, START_CALL_RATIO * allowed_ms / 1000)
 
 
 def workers_max_age_s(settings: WorkerSettings) -> float:
@@ -36,6 +37,11 @@
     return settings.cancel_ms / 1000 - start_timeout_s(settings)
 
 
+def evacuations_max_age_s(settings: WorkerSettings) -> float:
+    """Return the maximum age of the known evacuations of data halls for starts, in seconds."""
+    return settings.evacuate_ms / 1000 - start_timeout_s(settings)
+
+
 @dataclass(frozen=True)
 class KnownState:
     """Versions and ages of the tables that an owner's orders depend on."""
--- a/pumicespur/node/_ownership_controller.py
+++ b/pumicespur/node/_ownership_controller.py
@@ -134,6 +134,13 @@
         for owner in self.roles.pool_owners():
             owner.sync_workers()
 
+    def apply_evacuations(self) -> None:
+        """Notify the owners and the fleet leader that other data halls are evacuated."""
+        for owner in self.roles.pool_owners():
+            owner.wake()
+        if self.roles.fleet_leader is not None:
+            self.roles.fleet_leader.wake()
+
     async def _check_pools(self) -> None:
         if self.roles.stopping:
             return
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -22,6 +22,7 @@
 )
 from pumicespur.listeners import bound_address
 from pumicespur.model import JobId, ProcessId
+from pumicespur.node._evacuations import EvacuationFollower
 from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._ownership_controller import OwnershipController
 from pumicespur.node._process_tracker import count_waiting
@@ -129,6 +130,7 @@
         self.controller = OwnershipController(
             settings, self.view, self.table, self.orders, self.fleet_orders, self.incarnation
         )
+        self.evacuations = EvacuationFollower(settings, self.view, self.table, self.controller)
         self.server = CallerServer(self)
         async with anyio.create_task_group() as tasks:
             await tasks.start(self._listen_to_signals)
@@ -141,6 +143,7 @@
                 RescanPolicy(after_s=0.0, when_outdated=True),
             )
             tasks.start_soon(self.operators.run)
+            tasks.start_soon(self.evacuations.run)
             tasks.start_soon(WorkerList(settings, self.view, self.table, self.controller).run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self)
@@ -264,6 +267,7 @@
         return {}
 
     def _on_operators_rows(self, rows: Sequence[Row], whole: bool) -> None:
+        self.evacuations.note_operators_rows(rows, whole)
         for row in rows:
             if row.version <= self.operator_row_versions.get(row.key, 0):
                 continue
