Owners start nothing in evacuated data halls

Starts depend on the age of the known evacuations as they do on the list of workers and on cancellations: too old a reading suspends them, and an order carries a deadline within evacuate_ms of the reading. Workers of an evacuated hall are marked as soon as the set of halls changes, each round and again before orders go out. What runs there goes on.

--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -116,6 +116,8 @@
         self.allotments = AllotmentExchange(self.pool.limits, table, view, request_report)
         self.start_block_reason = ""
         """Why tasks are not placed at present; empty if they are."""
+        self.has_evacuated_halls = False
+        """Whether data halls were evacuated when the workers were last marked."""
         self.stopping = False
         self.stopped = anyio.Event()
         self.ready = False
@@ -134,6 +136,11 @@
         if self.ready and self.allotments.apply_reports(monotonic()):
             self.wake()
 
+    def apply_evacuated_halls(self) -> None:
+        """Apply a change of the evacuated data halls, before any order that may rely on it."""
+        self._mark_evacuated_halls()
+        self.wake()
+
     def spawn(self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: Any) -> None:
         """Run a coroutine concurrently with the rounds, for as long as the pool is owned."""
         if self.tasks is not None:
@@ -141,10 +148,12 @@
 
     def known_state(self) -> KnownState:
         """Return the current versions and ages of the tables that orders depend on."""
+        evacuates = self.settings.workers.evacuate_ms > 0
         return KnownState(
             workers=self.view.workers_progress,
             submissions=self.submissions.table_progress,
             configuration=self.view.configuration.version,
+            evacuations=self.view.evacuations_progress if evacuates else None,
         )
 
     def may_renew_leases(self, now: float) -> bool:
@@ -227,6 +236,7 @@
                         leaves_in_s=worker.leaves_in_s,
                     )
                 self.pool.add_worker(worker)
+        self._mark_evacuated_halls()
         self.wake()
 
     def _note_unlisted(self, session: WorkerSession) -> None:
@@ -345,6 +355,7 @@
             await anyio.sleep(COMMIT_DELAY_S)
             self.changed = anyio.Event()
             if not self.stopping:
+                self._mark_evacuated_halls()
                 self._evacuate()
                 self._requeue_expired_starts(monotonic())
                 self._update_limits(monotonic())
@@ -430,6 +441,15 @@
         if needs_report:
             self.request_report()
 
+    def _mark_evacuated_halls(self) -> None:
+        """Mark the workers in evacuated data halls, which get no new tasks."""
+        halls = self.view.evacuated_halls
+        if not halls and not self.has_evacuated_halls:
+            return
+        self.has_evacuated_halls = bool(halls)
+        for load in self.pool.loads.values():
+            load.hall_evacuated = load.worker.data_hall in halls
+
     def _collect_batch(self) -> Batch:
         """Collect changes for a commit; acknowledge ends only if it includes every change."""
         batch = Batch()
@@ -474,6 +494,7 @@
     def _execute_batch(self, batch: Batch) -> None:
         now = now_ms()
         # The commit may have taken long: apply what was received meanwhile before sending orders.
+        self._mark_evacuated_halls()
         self._update_evacuations()
         self._update_limits(monotonic())
         self.allotments.note_recorded(batch.allotments)
--- a/pumicespur/jobs/_worker_starts.py
+++ b/pumicespur/jobs/_worker_starts.py
@@ -101,6 +101,9 @@
         METRICS.task_starts.inc({"pool": self.owner.pool.pool, "outcome": _outcome(response)})
         METRICS.known_state_ages.observe({"table": "workers"}, known.workers.age_s(now))
         METRICS.known_state_ages.observe({"table": "submissions"}, known.submissions.age_s(now))
+        if known.evacuations is not None:
+            age_s = known.evacuations.age_s(now)
+            METRICS.known_state_ages.observe({"table": "evacuations"}, age_s)
         self._apply_response(task, run, response, now)
 
     def _withdraw(self, task: Task, run: int, reason: str) -> None:
@@ -164,6 +167,8 @@
             return "not ordered"
         if self.load.is_overcommitted():
             return "the worker's room has shrunk"
+        if self.load.hall_evacuated:
+            return "its data hall is evacuated"
         if not self.load.can_accept_tasks(now):
             return "the worker takes no more tasks"
         if not self.load.has_label(task.spec):
--- a/pumicespur/node/_ownership_controller.py
+++ b/pumicespur/node/_ownership_controller.py
@@ -137,7 +137,7 @@
     def apply_evacuations(self) -> None:
         """Notify the owners and the fleet leader that other data halls are evacuated."""
         for owner in self.roles.pool_owners():
-            owner.wake()
+            owner.apply_evacuated_halls()
         if self.roles.fleet_leader is not None:
             self.roles.fleet_leader.wake()
 
