Placement beside evacuated data halls and on cold workers

A step that stays in one rack leaves it when its hall is evacuated: as a whole if nothing of it has begun, else wherever there is capacity. A gang that cannot be placed meanwhile no longer takes the round's workers from the work behind it. Cold workers come last and get one start at a time; the factor by which they are slower is learnt apart from expected times and shown in the line pool load. All of this applies only where evacuate_ms is set or halls are evacuated.

--- a/pumicespur/jobs/_crash_attribution.py
+++ b/pumicespur/jobs/_crash_attribution.py
@@ -132,7 +132,7 @@
     group = task.group
     if load.reserved or _has_quarantined_task(load) or not load.can_take(group, now):
         return False
-    if task.spec.same_rack and group.rack is not None and load.worker.rack != group.rack:
+    if task.spec.same_rack and not group.permits_rack(load.worker.rack):
         return False
     return not group.job.needs_tickets or bool(group.ticket(load.worker.id, now))
 
--- a/pumicespur/jobs/_estimates.py
+++ b/pumicespur/jobs/_estimates.py
@@ -61,6 +61,26 @@
         return math.exp(confidence * fitted + (1.0 - confidence) * x)
 
 
+@dataclass
+class ColdSlowdown:
+    """The factor by which cold workers are slower, learnt from the tasks that began on them."""
+
+    tasks: float = 0.0
+    sum_logs: float = 0.0
+    """Weighted sums over the tasks so far."""
+
+    def add_task(self, expected_ms: float, actual_ms: float) -> None:
+        """Add a completed task that began on a cold worker."""
+        decay = 1.0 - 1.0 / DECAY_TASKS
+        ratio = max(MIN_DURATION_MS, actual_ms) / max(MIN_DURATION_MS, expected_ms)
+        self.tasks = self.tasks * decay + 1.0
+        self.sum_logs = self.sum_logs * decay + math.log(ratio)
+
+    def factor(self) -> float | None:
+        """Return the mean factor; None before the first task."""
+        return math.exp(self.sum_logs / self.tasks) if self.tasks else None
+
+
 class DurationEstimates:
     """Expected task durations for each route of a pool."""
 
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -157,6 +157,9 @@
     """Admission tickets for the step by worker, with their expiry in monotonic seconds."""
     rack: Rack | None = None
     """The rack of the first placed task, for steps that stay in one rack."""
+    may_change_rack: bool = False
+    """Whether such a step continues in other racks, since its rack was evacuated after some of its
+    tasks had begun."""
 
     @property
     def name(self) -> str:
@@ -168,6 +171,10 @@
         ticket, until = self.tickets.get(worker, ("", 0.0))
         return ticket if until - now > MIN_TICKET_VALIDITY_S else ""
 
+    def permits_rack(self, rack: Rack) -> bool:
+        """Whether a step that stays in one rack may have tasks in a rack."""
+        return self.rack is None or self.may_change_rack or rack == self.rack
+
     def has_tickets(self, now: float) -> bool:
         """Whether any ticket is still valid."""
         return any(self.ticket(worker, now) for worker in self.tickets)
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -103,7 +103,9 @@
         self.ownership = ownership
         self.token = ownership.token
         self.earlier_leases = earlier_leases
-        self.pool = PoolState(ownership.pool)
+        self.pool = PoolState(
+            ownership.pool, distinguishes_cold_workers=settings.workers.evacuate_ms > 0
+        )
         self.journal = Journal(table, ownership)
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self.restarts = Restarts(settings.workers, earlier_leases)
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -69,6 +69,26 @@
     )
 
 
+def release_evacuated_racks(groups: Iterable[StepGroup], loads: Iterable[WorkerLoad]) -> None:
+    """Let steps that stay in one rack leave it once its data hall is evacuated.
+
+    A step of which nothing has begun chooses another rack as a whole. Otherwise its tasks are in
+    several racks in any case, and it continues wherever there is free capacity.
+    """
+    bound = [group for group in groups if group.rack is not None]
+    if not bound:
+        return
+    evacuated: set[Rack] = set()
+    others: set[Rack] = set()
+    for load in loads:
+        (evacuated if load.hall_evacuated else others).add(load.worker.rack)
+    evacuated -= others
+    for group in bound:
+        if group.rack in evacuated:
+            group.rack = None
+            group.may_change_rack = bool(group.done) or any(task.worker for task in group.tasks)
+
+
 class Candidates:
     """The workers that may be given tasks in one placement round.
 
@@ -84,8 +104,13 @@
         specs = [group.spec for group in groups]
         self.min_cpu_millis = min((0 if s.fills else s.cpu_millis for s in specs), default=0)
         self.min_memory_mb = min((spec.memory_mb for spec in specs), default=0)
-        self.available = [
-            load for load in loads if load.can_accept_tasks(now) and self._has_free_capacity(load)
+        self.available = self._find_available()
+
+    def _find_available(self) -> list[WorkerLoad]:
+        return [
+            load
+            for load in self.loads
+            if load.can_accept_tasks(self.now) and self._has_free_capacity(load)
         ]
 
     def _has_free_capacity(self, load: WorkerLoad) -> bool:
@@ -104,6 +129,7 @@
             load
             for load in self.available
             if load.fits(spec)
+            and load.may_start_another(self.now)
             and load.meets_constraints(group)
             and quarantine_allows(load, task, self.now)
         ]
@@ -111,6 +137,16 @@
             return [load for load in eligible if group.ticket(load.worker.id, self.now)]
         return eligible
 
+    def restore_beside_evacuation(self) -> None:
+        """Offer workers again that a gang had filled in vain, while data halls are evacuated.
+
+        A gang may then wait for as long as the evacuation lasts, and must not block the work behind
+        it. Otherwise its workers stay taken for the round, so that smaller work does not fill them
+        time and again while the gang waits.
+        """
+        if any(load.hall_evacuated for load in self.loads):
+            self.available = self._find_available()
+
     def note_assigned(self, load: WorkerLoad) -> None:
         """Remove a worker once nothing more fits on it."""
         if not self._has_free_capacity(load):
@@ -174,11 +210,15 @@
     """Place tasks on the fullest worker first; it stays the fullest until nothing more fits."""
     placed: list[Task] = []
     eligible = sorted(
-        candidates.eligible_for(waiting[0]), key=lambda load: _packing_key(group, load)
+        candidates.eligible_for(waiting[0]),
+        key=lambda load: _packing_key(group, load, candidates.now),
     )
     for load in eligible:
         while (
-            len(placed) < len(waiting) and load.fits(group.spec) and load.meets_constraints(group)
+            len(placed) < len(waiting)
+            and load.fits(group.spec)
+            and load.may_start_another(candidates.now)
+            and load.meets_constraints(group)
         ):
             if not limits.allows(group.job.account, group.spec, candidates.now):
                 remaining = len(waiting) - len(placed)
@@ -210,6 +250,7 @@
     if len(placed) < len(group.tasks):
         for task in placed:
             undo_assignment(task, candidates.loads)
+        candidates.restore_beside_evacuation()
         return []
     align_gang_runs(group)
     return placed
@@ -261,7 +302,7 @@
     if not eligible:
         return None
     if spec.same_rack:
-        return _choose_in_rack(group, eligible)
+        return _choose_in_rack(group, eligible, candidates.now)
     if spec.long_running:
         racks = Counter(
             load.worker.rack for load in candidates.loads for t in load.tasks if t.group is group
@@ -272,7 +313,12 @@
     if task.losses:
         return min(
             eligible,
-            key=lambda load: (count_unproven_suspects(load), load.utilization(), load.worker.id),
+            key=lambda load: (
+                load.is_cold(candidates.now),
+                count_unproven_suspects(load),
+                load.utilization(),
+                load.worker.id,
+            ),
         )
     if spec.fills:
         # Best-effort tasks reserve no processor time, so packing would put them all on one worker;
@@ -281,31 +327,44 @@
             eligible,
             key=lambda load: (_is_far_from_data(group, load), load.utilization(), load.worker.id),
         )
-    return min(eligible, key=lambda load: _packing_key(group, load))
+    return min(eligible, key=lambda load: _packing_key(group, load, candidates.now))
 
 
-def _packing_key(group: StepGroup, load: WorkerLoad) -> tuple[bool, float, WorkerId]:
-    """Return a sort key: workers near the group's data first, then by utilization, highest first.
+def _packing_key(
+    group: StepGroup, load: WorkerLoad, now: float
+) -> tuple[bool, bool, float, WorkerId]:
+    """Return a sort key: warm workers near the group's data first, then by utilization.
 
-    Other workers thus stay idle, and idle instances can move to another pool at once. If tasks were
-    spread evenly, the last ones of a load peak would keep all instances in the pool.
+    The highest utilization comes first. Other workers thus stay idle, and idle instances can move
+    to another pool at once. If tasks were spread evenly, the last ones of a load peak would keep
+    all instances in the pool.
     """
-    return (_is_far_from_data(group, load), -load.utilization(), load.worker.id)
+    return (
+        load.is_cold(now),
+        _is_far_from_data(group, load),
+        -load.utilization(),
+        load.worker.id,
+    )
 
 
 def _is_far_from_data(group: StepGroup, load: WorkerLoad) -> bool:
     return bool(group.spec.data_rack) and load.worker.rack != group.spec.data_rack
 
 
-def _choose_in_rack(group: StepGroup, eligible: list[WorkerLoad]) -> WorkerLoad | None:
+def _choose_in_rack(group: StepGroup, eligible: list[WorkerLoad], now: float) -> WorkerLoad | None:
     """Return the least utilized eligible worker in the group's rack, or None if there is none.
 
     The first task sets the rack: that of the group's data if eligible, else the one with the most
-    free processor capacity.
+    free processor capacity. A step that may change its rack sets another one when that is full.
     """
     if group.rack is not None:
-        eligible = [load for load in eligible if load.worker.rack == group.rack]
-        return min(eligible, key=lambda load: (load.utilization(), load.worker.id), default=None)
+        in_rack = [load for load in eligible if load.worker.rack == group.rack]
+        if in_rack or not group.may_change_rack:
+            return min(
+                in_rack,
+                key=lambda load: (load.is_cold(now), load.utilization(), load.worker.id),
+                default=None,
+            )
     free_cpu_millis: Counter[Rack] = Counter()
     for load in eligible:
         free_cpu_millis[load.worker.rack] += load.worker.capacity.cpu_millis - load.cpu_millis
@@ -313,4 +372,4 @@
         sorted(free_cpu_millis),
         key=lambda name: (name == group.spec.data_rack, free_cpu_millis[name]),
     )
-    return _choose_in_rack(group, eligible)
+    return _choose_in_rack(group, eligible, now)
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -17,11 +17,11 @@
     retract_worker_loss,
 )
 from pumicespur.jobs._describe import explain_failure
-from pumicespur.jobs._estimates import DurationEstimates
+from pumicespur.jobs._estimates import ColdSlowdown, DurationEstimates
 from pumicespur.jobs._fair_share import FairShareMeter
 from pumicespur.jobs._job import TaskState, make_job
 from pumicespur.jobs._limits import PoolLimits
-from pumicespur.jobs._placement import order_groups, place_groups
+from pumicespur.jobs._placement import order_groups, place_groups, release_evacuated_racks
 from pumicespur.jobs._worker_load import WorkerLoad
 from pumicespur.model import JobId, RouteName, RunEnd, TaskName, WorkerId, worker_name
 from pumicespur.schema.jobs_pb import FailureRecord, JobPhase
@@ -94,6 +94,9 @@
     inherited: dict[WorkerId, list[InheritedRun]] = field(default_factory=dict)
     """Runs of earlier owners that are not yet counted on their workers."""
     fair_share: FairShareMeter = field(default_factory=FairShareMeter)
+    distinguishes_cold_workers: bool = False
+    """Whether workers that are slow after their start are treated in their own way."""
+    cold_slowdown: ColdSlowdown = field(default_factory=ColdSlowdown)
     capacities: set[Capacity] | None = None
     """Cached set of the workers' distinct capacities; None if it must be recomputed."""
 
@@ -158,6 +161,7 @@
     def add_worker(self, worker: Worker) -> WorkerLoad:
         """Add a worker, or update its description."""
         load = self.loads.get(worker.id)
+        is_new = load is None
         if load is None:
             load = WorkerLoad(worker, self.limits.usage)
             self.loads[worker.id] = load
@@ -168,6 +172,10 @@
         load.listed = True
         if worker.leaves_in_s is not None and load.leaves_at is None:
             load.leaves_at = monotonic() + worker.leaves_in_s
+        if self.distinguishes_cold_workers:
+            # The same entry is seen again and again, so its time counts from the first time.
+            cold_until = monotonic() + worker.cold_for_s if worker.cold_for_s else 0.0
+            load.cold_until = cold_until if is_new else min(load.cold_until, cold_until)
         return load
 
     def load_of(self, task: Task) -> WorkerLoad | None:
@@ -298,8 +306,7 @@
         newest = task.run == end.run and task.worker == worker
         if end.outcome is RunEnd.DONE:
             if newest and task.state is TaskState.RUNNING and task.started_at:
-                actual_ms = (now - task.started_at) * 1000
-                self.estimates.add_task(task.job.route, task.spec.estimated_ms, actual_ms)
+                self._learn_duration(task, (now - task.started_at) * 1000)
             self._finish(task, worker)
         elif newest:
             self._fail(task, end)
@@ -309,6 +316,15 @@
         if load.note_result(end.outcome is RunEnd.DONE, now):
             log.warning("worker ejected", pool=self.pool, worker=worker, reason="failures")
 
+    def _learn_duration(self, task: Task, actual_ms: float) -> None:
+        """Learn from a completed task; one that began on a cold worker tells how slow these are."""
+        route, declared_ms = task.job.route, task.spec.estimated_ms
+        load = self.load_of(task)
+        if load is not None and load.is_cold(task.started_at):
+            self.cold_slowdown.add_task(self.estimates.expected_ms(route, declared_ms), actual_ms)
+        else:
+            self.estimates.add_task(route, declared_ms, actual_ms)
+
     def _finish(self, task: Task, worker: WorkerId) -> None:
         """Finish a task, with its gang; runs on other workers count until they are not listed."""
         members = task.group.tasks if task.spec.gang else [task]
@@ -342,6 +358,7 @@
         """Choose workers for the waiting tasks that are ready to start."""
         loads = list(self.loads.values())
         groups = order_groups(self.jobs.values(), now_ms)
+        release_evacuated_racks(groups, loads)
         reserve_quarantine_workers(groups, loads, now)
         self.limits.begin_round()
         placed = place_groups(groups, loads, self.limits, now)
--- a/pumicespur/jobs/_pool_sizing.py
+++ b/pumicespur/jobs/_pool_sizing.py
@@ -129,4 +129,12 @@
             short_cpu_millis=self.current.short.cpu_millis,
             long_running_cpu_millis=self.current.long_running.cpu_millis,
             used_cpu_millis=sum(load.cpu_millis for load in self.pool.loads.values()),
+            **self._describe_cold_workers(now),
         )
+
+    def _describe_cold_workers(self, now: float) -> dict[str, float]:
+        """Return the number of cold workers and how many times slower they are, once known."""
+        cold = sum(1 for load in self.pool.loads.values() if load.is_cold(now))
+        factor = self.pool.cold_slowdown.factor()
+        described: dict[str, float] = {"cold_workers": cold} if cold or factor else {}
+        return described if factor is None else described | {"cold_factor": round(factor, 2)}
--- a/pumicespur/jobs/_worker_load.py
+++ b/pumicespur/jobs/_worker_load.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.jobs._account_usage import AccountUsage
+from pumicespur.jobs._job import TaskState
 from pumicespur.model import InstanceId, WorkerState
 
 if TYPE_CHECKING:
@@ -68,6 +69,8 @@
     """Monotonic time at which its best-effort tasks were last throttled or sped up, in seconds."""
     leaves_at: float | None = None
     """Monotonic time at which the worker may be gone, if it announced that, in seconds."""
+    cold_until: float = 0.0
+    """Monotonic time until which the worker is slow after its start, in seconds."""
     paused_until: float = 0.0
     """Monotonic time until which it gets no new tasks after failures or a refusal, in seconds."""
     failures: int = 0
@@ -128,6 +131,19 @@
         wanted = not self.evacuating and not self.hall_evacuated
         return ready and usable and wanted and now >= self.paused_until
 
+    def is_cold(self, now: float) -> bool:
+        """Whether the worker is still slow after its start."""
+        return now < self.cold_until
+
+    def may_start_another(self, now: float) -> bool:
+        """Whether a start may be added to those under way; a cold worker gets one at a time.
+
+        Platforms limit the rate of starts on cold workers, and one at a time keeps below it.
+        """
+        if not self.is_cold(now):
+            return True
+        return all(task.state not in (TaskState.PLACED, TaskState.STARTING) for task in self.tasks)
+
     def is_overcommitted(self) -> bool:
         """Whether the load exceeds the capacity, which may have shrunk since assignments."""
         capacity = self.worker.capacity
@@ -164,7 +180,10 @@
     def can_take(self, group: StepGroup, now: float) -> bool:
         """Whether one more task of a step can be given to the worker now."""
         return (
-            self.can_accept_tasks(now) and self.fits(group.spec) and self.meets_constraints(group)
+            self.can_accept_tasks(now)
+            and self.may_start_another(now)
+            and self.fits(group.spec)
+            and self.meets_constraints(group)
         )
 
     def utilization(self) -> float:
