Pools replace the instances of evacuated data halls

Instances in an evacuated hall do not count as serving, are not moved or emptied, and spare ones there are not picked. Reserved sizes and growth are met with open instances. A new leader plans no moves before its first reading of the evacuations, since it would take closed instances for a surplus.

--- a/pumicespur/maintenance/_fleet_leader.py
+++ b/pumicespur/maintenance/_fleet_leader.py
@@ -20,7 +20,7 @@
 from pumicespur.maintenance._intents import IntentLog, intent_validity_s
 from pumicespur.maintenance._peaks import min_peak_cpu_millis, reserved_sizes
 from pumicespur.maintenance._persisted_state import PersistedState
-from pumicespur.maintenance._rebalancing import PoolRebalancer, RebalanceInput
+from pumicespur.maintenance._rebalancing import MovePlan, PoolRebalancer, RebalanceInput
 from pumicespur.maintenance._reports import FleetReports
 from pumicespur.maintenance._wave_execution import WaveExecutor
 from pumicespur.model import (
@@ -158,6 +158,14 @@
         await self.wave_executor.run_round(self.instances, self.listed_at, self._rebalance_input)
         await self._rebalance()
 
+    def _are_evacuations_known(self) -> bool:
+        """Whether the evacuated data halls have been read, if this platform evacuates any.
+
+        Before the first reading, a new leader would take closed instances for a surplus.
+        """
+        followed = self.settings.workers.evacuate_ms > 0
+        return not followed or math.isfinite(self.view.evacuations_progress.asked_at)
+
     async def _rebalance(self) -> None:
         """Move instances between pools according to what the pools' owners ask for."""
         now = monotonic()
@@ -167,7 +175,7 @@
         self._note_peaks()
         state = self._rebalance_input()
         self.needed_workers = state.needed
-        plan = self.rebalancer.plan(state, now)
+        plan = self.rebalancer.plan(state, now) if self._are_evacuations_known() else MovePlan()
         if set(self.workers_to_evacuate()) != self.reported_evacuations:
             self.reported_evacuations = set(self.workers_to_evacuate())
             self.request_report()
@@ -295,4 +303,10 @@
             in_wave=self.wave_executor.in_wave(),
             moving={name: pool for name, (pool, _) in self.moving.items()},
             rejected_moves=frozenset(self.rejected_moves),
+            closed=self._closed_instances(),
         )
+
+    def _closed_instances(self) -> frozenset[InstanceId]:
+        """Return the instances in evacuated data halls."""
+        halls = self.view.evacuated_halls
+        return frozenset(name for name, i in self.instances.items() if i.data_hall in halls)
--- a/pumicespur/maintenance/_rebalancing.py
+++ b/pumicespur/maintenance/_rebalancing.py
@@ -64,6 +64,8 @@
     """Instances that are moving, with their target pool."""
     rejected_moves: frozenset[tuple[InstanceId, PoolId]] = frozenset()
     """Moves that the platform does not make."""
+    closed: frozenset[InstanceId] = frozenset()
+    """Instances in evacuated data halls, on which no task can start."""
 
 
 @dataclass
@@ -225,7 +227,11 @@
 
 
 def _members(state: RebalanceInput, pool: PoolId) -> list[Instance]:
-    """Return the instances of a pool that are up, not moving and not in a wave."""
+    """Return the instances of a pool that are up, not moving, not in a wave and not closed.
+
+    Closed instances neither serve nor change pool, so that the pool is complete as soon as the
+    evacuation of their data hall is over.
+    """
     return [
         i
         for i in state.instances.values()
@@ -233,6 +239,7 @@
         and i.state is InstanceState.UP
         and i.id not in state.in_wave
         and i.id not in state.moving
+        and i.id not in state.closed
     ]
 
 
@@ -241,11 +248,12 @@
 
     Instances in a wave return within seconds, and unconfirmed instances are still starting. They
     are therefore replaced only if work is waiting for them, not to restore the reserved number.
+    Closed instances are replaced at once, since the length of an evacuation is not known.
     """
     present = _present(state, pool)
     away = sum(
         1
-        for name in state.in_wave | state.unconfirmed
+        for name in (state.in_wave | state.unconfirmed) - state.closed
         if name in state.instances and state.instances[name].pool == pool
     )
     missing_by_number = state.reserved[pool] - present - away
@@ -265,4 +273,6 @@
 
 
 def _arriving(state: RebalanceInput, pool: PoolId) -> int:
-    return sum(1 for target in state.moving.values() if target == pool)
+    return sum(
+        1 for name, target in state.moving.items() if target == pool and name not in state.closed
+    )
--- a/tests/test_fleet_leader.py
+++ b/tests/test_fleet_leader.py
@@ -7,12 +7,16 @@
 
 from expression import Ok, Result
 
-from pumicespur.maintenance._intents import IntentLog
+from pumicespur.config import NodeSettings
+from pumicespur.jobs import Ownership
+from pumicespur.maintenance import FleetLeader
+from pumicespur.maintenance._intents import FLEET_ROLE, IntentLog
 from pumicespur.maintenance._peaks import PeakHistory, min_peak_cpu_millis, reserved_sizes
 from pumicespur.maintenance._persisted_state import PersistedState
 from pumicespur.model import (
     Capacity,
     DataHall,
+    HallEvacuation,
     Instance,
     InstanceId,
     InstanceState,
@@ -21,8 +25,10 @@
     Rack,
     WorkerName,
 )
-from pumicespur.store import Row, StoreClock, Write
+from pumicespur.schema.node_pb import WorkerSettings
+from pumicespur.store import Row, StoreClock, TableProgress, Write
 from pumicespur.utils import monotonic
+from pumicespur.view import FleetView
 
 MAIN = PoolId("main")
 OTHER = PoolId("other")
@@ -223,6 +229,35 @@
         self.assertIsNone(self.history.expected_pool(pools, 45_000, 2_500))
 
 
+class TestEvacuatedHalls(unittest.TestCase):
+    """What a fleet leader makes of the evacuated data halls that its process knows."""
+
+    def setUp(self) -> None:
+        self.view = FleetView()
+        self.leader = FleetLeader(
+            NodeSettings(workers=WorkerSettings(evacuate_ms=5_000)),
+            self.view,
+            *cast("Any", [None, None, Ownership(FLEET_ROLE, 1, "life", 0.0), 0.0, None]),
+        )
+        self.leader.instances = {i.id: i for i in make_instances(MAIN, 2)}
+
+    def test_instances_of_evacuated_halls_are_closed(self) -> None:
+        self.assertEqual(frozenset(), self.leader._rebalance_input().closed)
+        hall = DataHall("hall")
+        self.view.evacuated_halls = {hall: HallEvacuation(hall, 7)}
+        self.assertEqual(frozenset(self.leader.instances), self.leader._rebalance_input().closed)
+
+    def test_pools_wait_for_the_first_reading_only(self) -> None:
+        # A new leader took closed instances for a surplus and moved them to other pools.
+        self.assertFalse(self.leader._are_evacuations_known())
+        self.view.evacuations_progress = TableProgress(7, 1.0)
+        self.assertTrue(self.leader._are_evacuations_known())
+
+    def test_pools_do_not_wait_where_halls_are_not_evacuated(self) -> None:
+        self.leader.settings.workers.evacuate_ms = 0
+        self.assertTrue(self.leader._are_evacuations_known())
+
+
 class TestIntentLog(unittest.IsolatedAsyncioTestCase):
     """Instances that a fleet leader leaves alone because of its predecessor's orders."""
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -4,6 +4,7 @@
 
 import math
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -28,14 +29,18 @@
 
 
 def make_instance(
-    name: str, pool: PoolId = MAIN, state: InstanceState = InstanceState.UP, rack: str = "r1-1"
+    name: str,
+    pool: PoolId = MAIN,
+    state: InstanceState = InstanceState.UP,
+    rack: str = "r1-1",
+    hall: str = "hall",
 ) -> Instance:
     """Make an instance with a worker, unless it is spare."""
     return Instance(
         InstanceId(name),
         pool,
         state,
-        DataHall("hall"),
+        DataHall(hall),
         Rack(rack),
         frozenset({"a", rack}),
         Capacity(4000, 8000),
@@ -241,3 +246,138 @@
         self.assertEqual(len(moves), len({name for name, _ in moves}))
         leaving = [name for name, pool in moves if instances[name].pool == MAIN]
         self.assertLessEqual(len(leaving), max(0, main - reserved))
+
+
+HALLS = ("north", "east", "south", "west")
+
+
+def make_fleet(sizes: dict[PoolId, int]) -> dict[InstanceId, Instance]:
+    """Make pools whose instances take turns over four data halls."""
+    return index(
+        *(
+            make_instance(f"{pool}-{n}", pool, hall=HALLS[n % len(HALLS)])
+            for pool, size in sizes.items()
+            for n in range(size)
+        )
+    )
+
+
+def in_hall(instances: dict[InstanceId, Instance], hall: str) -> frozenset[InstanceId]:
+    """Return the instances in a data hall."""
+    return frozenset(i.id for i in instances.values() if i.data_hall == hall)
+
+
+class RebalancedFleet:
+    """A fleet whose moves and evacuations take effect before the next round."""
+
+    def __init__(self, instances: dict[InstanceId, Instance], reserved: dict[PoolId, int]) -> None:
+        self.instances = instances
+        self.reserved = reserved
+        self.rebalancer = PoolRebalancer()
+        self.closed: frozenset[InstanceId] = frozenset()
+        self.now = 0.0
+
+    def play(self, rounds: int, **fields: object) -> list[tuple[InstanceId, PoolId]]:
+        """Play rounds half a second apart; return the moves."""
+        found: list[tuple[InstanceId, PoolId]] = []
+        for _ in range(rounds):
+            self.now += 0.5
+            empty = {i.id for i in self.instances.values() if i.pool == SPARE}
+            state = make_state(
+                self.instances,
+                self.reserved,
+                closed=self.closed,
+                empty=frozenset(empty | self.rebalancer.evacuating),
+                **fields,
+            )
+            for name, pool in self.rebalancer.plan(state, self.now).moves:
+                self.instances[name] = replace(self.instances[name], pool=pool)
+                found.append((name, pool))
+        return found
+
+    def size(self, pool: PoolId) -> int:
+        """Return the number of a pool's instances on which tasks can start."""
+        return sum(i.pool == pool and i.id not in self.closed for i in self.instances.values())
+
+
+class TestPoolsOfEvacuatedHalls(unittest.TestCase):
+    """Pool sizes while data halls are evacuated, and after that."""
+
+    def test_closed_instance_is_replaced_at_once(self) -> None:
+        # A pool would stay short until jobs are late if closed instances counted as serving.
+        instances = index(
+            make_instance("m-0"), make_instance("m-1", hall="north"), make_instance("s-0", SPARE)
+        )
+        closed = in_hall(instances, "north")
+        for fields in ({}, {"unconfirmed": closed}, {"in_wave": closed}):
+            state = make_state(instances, {MAIN: 2}, closed=closed, **fields)
+            self.assertEqual([("s-0", MAIN)], PoolRebalancer().plan(state, 0.0).moves, fields)
+
+    def test_arriving_closed_instance_does_not_count(self) -> None:
+        # The evacuation may become known while an instance of the hall is moving to the pool.
+        instances = index(
+            make_instance("m-0"),
+            make_instance("o-0", OTHER),
+            make_instance("s-0", SPARE),
+            make_instance("x", OTHER, hall="north"),
+        )
+        closed = in_hall(instances, "north")
+        state = make_state(instances, {MAIN: 2}, closed=closed, moving={InstanceId("x"): MAIN})
+        self.assertEqual([("s-0", MAIN)], PoolRebalancer().plan(state, 0.0).moves)
+
+    def test_closed_spare_instance_is_not_picked(self) -> None:
+        # A move into a pool on which nothing may start costs a move and brings nothing.
+        instances = index(
+            make_instance("m-0"),
+            make_instance("s-0", SPARE, hall="north"),
+            make_instance("s-1", SPARE),
+        )
+        state = make_state(instances, {MAIN: 3}, closed=in_hall(instances, "north"))
+        self.assertEqual([("s-1", MAIN)], PoolRebalancer().plan(state, 0.0).moves)
+
+    def test_closed_instance_is_neither_moved_nor_emptied(self) -> None:
+        # Pools that lend or return closed instances are incomplete when the hall returns.
+        instances = index(
+            *(make_instance(f"m-{n}", hall="north") for n in range(20)), make_instance("o-0", OTHER)
+        )
+        closed = in_hall(instances, "north")
+        for empty in (frozenset[InstanceId](), closed):
+            state = make_state(
+                instances, {MAIN: 2, OTHER: 5}, busy={OTHER: 5}, empty=empty, closed=closed
+            )
+            rebalancer = PoolRebalancer()
+            for now in (0.0, 5.0):
+                plan = rebalancer.plan(state, now)
+                self.assertEqual(([], set()), (plan.moves, plan.evacuating))
+
+    def test_growth_is_met_with_open_instances(self) -> None:
+        # A pool at its growth limit would get fewer workers than its work needs.
+        fleet = RebalancedFleet(make_fleet({MAIN: 8, SPARE: 32}), {MAIN: 8})
+        fleet.closed = in_hall(fleet.instances, "north")
+        fleet.play(4, needed={MAIN: 24}, busy={MAIN: 24})
+        self.assertEqual(24, fleet.size(MAIN))
+
+    def test_sizes_do_not_oscillate_when_the_hall_returns(self) -> None:
+        # A hall that returns must cause one return of its replacements and no further move.
+        sizes = {MAIN: 12, OTHER: 12, SPARE: 12}
+        fleet = RebalancedFleet(make_fleet(sizes), {MAIN: 12, OTHER: 12})
+        self.assertEqual([], fleet.play(4))
+        fleet.closed = in_hall(fleet.instances, "north")
+        self.assertEqual([MAIN] * 3 + [OTHER] * 3, sorted(pool for _, pool in fleet.play(1)))
+        self.assertEqual([], fleet.play(10))
+        fleet.closed = frozenset()
+        self.assertEqual([SPARE] * 6, [pool for _, pool in fleet.play(10)])
+        self.assertEqual([], fleet.play(10))
+        self.assertEqual(sizes, {pool: fleet.size(pool) for pool in sizes})
+
+    def test_no_instance_moves_while_all_halls_are_evacuated(self) -> None:
+        fleet = RebalancedFleet(make_fleet({MAIN: 12, OTHER: 4, SPARE: 12}), {MAIN: 4, OTHER: 12})
+        fleet.closed = frozenset(fleet.instances)
+        self.assertEqual([], fleet.play(10, needed={OTHER: 12}, busy={OTHER: 12}))
+
+    @given(st.sets(st.sampled_from(HALLS)), st.integers(0, 16), st.integers(0, 16))
+    def test_closed_instances_never_move(self, halls: set[str], main: int, other: int) -> None:
+        fleet = RebalancedFleet(make_fleet({MAIN: 8, OTHER: 8, SPARE: 8}), {MAIN: main, OTHER: 0})
+        fleet.closed = frozenset().union(*(in_hall(fleet.instances, hall) for hall in halls))
+        moves = fleet.play(6, needed={OTHER: other}, busy={OTHER: other})
+        self.assertEqual(set(), fleet.closed & {name for name, _ in moves})
