Waves take idle instances of evacuated halls first

Instances of evacuated halls count as away for the share of a pool that may be down, max_parallel still holds, and a wave that only an evacuation keeps from going on says so once per change.

--- a/pumicespur/maintenance/_wave_execution.py
+++ b/pumicespur/maintenance/_wave_execution.py
@@ -8,7 +8,11 @@
 from logbook import Logger
 
 from pumicespur.maintenance._intents import FLEET_ROLE
-from pumicespur.maintenance._wave_progress import WaveProgress, choose_evacuations
+from pumicespur.maintenance._wave_progress import (
+    ClosedInstances,
+    WaveProgress,
+    choose_evacuations,
+)
 from pumicespur.model import InstanceId, InstanceState
 from pumicespur.platform import encode_wave_state, wave_state_key
 from pumicespur.schema.jobs_pb import WaveRecord
@@ -110,8 +114,7 @@
 
     async def _advance_wave(self, progress: WaveProgress, state: RebalanceInput) -> None:
         now = monotonic()
-        needed = {p: max(n, state.needed.get(p, 0)) for p, n in state.reserved.items()}
-        for name in choose_evacuations(progress, self.instances, state.empty, needed, now):
+        for name in self._choose_evacuations(progress, state, now):
             progress.evacuating[name] = now
             log.info("instance to be evacuated", wave=progress.wave.number, instance=name)
         due: set[InstanceId] = set()
@@ -131,6 +134,34 @@
             await self._record(progress)
             await self._publish_state(progress)
 
+    def _choose_evacuations(
+        self, progress: WaveProgress, state: RebalanceInput, now: float
+    ) -> list[InstanceId]:
+        """Choose the instances to evacuate next; note whether evacuated halls leave none."""
+        needed = {p: max(n, state.needed.get(p, 0)) for p, n in state.reserved.items()}
+        closed = ClosedInstances(state.closed, _idle_closed(state))
+        chosen = choose_evacuations(progress, self.instances, state.empty, needed, now, closed)
+        blocked = (
+            bool(state.closed)
+            and not chosen
+            and not progress.evacuating
+            and bool(choose_evacuations(progress, self.instances, state.empty, needed, now))
+        )
+        self._note_blocked(progress, blocked)
+        return chosen
+
+    def _note_blocked(self, progress: WaveProgress, blocked: bool) -> None:
+        """Log once when evacuated halls begin or cease to keep a wave from going on."""
+        if blocked == progress.blocked_by_evacuation:
+            return
+        progress.blocked_by_evacuation = blocked
+        log.info(
+            "wave blocked by evacuated halls" if blocked else "wave no longer blocked",
+            wave=progress.wave.number,
+            halls=sorted(self.view.evacuated_halls),
+            remaining=len(progress.remaining(self.instances)),
+        )
+
     def _is_evacuation_overdue(self, name: InstanceId, evacuating_s: float) -> bool:
         """Whether an instance may go down although short tasks are left on it."""
         return evacuating_s > EVACUATION_TIMEOUT_S and self.reports.has_no_protected_task(
@@ -187,5 +218,12 @@
         )
 
 
+def _idle_closed(state: RebalanceInput) -> set[InstanceId]:
+    """Return the instances of evacuated halls that are empty or reported without a task."""
+    return {
+        name for name in state.closed if name in state.empty or state.task_counts.get(name) == 0
+    }
+
+
 def _wave_key(number: int) -> str:
     return f"waves/{FLEET_ROLE}/{number}"
--- a/pumicespur/maintenance/_wave_progress.py
+++ b/pumicespur/maintenance/_wave_progress.py
@@ -35,6 +35,8 @@
     possibly_down_until: float = 0.0
     """Monotonic time by which `possibly_down` are up again, or listed as down."""
     completed: bool = False
+    blocked_by_evacuation: bool = False
+    """Whether only the evacuation of data halls keeps the wave from going on."""
 
     def remaining(self, instances: Mapping[InstanceId, Instance]) -> list[Instance]:
         """Return the instances that still have to go down, without removed ones."""
@@ -55,29 +57,44 @@
         return names
 
 
+@dataclass(frozen=True)
+class ClosedInstances:
+    """Instances in evacuated data halls, on which no task can start."""
+
+    names: AbstractSet[InstanceId] = frozenset()
+    idle: AbstractSet[InstanceId] = frozenset()
+    """Those of them that run no task; taking them down costs callers nothing."""
+
+
+NO_CLOSED_INSTANCES = ClosedInstances()
+
+
 def choose_evacuations(
     progress: WaveProgress,
     instances: Mapping[InstanceId, Instance],
     empty: AbstractSet[InstanceId],
     needed: Mapping[PoolId, int],
     now: float,
+    closed: ClosedInstances = NO_CLOSED_INSTANCES,
 ) -> list[InstanceId]:
     """Choose the instances to evacuate so that as many as allowed are evacuating or down.
 
-    Instances without tasks go first, then those of pools with fewer instances evacuating or down,
-    so that pools contribute evenly. An instance with tasks goes only while its pool has fewer such
-    instances than its owner doesn't need or `MAX_DOWN_RATIO` of its size, whichever is more; at
-    least one may go.
+    Idle instances of evacuated data halls go first, then others without tasks, then those of pools
+    with fewer instances away, so that pools contribute evenly. Away are the instances evacuating or
+    down and those of evacuated data halls. An instance with tasks goes only while its pool has
+    fewer other instances away than its owner doesn't need or `MAX_DOWN_RATIO` of its size,
+    whichever is more; at least one may be away.
     """
     sizes = Counter(i.pool for i in instances.values() if i.state is InstanceState.UP)
     down = progress.down(instances, now)
-    away = {name for name in [*progress.evacuating, *down] if name in instances}
+    in_wave = {name for name in [*progress.evacuating, *down] if name in instances}
+    away = in_wave | {i.id for i in instances.values() if _is_up_and_closed(i, closed)}
     away_by_pool: Counter[PoolId] = Counter(instances[name].pool for name in away)
-    free_slots = progress.wave.max_parallel - len(away)
+    free_slots = progress.wave.max_parallel - len(in_wave)
     waiting = [
         instance
         for instance in progress.remaining(instances)
-        if instance.state is InstanceState.UP and instance.id not in away
+        if instance.state is InstanceState.UP and instance.id not in in_wave
     ]
     not_up = Counter(
         instances[name].pool
@@ -87,15 +104,28 @@
     chosen: list[InstanceId] = []
     while free_slots > 0 and waiting:
         instance = min(
-            waiting, key=lambda i: (i.id not in empty, away_by_pool[i.pool], i.rack, i.id)
+            waiting,
+            key=lambda i: (
+                i.id not in closed.idle,
+                i.id not in empty,
+                away_by_pool[i.pool],
+                i.rack,
+                i.id,
+            ),
         )
         waiting.remove(instance)
         size = sizes[instance.pool] + not_up[instance.pool]
         surplus = size - needed.get(instance.pool, size)
         allowed = max(1, int(size * MAX_DOWN_RATIO), surplus)
-        if instance.id not in empty and away_by_pool[instance.pool] >= allowed:
+        others_away = away_by_pool[instance.pool] - (instance.id in away)
+        is_idle = instance.id in empty or instance.id in closed.idle
+        if not is_idle and others_away >= allowed:
             continue
-        away_by_pool[instance.pool] += 1
+        away_by_pool[instance.pool] = others_away + 1
         chosen.append(instance.id)
         free_slots -= 1
     return chosen
+
+
+def _is_up_and_closed(instance: Instance, closed: ClosedInstances) -> bool:
+    return instance.state is InstanceState.UP and instance.id in closed.names
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -5,12 +5,19 @@
 import math
 import unittest
 from dataclasses import replace
+from typing import Any, cast
+from unittest.mock import MagicMock, patch
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from pumicespur.maintenance._rebalancing import MAX_MOVING_RATIO, PoolRebalancer, RebalanceInput
-from pumicespur.maintenance._wave_progress import WaveProgress, choose_evacuations
+from pumicespur.maintenance._wave_execution import WaveExecutor
+from pumicespur.maintenance._wave_progress import (
+    ClosedInstances,
+    WaveProgress,
+    choose_evacuations,
+)
 from pumicespur.model import (
     Capacity,
     DataHall,
@@ -22,6 +29,7 @@
     Wave,
     WorkerName,
 )
+from pumicespur.view import FleetView
 
 MAIN = PoolId("main")
 OTHER = PoolId("other")
@@ -53,6 +61,11 @@
     return {instance.id: instance for instance in instances}
 
 
+def in_hall(instances: dict[InstanceId, Instance], hall: str) -> frozenset[InstanceId]:
+    """Return the instances in a data hall."""
+    return frozenset(i.id for i in instances.values() if i.data_hall == hall)
+
+
 def make_wave(instances: dict[InstanceId, Instance], parallel: int) -> WaveProgress:
     """Make the progress of a wave over all instances."""
     return WaveProgress(Wave(1, tuple(instances), 20.0, parallel))
@@ -103,6 +116,76 @@
         self.assertEqual(len(chosen), min(max(0, parallel - down), up))
 
 
+class TestWavesInEvacuatedHalls(unittest.TestCase):
+    """Instances that a wave evacuates next while data halls are evacuated."""
+
+    def setUp(self) -> None:
+        self.instances = index(
+            *(make_instance(f"m-{n}") for n in range(7)),
+            *(make_instance(f"x-{n}", hall="north") for n in range(3)),
+        )
+        self.closed = in_hall(self.instances, "north")
+
+    def choose(
+        self, parallel: int, idle: frozenset[InstanceId], needed: int = 10
+    ) -> list[InstanceId]:
+        """Choose by a wave over all instances."""
+        return choose_evacuations(
+            make_wave(self.instances, parallel),
+            self.instances,
+            frozenset(),
+            {MAIN: needed},
+            0.0,
+            ClosedInstances(self.closed, idle),
+        )
+
+    def test_idle_closed_instances_go_first(self) -> None:
+        # A wave evacuated working instances while idle ones of an evacuated hall were left for the
+        # time when callers need them again.
+        self.assertEqual(["x-0", "x-1"], self.choose(2, self.closed))
+
+    def test_idle_closed_instances_stay_within_max_parallel(self) -> None:
+        self.assertEqual(1, len(self.choose(1, self.closed)))
+
+    def test_closed_instances_count_as_away(self) -> None:
+        # Three of ten instances are the share that may be away; a wave that took three more would
+        # leave four for the pool's work.
+        self.assertEqual(["x-0", "x-1", "x-2"], self.choose(10, self.closed))
+        self.closed = frozenset(sorted(self.closed)[:2])
+        self.assertEqual(["x-0", "x-1", "m-0"], self.choose(10, self.closed))
+
+    def test_working_closed_instance_counts_once(self) -> None:
+        # Its own closure must not keep it up for as long as the evacuation lasts.
+        self.assertEqual(["x-0", "x-1", "x-2"], sorted(self.choose(10, frozenset())))
+
+    def test_working_closed_instances_wait_if_too_many_are_away(self) -> None:
+        self.closed = frozenset(self.instances)
+        self.assertEqual([], self.choose(10, frozenset()))
+
+
+class TestBlockedWave(unittest.TestCase):
+    """The log lines of a wave that evacuated data halls keep from going on."""
+
+    def test_change_is_logged_once(self) -> None:
+        instances = index(
+            *(make_instance(f"m-{n}") for n in range(4)),
+            *(make_instance(f"x-{n}", hall="north") for n in range(6)),
+        )
+        closed = in_hall(instances, "north")
+        busy = dict.fromkeys(instances, 1)
+        executor = WaveExecutor(cast("Any", None), FleetView(), *cast("Any", [MagicMock()] * 5))
+        executor.instances = instances
+        progress = make_wave(instances, 10)
+        with patch("pumicespur.maintenance._wave_execution.log.info") as info:
+            for halls in (frozenset[InstanceId](), closed, closed, frozenset[InstanceId]()):
+                state = make_state(instances, {MAIN: 10}, closed=halls, task_counts=busy)
+                executor._choose_evacuations(progress, state, 0.0)
+        self.assertEqual(
+            ["wave blocked by evacuated halls", "wave no longer blocked"],
+            [call.args[0] for call in info.call_args_list],
+        )
+
+
 def make_state(
     instances: dict[InstanceId, Instance], reserved: dict[PoolId, int], **fields: object
 ) -> RebalanceInput:
@@ -262,11 +345,6 @@
     )
 
 
-def in_hall(instances: dict[InstanceId, Instance], hall: str) -> frozenset[InstanceId]:
-    """Return the instances in a data hall."""
-    return frozenset(i.id for i in instances.values() if i.data_hall == hall)
-
-
 class RebalancedFleet:
     """A fleet whose moves and evacuations take effect before the next round."""
 
