Long-running tasks are spread over halls before racks

Largest share of a step of 12 tasks in one of four halls with 6, 3, 2 and 1 racks: 0.50 before, 0.25 after (tests.test_placement.SpreadOverHallsTest).

--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -77,10 +77,16 @@
     """
 
     def __init__(
-        self, loads: Sequence[WorkerLoad], groups: Iterable[StepGroup], now: float
+        self,
+        loads: Sequence[WorkerLoad],
+        groups: Iterable[StepGroup],
+        now: float,
+        spread_halls: bool = False,
     ) -> None:
         self.loads = loads
         self.now = now
+        self.spread_halls = spread_halls
+        """Whether long-running tasks are spread over data halls before racks."""
         specs = [group.spec for group in groups]
         self.min_cpu_millis = min((0 if s.fills else s.cpu_millis for s in specs), default=0)
         self.min_memory_mb = min((spec.memory_mb for spec in specs), default=0)
@@ -118,10 +124,14 @@
 
 
 def place_groups(
-    groups: Sequence[StepGroup], loads: Sequence[WorkerLoad], limits: PoolLimits, now: float
+    groups: Sequence[StepGroup],
+    loads: Sequence[WorkerLoad],
+    limits: PoolLimits,
+    now: float,
+    spread_halls: bool = False,
 ) -> list[Task]:
     """Choose workers for the waiting tasks of groups, in the given order."""
-    candidates = Candidates(loads, groups, now)
+    candidates = Candidates(loads, groups, now, spread_halls)
     placed: list[Task] = []
     for group in groups:
         if not candidates.available:
@@ -263,12 +273,7 @@
     if spec.same_rack:
         return _choose_in_rack(group, eligible)
     if spec.long_running:
-        racks = Counter(
-            load.worker.rack for load in candidates.loads for t in load.tasks if t.group is group
-        )
-        return min(
-            eligible, key=lambda load: (racks[load.worker.rack], load.utilization(), load.worker.id)
-        )
+        return _choose_spread_out(group, eligible, candidates)
     if task.losses:
         return min(
             eligible,
@@ -284,6 +289,24 @@
     return min(eligible, key=lambda load: _packing_key(group, load))
 
 
+def _choose_spread_out(
+    group: StepGroup, eligible: list[WorkerLoad], candidates: Candidates
+) -> WorkerLoad:
+    """Return the worker whose data hall and rack run the fewest tasks of the group."""
+    used = [load.worker for load in candidates.loads for t in load.tasks if t.group is group]
+    racks = Counter(worker.rack for worker in used)
+    halls = Counter(worker.data_hall for worker in used if candidates.spread_halls)
+    return min(
+        eligible,
+        key=lambda load: (
+            halls[load.worker.data_hall],
+            racks[load.worker.rack],
+            load.utilization(),
+            load.worker.id,
+        ),
+    )
+
+
 def _packing_key(group: StepGroup, load: WorkerLoad) -> tuple[bool, float, WorkerId]:
     """Return a sort key: workers near the group's data first, then by utilization, highest first.
 
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -96,6 +96,8 @@
     fair_share: FairShareMeter = field(default_factory=FairShareMeter)
     capacities: set[Capacity] | None = None
     """Cached set of the workers' distinct capacities; None if it must be recomputed."""
+    spread_halls: bool = False
+    """Whether long-running tasks are spread over data halls, because a hall may be lost."""
 
     def __post_init__(self) -> None:
         """Start with the whole limit of every account, until other pools are known."""
@@ -344,7 +346,7 @@
         groups = order_groups(self.jobs.values(), now_ms)
         reserve_quarantine_workers(groups, loads, now)
         self.limits.begin_round()
-        placed = place_groups(groups, loads, self.limits, now)
+        placed = place_groups(groups, loads, self.limits, now, self.spread_halls)
         for task in placed:
             self.dirty.add(task.job)
             if task.job.phase is JobPhase.QUEUED:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from pumicespur.jobs._placement import assign, order_groups
+from pumicespur.model import DataHall
 from pumicespur.schema.jobs_pb import StepRecord
-from tests.test_jobs import make_pool, make_record, make_worker, submit
+from tests.test_jobs import make_pool, make_record, make_worker, run_all, submit
 
 if TYPE_CHECKING:
     from pumicespur.jobs._pool import PoolState
@@ -77,3 +80,36 @@
         placed = self.pool(workers, steps).place(0.0, 0.0)
         chosen = [(str(task.name), str(task.worker)) for task in placed]
         self.assertEqual(place_one_by_one(self.pool(workers, steps)), chosen)
+
+
+class SpreadOverHallsTest(unittest.TestCase):
+    """Long-running tasks where a data hall may be lost."""
+
+    RACKS = {"north": 6, "east": 3, "south": 2, "west": 1}
+    """Racks of each hall, with two workers each."""
+
+    def tasks_by_hall(self, spread: bool, count: int, cpu_millis: int = 2000) -> Counter[str]:
+        """Place the tasks of a long-running step; return their number by data hall."""
+        pool = make_pool(
+            *(
+                replace(make_worker(f"{hall}-{n}", f"{hall}-{n // 2}"), data_hall=DataHall(hall))
+                for hall, racks in self.RACKS.items()
+                for n in range(2 * racks)
+            )
+        )
+        pool.spread_halls = spread
+        step = StepRecord(count=count, cpu_millis=cpu_millis, long_running=True)
+        submit(pool, make_record(step))
+        return Counter(
+            str(pool.loads[task.worker].worker.data_hall) for task in run_all(pool) if task.worker
+        )
+
+    def test_largest_share_of_a_step_in_a_hall_is_smaller(self) -> None:
+        # The loss of the hall with most racks took half of a step that was spread over racks only.
+        self.assertEqual(0.5, max(self.tasks_by_hall(False, 12).values()) / 12)
+        self.assertEqual(0.25, max(self.tasks_by_hall(True, 12).values()) / 12)
+
+    def test_all_tasks_are_placed_if_a_hall_is_full(self) -> None:
+        # Tasks must not wait for capacity in a small hall while other halls have some.
+        halls = self.tasks_by_hall(True, 24, 4000)
+        self.assertEqual({"north": 12, "east": 6, "south": 4, "west": 2}, dict(halls))
