Pool owners are ranked over data halls where a hall may be lost

With tolerated_halls above 0, candidates in the hall with the fewest owners go first; pools that lose their owners at once are counted as if taken in order. Candidates in the hall of a failed owner wait, since the whole hall may be lost while its other processes still count as alive. Heartbeats already carry the data hall of each process.

Most of five owners in one of four halls (41 processes in halls of 16, 12, 9 and 4, 32 losses of owners; tests.test_ownership.SpreadOverHallsTest): 4 by load alone, 2 with the ranking.

--- a/pumicespur/node/_takeover_policy.py
+++ b/pumicespur/node/_takeover_policy.py
@@ -5,9 +5,12 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from pumicespur.model import PoolId, ProcessId
+from pumicespur.model import DataHall, PoolId, ProcessId
+from pumicespur.node._hall_ranking import HallRanking
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from pumicespur.config import NodeSettings
     from pumicespur.store import ResponseTimes
     from pumicespur.view import FleetView, SeenOwner, SeenProcess
@@ -43,6 +46,8 @@
         self.process_id = ProcessId(settings.process.id)
         self.vacant_since: dict[PoolId, float] = {}
         """When each pool was first found to lack an owner (monotonic seconds)."""
+        self.vacant_tokens: dict[PoolId, int] = {}
+        """Fencing token of each pool's owner row when the pool was last found to lack an owner."""
 
     def is_own_record(self, owner: SeenOwner) -> bool:
         """Return whether the row names this process, perhaps an earlier incarnation, as owner.
@@ -88,16 +93,22 @@
     def note_owned(self, pool: PoolId) -> None:
         """Note that a pool has a live owner."""
         self.vacant_since.pop(pool, None)
+        self.vacant_tokens.pop(pool, None)
 
     def is_turn(self, pool: PoolId, now: float) -> bool:
         """Return whether it is this process's turn to take a pool without an owner."""
         vacant_s = now - self.vacant_since.setdefault(pool, now)
+        owner = self.view.owners.get(pool)
+        self.vacant_tokens[pool] = owner.token if owner else 0
         return vacant_s >= CANDIDATE_DELAY_S * self.rank_candidates(pool, now).index(
             self.process_id
         )
 
     def rank_candidates(self, pool: PoolId, now: float) -> list[ProcessId]:
-        """Return the processes that may take a pool, the least loaded for its capacity first."""
+        """Return the processes that may take a pool, the least loaded for its capacity first.
+
+        Where a data hall may be lost, those in the hall with the fewest owners go first.
+        """
         stopping = self._stopping_processes()
         capacities = {
             process: seen.heartbeat.capacity or 1.0
@@ -105,6 +116,8 @@
             if self._is_alive(seen, now) and process not in stopping
         }
         capacities.setdefault(self.process_id, self.settings.cpu_capacity)
+        if self.settings.fleet.tolerated_halls > 0:
+            return self._make_hall_ranking(pool, capacities).rank(pool)
         owned_counts = dict.fromkeys(capacities, 0)
         for other, owner in self.view.owners.items():
             process = ProcessId(owner.record.process)
@@ -115,6 +128,30 @@
             key=lambda p: ((owned_counts[p] + 1) / capacities[p], _tie_breaker(pool, p)),
         )
 
+    def _make_hall_ranking(
+        self, pool: PoolId, capacities: Mapping[ProcessId, float]
+    ) -> HallRanking:
+        """Count the owners by data hall; pools that are taken before this one have an owner."""
+        halls = {p: DataHall(s.heartbeat.data_hall) for p, s in self.view.processes.items()}
+        halls[self.process_id] = DataHall(self.settings.process.data_hall)
+        ranking = HallRanking(capacities, halls, _tie_breaker)
+        for other, owner in self.view.owners.items():
+            if owner.token and not owner.record.released:
+                failed = other == pool or self._is_vacant(other)
+                ranking.note_owner(ProcessId(owner.record.process), failed)
+        order = {other: number for number, other in enumerate(self.view.pools())}
+        for other in sorted(self.vacant_tokens, key=lambda p: (order.get(p, len(order)), p)):
+            if other == pool:
+                break
+            if self._is_vacant(other):
+                ranking.assume_taken(other)
+        return ranking
+
+    def _is_vacant(self, pool: PoolId) -> bool:
+        """Whether a pool lacked an owner when last checked, and its row has not changed since."""
+        owner = self.view.owners.get(pool)
+        return self.vacant_tokens.get(pool) == (owner.token if owner else 0)
+
     def _is_alive(self, seen: SeenProcess, now: float) -> bool:
         since = max(seen.seen_at, self.view.gapless_since)
         return (
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from collections import Counter
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
@@ -161,6 +162,87 @@
         self.assertEqual("large", self.successor())
 
 
+class SpreadOverHallsTest(ControllerCase):
+    """The ranking of candidates where a data hall may be lost."""
+
+    HALLS = {"north": 16, "east": 12, "south": 9, "west": 4}
+    POOLS = [PoolId(f"pool-{number}") for number in range(5)]
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.controller.settings.process.data_hall = "west"
+        self.controller.settings.fleet.tolerated_halls = 1
+        self.halls = {"small": "west"}
+        for hall, count in self.HALLS.items():
+            for number in range(count):
+                self.halls[f"{hall}-{number}"] = hall
+                self.receive_heartbeat(f"{hall}-{number}", data_hall=hall, capacity=1.0)
+
+    def find_owners(self) -> dict[PoolId, str]:
+        """Return the first candidates for pools that have all lost their owners at once."""
+        found = {}
+        for pool in self.POOLS:
+            self.takeover_policy.is_turn(pool, NOW)
+            found[pool] = str(self.successor(pool))
+        return found
+
+    def largest_count(self, owners: dict[PoolId, str]) -> int:
+        """Return the number of owners in the hall that has most of them."""
+        return max(Counter(self.halls[process] for process in owners.values()).values())
+
+    def test_hall_without_an_owner_goes_first(self) -> None:
+        self.receive_owner("pool-0", "north-0")
+        self.receive_owner("pool-1", "east-0")
+        self.receive_owner("pool-2", "west-0")
+        self.assertEqual("south", self.halls[self.successor("pool-3")])
+
+    def test_pools_without_owners_at_once_do_not_go_to_the_same_hall(self) -> None:
+        # Five pools had three owners in one of four halls when each was ranked by load alone.
+        self.assertEqual(2, self.largest_count(self.find_owners()))
+        self.controller.settings.fleet.tolerated_halls = 0
+        self.assertEqual(3, self.largest_count(self.find_owners()))
+
+    def test_pool_that_was_taken_meanwhile_counts_once(self) -> None:
+        owners = self.find_owners()
+        for version, (pool, process) in enumerate(owners.items(), start=1):
+            self.receive_owner(pool, process, version)
+            rest = {other: self.successor(other) for other in self.POOLS[version:]}
+            self.assertEqual(owners, owners | rest)
+
+    def test_candidates_in_the_hall_of_a_failed_owner_wait(self) -> None:
+        # After the loss of a hall, each of its other processes would delay the takeover by the head
+        # start of one candidate, since they count as alive for seconds.
+        self.receive_owner("pool-0", "north-0")
+        self.takeover_policy.is_turn(self.POOLS[0], NOW)
+        candidates = self.takeover_policy.rank_candidates(self.POOLS[0], NOW)
+        last = [self.halls[process] for process in candidates[-self.HALLS["north"] :]]
+        self.assertEqual({"north"}, set(last))
+
+    def play_losses(self) -> int:
+        """Lose owners one by one; return the largest number of owners in a hall at any time."""
+        owners = self.find_owners()
+        version, largest = 10, 0
+        for lost in range(32):
+            for pool, process in owners.items():
+                version += 1
+                self.receive_owner(pool, process, version)
+                self.takeover_policy.note_owned(pool)
+            largest = max(largest, self.largest_count(owners))
+            pool = self.POOLS[lost % len(self.POOLS)]
+            self.controller.view.processes.pop(ProcessId(owners[pool]), None)
+            self.takeover_policy.is_turn(pool, NOW)
+            owners[pool] = str(self.successor(pool))
+        return largest
+
+    def test_no_hall_has_more_owners_than_necessary_after_losses(self) -> None:
+        # With four halls, two of five owners in one hall are necessary.
+        self.assertEqual(2, self.play_losses())
+
+    def test_load_alone_puts_most_owners_into_one_hall(self) -> None:
+        self.controller.settings.fleet.tolerated_halls = 0
+        self.assertEqual(4, self.play_losses())
+
+
 class NextIncarnationTest(ControllerCase):
     """A restarted process that takes a pool before its first heartbeat arrives."""
 
