--- a/pumicespur/__main__.py
+++ b/pumicespur/__main__.py
@@ -205,14 +205,19 @@
 ) -> None:
     """Show the state of pools, waves and processes, or of one job and why it failed.
 
+    With --node alone, show the evacuated data halls that the node knows.
+
     Example: pumicespur status --json
 
     Example: pumicespur status --job 5c0e7a21d94b36f8 --node http://10.1.0.9:9464
+
+    Example: pumicespur status --node http://10.1.0.9:9464
     """
-    if bool(job) != bool(node):
-        raise PumicespurError(
-            "--job and --node must be given together; any node can report any job"
-        )
+    if job and not node:
+        raise PumicespurError("--job needs --node; any node can report any job")
+    if node and not job:
+        await status_command.evacuation_status(node, as_json=json)
+        return
     if job:
         await status_command.job_status(node, job, as_json=json)
         return
--- a/pumicespur/commands/explain.py
+++ b/pumicespur/commands/explain.py
@@ -25,10 +25,16 @@
         "worker gone",
         "worker ejected",
         "configuration in force",
+        "starts suspended",
+        "starts resumed",
     }
 )
 """Events that carry no job id but may explain what happened to a job of the same pool."""
 
+EVACUATION_BEGINS = "evacuation in force"
+EVACUATION_EVENTS = frozenset({EVACUATION_BEGINS, "evacuation over"})
+"""Events of data halls, which concern the jobs of all pools."""
+
 
 @dataclass(frozen=True)
 class LogLine:
@@ -81,11 +87,29 @@
         and first <= line.time <= last
         and line.fields.get("pool") in pools
     ]
+    context += _select_evacuations(ordered, first, last)
     return sorted(
         {id(line): line for line in [*mentioning, *context]}.values(), key=lambda x: x.time
     )
 
 
+def _select_evacuations(ordered: Iterable[LogLine], first: float, last: float) -> list[LogLine]:
+    """Return the lines of evacuations within a time, and of those in force when it begins."""
+    in_force: dict[tuple[str, str], LogLine] = {}
+    within: list[LogLine] = []
+    for line in ordered:
+        if line.event not in EVACUATION_EVENTS or line.time > last:
+            continue
+        if line.time >= first:
+            within.append(line)
+            continue
+        place = (line.process, str(line.fields.get("hall")))
+        in_force.pop(place, None)
+        if line.event == EVACUATION_BEGINS:
+            in_force[place] = line
+    return [*in_force.values(), *within]
+
+
 def _mentions(line: LogLine, wanted: str) -> bool:
     values = (value for key, value in line.fields.items() if key not in COLUMN_FIELDS)
     return any(
--- a/pumicespur/commands/status.py
+++ b/pumicespur/commands/status.py
@@ -1,4 +1,4 @@
-"""Show the state of pools, waves and processes, or of one job."""
+"""Show the state of pools, waves and processes, of one job, or of evacuated data halls."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 async def job_status(node: str, job: str, *, as_json: bool) -> None:
     """Print what a node reports of a job, with the reason if it failed."""
-    job_fields = await _fetch_job(node, job)
+    job_fields = await _fetch(node, f"/jobs/{job}")
     if as_json:
         print(json.dumps(job_fields))
         return
@@ -36,17 +36,49 @@
     print_table(("FIELD", "VALUE"), rows)
 
 
-async def _fetch_job(node: str, job: str) -> dict[str, Any]:
-    url = f"{node.rstrip('/')}/jobs/{job}"
+async def evacuation_status(node: str, *, as_json: bool) -> None:
+    """Print the evacuated data halls that a node knows, and what its pools still run there."""
+    evacuations = (await _fetch(node, "/state")).get("evacuations")
+    if as_json:
+        print(json.dumps(evacuations))
+        return
+    if evacuations is None or evacuations["age_s"] is None:
+        print("this node does not follow evacuations: it owns no pool, or no bound is set")
+        return
+    print(f"as of {evacuations['age_s']} s ago")
+    rows = [
+        (hall, told["since_version"], *row)
+        for hall, told in evacuations["halls"].items()
+        for row in _pool_rows(told["pools"])
+    ]
+    print_table(("HALL", "SINCE VERSION", "POOL", "TASKS", "LONG-RUNNING", "LAST END IN S"), rows)
+
+
+def _pool_rows(pools: dict[str, dict[str, Any]]) -> list[tuple[object, ...]]:
+    """Return one row for each pool that still runs tasks, or a single one without a pool."""
+    rows: list[tuple[object, ...]] = [
+        (pool, left["tasks"], left["long_running_tasks"], _or_dash(left["last_end_in_s"]))
+        for pool, left in pools.items()
+        if left
+    ]
+    return rows or [("-", 0, 0, "-")]
+
+
+def _or_dash(value: object) -> object:
+    return "-" if value is None else value
+
+
+async def _fetch(node: str, path: str) -> dict[str, Any]:
+    url = f"{node.rstrip('/')}{path}"
     try:
         async with httpx.AsyncClient(timeout=JOB_TIMEOUT_S) as client:
             response = await client.get(url)
-        job_fields = response.json()
+        fields = response.json()
     except (httpx.HTTPError, httpx.InvalidURL, ValueError) as failure:
         raise PumicespurError(f"no usable response from {node}: {failure}") from failure
     if response.status_code != httpx.codes.OK:
-        raise PumicespurError(str(job_fields.get("error", response.status_code)))
-    return dict(job_fields)
+        raise PumicespurError(str(fields.get("error", response.status_code)))
+    return dict(fields)
 
 
 def _as_text(value: object) -> str:
--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -9,7 +9,12 @@
 )
 from pumicespur.jobs._allotment_exchange import MAX_ALLOTMENT_REPORT_AGE_S
 from pumicespur.jobs._demand import TARGET_UTILIZATION_RATIO
-from pumicespur.jobs._describe import describe_progress
+from pumicespur.jobs._describe import (
+    describe_evacuated_hall,
+    describe_hall_block,
+    describe_progress,
+    update_evacuation_metrics,
+)
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import OWNERS_TABLE, owner_key
 from pumicespur.jobs._known_state import evacuations_max_age_s, workers_max_age_s
@@ -28,10 +33,13 @@
     "OwnershipLostError",
     "PoolOwner",
     "describe_accounts",
+    "describe_evacuated_hall",
+    "describe_hall_block",
     "describe_limit_block",
     "describe_progress",
     "evacuations_max_age_s",
     "owner_key",
     "update_account_metrics",
+    "update_evacuation_metrics",
     "workers_max_age_s",
 ]
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import signal
 import uuid
@@ -16,9 +17,12 @@
     JobService,
     PoolOwner,
     describe_accounts,
+    describe_evacuated_hall,
+    describe_hall_block,
     describe_limit_block,
     describe_progress,
     update_account_metrics,
+    update_evacuation_metrics,
 )
 from pumicespur.listeners import bound_address
 from pumicespur.model import JobId, ProcessId
@@ -43,7 +47,7 @@
     decode_configuration,
     decode_wave,
 )
-from pumicespur.utils import METRICS, monotonic
+from pumicespur.utils import METRICS, monotonic, now_ms
 from pumicespur.view import FleetView
 
 if TYPE_CHECKING:
@@ -210,8 +214,16 @@
             for owner in self.controller.roles.pool_owners():
                 METRICS.owned_jobs.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
                 update_account_metrics(owner.pool)
+            if self.settings.workers.evacuate_ms:
+                self._update_evacuation_gauges()
             await anyio.sleep(GAUGE_INTERVAL_S)
 
+    def _update_evacuation_gauges(self) -> None:
+        METRICS.evacuated_halls.set({}, len(self.evacuations.in_force))
+        METRICS.clear_evacuated_tasks()
+        for owner in self.controller.roles.pool_owners():
+            update_evacuation_metrics(owner.pool)
+
     def _report_store_use(self) -> None:
         for table, used in self.table.usage.describe().items():
             METRICS.store_calls.set({"table": table}, used["calls"])
@@ -225,6 +237,25 @@
 
     def describe(self) -> dict[str, object]:
         """Return the process's state."""
+        evacuates = self.settings.workers.evacuate_ms > 0
+        return self._describe_roles() | (
+            {"evacuations": self._describe_evacuations()} if evacuates else {}
+        )
+
+    def _describe_evacuations(self) -> dict[str, object]:
+        """Return what this process knows of evacuated halls, and what its pools still run there."""
+        now = monotonic()
+        age_s = self.view.evacuations_progress.age_s(now)
+        halls: dict[str, object] = {}
+        for hall, evacuation in sorted(self.view.evacuated_halls.items()):
+            left = {
+                str(owner.pool.pool): describe_evacuated_hall(owner.pool, hall, now)
+                for owner in self.controller.roles.pool_owners()
+            }
+            halls[hall] = {"since_version": evacuation.version, "pools": left}
+        return {"age_s": round(age_s, 3) if age_s < math.inf else None, "halls": halls}
+
+    def _describe_roles(self) -> dict[str, object]:
         view = self.view
         return {
             "incarnation": self.incarnation,
@@ -253,17 +284,22 @@
             lambda job: (
                 refused
                 if job is None
-                else describe_progress(name, *job) | self._describe_limit_block(JobId(name))
+                else describe_progress(name, *job) | self._describe_block(JobId(name))
             )
         )
 
-    def _describe_limit_block(self, name: JobId) -> dict[str, object]:
-        """Describe how its account's limit holds back a job of a pool that this process owns."""
+    def _describe_block(self, name: JobId) -> dict[str, object]:
+        """Describe what holds back a job of a pool that this process owns.
+
+        It may be its account's limit or the evacuation of data halls.
+        """
         for owner in self.controller.roles.pool_owners():
             job = owner.pool.jobs.get(name)
             if job is not None:
                 reports = self.view.fresh_reports(MAX_ALLOTMENT_REPORT_AGE_S)
-                return describe_limit_block(owner.pool, job, reports)
+                return describe_limit_block(owner.pool, job, reports) | describe_hall_block(
+                    owner.pool, job, monotonic(), now_ms()
+                )
         return {}
 
     def _on_operators_rows(self, rows: Sequence[Row], whole: bool) -> None:
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -54,6 +54,13 @@
         self.configuration_version = Gauge(
             "pumicespur_configuration_version", "Configuration in force, and newest heard of."
         )
+        self.evacuated_halls = Gauge(
+            "pumicespur_evacuated_halls", "Data halls that operators evacuate, as known here."
+        )
+        self.evacuated_tasks = Gauge(
+            "pumicespur_evacuated_hall_tasks",
+            "Tasks that are left in evacuated data halls, by pool owned.",
+        )
         self.commit_latency = Histogram(
             "pumicespur_commit_seconds", "Time until a commit is recorded.", buckets=BUCKETS_S
         )
@@ -81,6 +88,8 @@
             self.refused_keys,
             self.failed_reads,
             self.configuration_version,
+            self.evacuated_halls,
+            self.evacuated_tasks,
             self.commit_latency,
             self.known_state_ages,
             self.caller_latency,
@@ -92,6 +101,10 @@
         for series in (self.account_cpu, self.account_allotment):
             series.values.store.clear()
 
+    def clear_evacuated_tasks(self) -> None:
+        """Drop the series of all pools, so that only pools that are set again remain."""
+        self.evacuated_tasks.values.store.clear()
+
     def render_page(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page as text, and its HTTP headers."""
         content, headers = render(self.registry, ["text/plain"])
