--- a/pumicespur/node/_evacuations.py
+++ b/pumicespur/node/_evacuations.py
@@ -116,8 +116,8 @@
         match response:
             case Result(tag="ok", ok=page):
                 self.apply_rows(page.rows, TableProgress(page.version, asked_at))
-            case Result(error=error):
-                log.info("evacuations not read", reason=str(error))
+            case _:
+                # The table has logged the reason.
                 await anyio.sleep(RETRY_DELAY_S)
                 self.read_requested.set()
 
