Submissions: a write without an answer is looked up before it is repeated

A slow store queues the writes of a partition but not its reads. A submission whose time is up before its first write is refused with 503 instead of 504.

--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -12,9 +12,15 @@
 from pumicespur.jobs._access import is_visible_to
 from pumicespur.jobs._job import ENDED_PHASES
 from pumicespur.jobs._keys import progress_key, submission_key
+from pumicespur.jobs._submission_attempt import (
+    MAX_RETRY_DELAY_S,
+    RETRY_DELAY_S,
+    SubmissionAttempt,
+    resubmission_outcome,
+)
 from pumicespur.model import AccountId, CancellationOutcome, JobId, SubmissionOutcome
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, ProgressRecord
-from pumicespur.store import AnswerLost, Condition, Conflict, Row, Transaction, Write
+from pumicespur.store import AnswerLost, Condition, Row, Transaction, Write
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
@@ -26,12 +32,6 @@
 
 log = Logger(__name__)
 
-RETRY_DELAY_S = 0.03
-"""First retry delay of a call to the store; a few of its usual response times."""
-
-MAX_RETRY_DELAY_S = 0.4
-"""Longest such delay."""
-
 
 class JobService:
     """Serves callers' requests from the store, without the pool's owner."""
@@ -48,55 +48,20 @@
 
         `give_up_at` is the monotonic time by which the caller needs a response.
         """
+        attempt = SubmissionAttempt(self.table, route, record, give_up_at)
         with anyio.CancelScope(deadline=give_up_at):
-            return await self._submit(route, record, give_up_at)
-        # The store may still apply the call that was cancelled.
-        return self._refuse(route, JobId(record.id), True, AnswerLost("no response in time"))
-
-    async def _submit(
-        self, route: Route, record: JobRecord, give_up_at: float
-    ) -> SubmissionOutcome:
-        pool = route.pool
-        job = JobId(record.id)
-        key = submission_key(pool, job)
-        transaction = Transaction([Condition(key, 0)], [Write(key, record.to_binary())])
+            return await self._submit(attempt)
+        return attempt.refuse(AnswerLost("no response in time"))
+
+    async def _submit(self, attempt: SubmissionAttempt) -> SubmissionOutcome:
+        route, record = attempt.route, attempt.record
         for earlier in self.other_pools(route, True):
-            found = await self._find(earlier, job, give_up_at)
+            found = await self._find(earlier, JobId(record.id), attempt.give_up_at)
             if found.is_error():
-                return SubmissionOutcome.NOT_ACCEPTED
+                return attempt.refuse(found.error)
             if found.ok is not None:
-                return _resubmission_outcome(route, record, found.ok)
-        may_be_recorded = False
-        pause_s = RETRY_DELAY_S
-        while True:
-            response = await self.table.transact(transaction)
-            match response:
-                case Result(tag="ok", ok=version):
-                    log.info("job accepted", job=job, route=route.name, pool=pool, version=version)
-                    return SubmissionOutcome.ACCEPTED
-                case Result(error=Conflict(rows=rows)):
-                    known = [JobRecord.from_binary(row.value) for row in rows if row.key == key]
-                    return _resubmission_outcome(route, record, *known)
-                case Result(error=error):
-                    may_be_recorded = may_be_recorded or isinstance(error, AnswerLost)
-                    if monotonic() + pause_s >= give_up_at:
-                        return self._refuse(route, job, may_be_recorded, error)
-            await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
-            pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
-
-    def _refuse(
-        self, route: Route, job: JobId, may_be_recorded: bool, error: Fault
-    ) -> SubmissionOutcome:
-        outcome = SubmissionOutcome.UNKNOWN if may_be_recorded else SubmissionOutcome.NOT_ACCEPTED
-        log.warning(
-            "job refused",
-            job=job,
-            route=route.name,
-            pool=route.pool,
-            outcome=outcome.value,
-            reason=str(error),
-        )
-        return outcome
+                return resubmission_outcome(route, record, found.ok)
+        return await attempt.record_job()
 
     async def phase(
         self, route: Route, account: AccountId, job: JobId, give_up_at: float
@@ -230,17 +195,5 @@
             pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
 
 
-def _resubmission_outcome(
-    route: Route, record: JobRecord, *known: JobRecord | ProgressRecord
-) -> SubmissionOutcome:
-    """Return the outcome for an id that is recorded already: accepted if it is the caller's."""
-    account = AccountId(record.account)
-    if not all(is_visible_to(account, route, job) for job in known):
-        log.warning("job refused", job=record.id, route=route.name, reason="id of another account")
-        return SubmissionOutcome.OTHER_ACCOUNT
-    log.info("job accepted", job=record.id, route=route.name, repeat=True)
-    return SubmissionOutcome.ACCEPTED
-
-
 def _has_ended(row: Row) -> bool:
     return JobRecord.from_binary(row.value).ended
--- /dev/null
+++ b/pumicespur/jobs/_submission_attempt.py
@@ -0,0 +1,126 @@
+"""Writes one submission, and finds out whether a write without an answer was applied."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+from logbook import Logger
+
+from pumicespur.jobs._access import is_visible_to
+from pumicespur.jobs._keys import submission_key
+from pumicespur.model import AccountId, JobId, SubmissionOutcome
+from pumicespur.schema.jobs_pb import JobRecord
+from pumicespur.store import AnswerLost, Condition, Conflict, Transaction, Write
+from pumicespur.utils import monotonic
+
+if TYPE_CHECKING:
+    from pumicespur.model import Route
+    from pumicespur.platform import PlatformTable
+    from pumicespur.schema.jobs_pb import ProgressRecord
+    from pumicespur.store import Fault
+
+log = Logger(__name__)
+
+RETRY_DELAY_S = 0.03
+"""First retry delay of a call to the store; a few of its usual response times."""
+
+MAX_RETRY_DELAY_S = 0.4
+"""Longest such delay."""
+
+
+class SubmissionAttempt:
+    """One call of a caller to record a job."""
+
+    def __init__(
+        self, table: PlatformTable, route: Route, record: JobRecord, give_up_at: float
+    ) -> None:
+        self.table = table
+        self.route = route
+        self.record = record
+        self.give_up_at = give_up_at
+        """By when the caller needs a response (monotonic seconds)."""
+        self.key = submission_key(route.pool, JobId(record.id))
+        self.may_be_recorded = False
+        """Whether a write without an answer may have been applied, or may be applied later."""
+
+    async def record_job(self) -> SubmissionOutcome:
+        """Write the job's row until the store confirms it or the caller's time is up."""
+        pause_s = RETRY_DELAY_S
+        while True:
+            known = await self._look_up() if self.may_be_recorded else None
+            if known is not None:
+                return resubmission_outcome(self.route, self.record, known)
+            match await self._write():
+                case Result(tag="ok", ok=version):
+                    self._log_accepted(version)
+                    return SubmissionOutcome.ACCEPTED
+                case Result(error=Conflict(rows=rows)):
+                    records = [JobRecord.from_binary(r.value) for r in rows if r.key == self.key]
+                    return resubmission_outcome(self.route, self.record, *records)
+                case Result(error=error) if monotonic() + pause_s >= self.give_up_at:
+                    return self.refuse(error)
+            await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
+
+    async def _look_up(self) -> JobRecord | None:
+        """Read the row that a write without an answer may have left.
+
+        A slow store queues the writes of a partition but not its reads.
+        """
+        found = await self.table.read(self.key)
+        match found:
+            case Result(tag="ok", ok=row) if row.version:
+                return JobRecord.from_binary(row.value)
+            case _:
+                return None
+
+    async def _write(self) -> Result[int, Fault]:
+        """Write the row if it does not exist; repeated writes are applied once at most."""
+        transaction = Transaction(
+            [Condition(self.key, 0)], [Write(self.key, self.record.to_binary())]
+        )
+        unconfirmed = self.may_be_recorded
+        # The write may be applied even if this call is cancelled.
+        self.may_be_recorded = True
+        response = await self.table.transact(transaction)
+        is_lost = response.is_error() and isinstance(response.error, AnswerLost)
+        self.may_be_recorded = unconfirmed or is_lost
+        return response
+
+    def refuse(self, error: Fault) -> SubmissionOutcome:
+        """Return and log what is known of a job that was not confirmed."""
+        unknown = self.may_be_recorded
+        outcome = SubmissionOutcome.UNKNOWN if unknown else SubmissionOutcome.NOT_ACCEPTED
+        log.warning(
+            "job refused",
+            job=self.record.id,
+            route=self.route.name,
+            pool=self.route.pool,
+            outcome=outcome.value,
+            reason=str(error),
+        )
+        return outcome
+
+    def _log_accepted(self, version: int) -> None:
+        log.info(
+            "job accepted",
+            job=self.record.id,
+            route=self.route.name,
+            pool=self.route.pool,
+            version=version,
+        )
+
+
+def resubmission_outcome(
+    route: Route, record: JobRecord, *known: JobRecord | ProgressRecord
+) -> SubmissionOutcome:
+    """Return the outcome for an id that is recorded already: accepted if it is the caller's."""
+    account = AccountId(record.account)
+    if not all(is_visible_to(account, route, job) for job in known):
+        log.warning("job refused", job=record.id, route=route.name, reason="id of another account")
+        return SubmissionOutcome.OTHER_ACCOUNT
+    log.info("job accepted", job=record.id, route=route.name, repeat=True)
+    return SubmissionOutcome.ACCEPTED
--- /dev/null
+++ b/tests/test_submission_faults.py
@@ -0,0 +1,182 @@
+"""What callers hear about a submission when the store fails in each of its ways.
+
+These tests guard against a 503 for a job that is recorded or may be later, and against a 504 where
+the store could have told.
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections import deque
+from enum import Enum
+from typing import Any, cast
+
+import anyio
+from expression import Error, Ok, Result
+
+from pumicespur.jobs import JobService
+from pumicespur.jobs._keys import submission_key
+from pumicespur.model import AccountId, JobId, SubmissionOutcome
+from pumicespur.schema.jobs_pb import JobRecord
+from pumicespur.store import AnswerLost, Conflict, Fault, Row, Transaction, Unavailable
+from pumicespur.utils import monotonic
+from tests.test_jobs import POOL, ROUTE
+
+JOB = "0" * 16
+OWN = AccountId("own")
+OTHER = AccountId("other")
+KEY = submission_key(POOL, JobId(JOB))
+
+LONG_S = 20.0
+"""Caller's time in tests that end by an answer."""
+
+SHORT_S = 0.2
+"""Caller's time in tests that end when it is up."""
+
+
+class Does(Enum):
+    """What the store does with one call."""
+
+    ANSWERS = "answers"
+    REFUSES = "refuses"
+    LOSES_ANSWER = "applies a write, without an answer"
+    LOSES_CALL = "applies nothing, without an answer"
+    APPLIES_LATE = "applies a write after the next call, without an answer"
+    HANGS = "applies nothing and never answers"
+
+
+class FakeStore:
+    """A store that carries out a script of faults, one entry for each call, then answers."""
+
+    def __init__(self, *script: Does, otherwise: Does = Does.ANSWERS) -> None:
+        self.script = deque(script)
+        self.otherwise = otherwise
+        self.rows: dict[str, Row] = {}
+        self.late: list[Transaction] = []
+        self.calls: list[str] = []
+
+    def next_fault(self) -> Does:
+        return self.script.popleft() if self.script else self.otherwise
+
+    async def transact(self, transaction: Transaction) -> Result[int, Fault]:
+        self.calls.append("write")
+        does = self.next_fault()
+        late, self.late = self.late, []
+        response = await self.respond(does, transaction)
+        for earlier in late:
+            self.apply(earlier)
+        return response
+
+    async def respond(self, does: Does, transaction: Transaction) -> Result[int, Fault]:
+        match does:
+            case Does.ANSWERS:
+                return self.apply(transaction)
+            case Does.REFUSES:
+                return Error(Unavailable("refused"))
+            case Does.LOSES_ANSWER:
+                self.apply(transaction)
+            case Does.APPLIES_LATE:
+                self.late.append(transaction)
+            case Does.HANGS:
+                await anyio.sleep_forever()
+        return Error(AnswerLost("nothing came"))
+
+    def apply(self, transaction: Transaction) -> Result[int, Fault]:
+        rows = [self.row(c.key) for c in transaction.conditions]
+        if any(r.version != c.version for r, c in zip(rows, transaction.conditions, strict=True)):
+            return Error(Conflict(tuple(r.key for r in rows), tuple(rows)))
+        for write in transaction.writes:
+            self.rows[write.key] = Row(write.key, write.value or b"", len(self.rows) + 1)
+        return Ok(len(self.rows))
+
+    def row(self, key: str) -> Row:
+        return self.rows.get(key, Row(key, b"", 0))
+
+    async def read(self, key: str) -> Result[Row, Fault]:
+        self.calls.append("read")
+        match self.next_fault():
+            case Does.ANSWERS:
+                return Ok(self.row(key))
+            case Does.REFUSES:
+                return Error(Unavailable("refused"))
+            case Does.HANGS:
+                await anyio.sleep_forever()
+        return Error(AnswerLost("nothing came"))
+
+    def is_recorded(self) -> bool:
+        """Whether the job is recorded, also by writes that are applied late."""
+        for late in self.late:
+            self.apply(late)
+        return KEY in self.rows
+
+
+class SubmissionCase(unittest.IsolatedAsyncioTestCase):
+    """Submissions of one job to a store with faults."""
+
+    async def submit(
+        self, store: FakeStore, time_s: float = LONG_S, earlier_pools: tuple[str, ...] = ()
+    ) -> SubmissionOutcome:
+        service = JobService(cast("Any", store), lambda route, earlier: cast("Any", earlier_pools))
+        record = JobRecord(id=JOB, route=ROUTE.name, account=OWN)
+        return await service.submit(ROUTE, record, monotonic() + time_s)
+
+
+class LostAnswerTest(SubmissionCase):
+    """A write without an answer is looked up before the caller is told that nothing is known."""
+
+    async def test_a_recorded_job_is_accepted_without_another_write(self) -> None:
+        # A second write queues behind the first one in a slow store, the read does not.
+        store = FakeStore(Does.LOSES_ANSWER)
+        self.assertEqual(SubmissionOutcome.ACCEPTED, await self.submit(store))
+        self.assertEqual(["write", "read"], store.calls)
+
+    async def test_an_absent_job_is_written_again(self) -> None:
+        store = FakeStore(Does.LOSES_CALL)
+        self.assertEqual(SubmissionOutcome.ACCEPTED, await self.submit(store))
+        self.assertEqual(["write", "read", "write"], store.calls)
+
+    async def test_a_store_that_answers_again_in_time_tells(self) -> None:
+        store = FakeStore(Does.LOSES_ANSWER, Does.LOSES_CALL, Does.LOSES_CALL, Does.REFUSES)
+        self.assertEqual(SubmissionOutcome.ACCEPTED, await self.submit(store))
+        self.assertTrue(store.is_recorded())
+
+    async def test_a_write_that_is_applied_late_does_not_replace_the_accepted_one(self) -> None:
+        store = FakeStore(Does.APPLIES_LATE)
+        self.assertEqual(SubmissionOutcome.ACCEPTED, await self.submit(store))
+        self.assertEqual(1, store.rows[KEY].version)
+        self.assertTrue(store.is_recorded())
+
+    async def test_a_lost_answer_and_refusals_until_the_time_is_up_are_unknown(self) -> None:
+        # The refusals are true of the later writes only; the first one may be applied late.
+        store = FakeStore(Does.APPLIES_LATE, otherwise=Does.REFUSES)
+        self.assertEqual(SubmissionOutcome.UNKNOWN, await self.submit(store, SHORT_S))
+
+    async def test_the_row_of_another_account_is_not_the_callers(self) -> None:
+        store = FakeStore(Does.LOSES_CALL)
+        foreign = JobRecord(id=JOB, route=ROUTE.name, account=OTHER)
+        store.rows[KEY] = Row(KEY, foreign.to_binary(), 1)
+        self.assertEqual(SubmissionOutcome.OTHER_ACCOUNT, await self.submit(store))
+
+
+class RefusedSubmissionTest(SubmissionCase):
+    """The caller is told that nothing is recorded only if that is certain."""
+
+    async def test_a_store_that_only_refuses_records_nothing(self) -> None:
+        store = FakeStore(otherwise=Does.REFUSES)
+        self.assertEqual(SubmissionOutcome.NOT_ACCEPTED, await self.submit(store, SHORT_S))
+        self.assertFalse(store.is_recorded())
+
+    async def test_a_write_that_is_on_its_way_when_the_time_is_up_is_unknown(self) -> None:
+        store = FakeStore(Does.HANGS)
+        self.assertEqual(SubmissionOutcome.UNKNOWN, await self.submit(store, SHORT_S))
+
+    async def test_a_write_cut_off_after_a_refusal_is_unknown(self) -> None:
+        store = FakeStore(Does.REFUSES, Does.HANGS)
+        self.assertEqual(SubmissionOutcome.UNKNOWN, await self.submit(store, SHORT_S))
+
+    async def test_nothing_is_recorded_when_the_time_is_up_before_the_first_write(self) -> None:
+        # A caller heard 504 although the process had only read the rows of an earlier pool.
+        store = FakeStore(Does.HANGS)
+        outcome = await self.submit(store, SHORT_S, ("earlier",))
+        self.assertEqual(SubmissionOutcome.NOT_ACCEPTED, outcome)
+        self.assertEqual(["read"], store.calls)
