Refusals state a wait that follows the length of the outage

Every refusal said one second: five tries lasted 4 to 5 s, and callers refused together came back together. An outage counts from its first failed call, so one lost response in a quiet process no longer refuses callers.

--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -68,7 +68,7 @@
 """Time without the store after which another process serves callers better."""
 
 REFUSE_AFTER_S = 1.0
-"""Time without the store after which callers are refused at once: two heartbeat intervals.
+"""Length of an outage of the store after which callers are refused at once: two heartbeats.
 Attempts that cannot succeed would only keep callers from trying elsewhere."""
 
 MAX_WAITING_AGE_S = 6.0
@@ -329,8 +329,12 @@
         METRICS.refused_keys.inc({"why": "no key" if digest is None else "unknown key"})
 
     def is_store_responding(self) -> bool:
-        """Return whether the store responded recently, or no call has failed since it did."""
-        return self.table.failing_for_s(monotonic()) < REFUSE_AFTER_S
+        """Return whether calls to the store succeed, or have failed only for a short time."""
+        return self.store_failing_for_s() < REFUSE_AFTER_S
+
+    def store_failing_for_s(self) -> float:
+        """Return how long calls to the store have failed, in seconds."""
+        return self.table.outage.length_s(monotonic())
 
     def is_stopping(self) -> bool:
         """Return whether connections are to be closed after their response."""
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import random
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -19,6 +21,7 @@
     digest_prefix,
     key_digest,
 )
+from pumicespur.platform._retry_after import retry_after_s
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, StepRecord
 from pumicespur.utils import METRICS, monotonic, now_ms
 
@@ -40,12 +43,12 @@
 RESPONSE_MARGIN_S = 0.15
 """Part of a caller's time limit that is reserved for sending the response."""
 
+DEFAULT_TIME_LIMIT_S = 3.0
+"""Time limit assumed where a caller states none: the usual one."""
+
 GIVE_UP_RATIO = 0.5
 """Share of a caller's time after which the request is refused, which leaves time for a retry."""
 
-RETRY_AFTER_S = "1"
-"""Value of the `Retry-After` header: about the time until a lost owner is replaced."""
-
 PHASE_NAMES = {
     JobPhase.QUEUED: "queued",
     JobPhase.RUNNING: "running",
@@ -129,6 +132,9 @@
     def is_store_responding(self) -> bool:
         """Return whether the store responded lately; without it no job can be accepted or read."""
 
+    def store_failing_for_s(self) -> float:
+        """Return how long calls to the store have failed, in seconds."""
+
     def is_stopping(self) -> bool:
         """Return whether connections are to be closed after their response."""
 
@@ -174,10 +180,17 @@
         finally:
             self.in_flight -= 1
             METRICS.caller_latency.observe({"method": request.method}, monotonic() - started_at)
+        if response.status in (503, 504):
+            self._state_retry_time(request, response)
         if self.context.is_stopping():
             response.force_close()
         return response
 
+    def _state_retry_time(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        limit_s = _requested_time_s(request, DEFAULT_TIME_LIMIT_S)
+        wait_s = retry_after_s(self.context.store_failing_for_s(), limit_s, random.random())
+        response.headers["Retry-After"] = str(wait_s)
+
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         configuration = self.context.current_configuration()
         if configuration is None:
@@ -360,12 +373,17 @@
 
     It is `GIVE_UP_RATIO` of the caller's, less `RESPONSE_MARGIN_S`.
     """
+    limit_s = min(_requested_time_s(request, route.timeout_s), route.timeout_s)
+    return max(0.0, limit_s * GIVE_UP_RATIO - RESPONSE_MARGIN_S)
+
+
+def _requested_time_s(request: web.BaseRequest, default_s: float) -> float:
+    """Return how long a caller waits for a response, or a default without a valid header."""
     try:
         requested_s = float(request.headers.get(DEADLINE_HEADER, "")) / 1000
     except ValueError:
-        # Without a valid header, the timeout of the route applies.
-        requested_s = route.timeout_s
-    return max(0.0, min(requested_s, route.timeout_s) * GIVE_UP_RATIO - RESPONSE_MARGIN_S)
+        return default_s
+    return requested_s if math.isfinite(requested_s) else default_s
 
 
 def _json_response(status: int, body: dict[str, str | int]) -> web.Response:
@@ -375,8 +393,6 @@
 
 def _error_response(status: int, reason: str) -> web.Response:
     response = _json_response(status, {"error": reason})
-    if status in (503, 504):
-        response.headers["Retry-After"] = RETRY_AFTER_S
     if status == 401:
         response.headers["WWW-Authenticate"] = BEARER_SCHEME
     return response
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -20,6 +20,7 @@
     AnswerLost,
     Conflict,
     HistoryGone,
+    OutageTracker,
     Page,
     ResponseTimes,
     Row,
@@ -132,6 +133,7 @@
         self.response_times = ResponseTimes(settings.timeout_s, settings.max_timeout_s)
         self.clock = StoreClock()
         self.pending_reads: set[Transfer] = set()
+        self.outage = OutageTracker()
         self.last_success_at = float("-inf")
         """When the service last responded with a result (monotonic seconds)."""
         self.last_failure_at = float("-inf")
@@ -149,9 +151,11 @@
         now = monotonic()
         if not result.is_ok() or result.ok.status not in EXPECTED_STATUSES:
             self.last_failure_at = now
+            self.outage.note_failure(now)
             return
         failing_for_s = self.failing_for_s(now)
         self.last_success_at = now
+        self.outage.note_success()
         if failing_for_s > MIN_OUTAGE_S:
             # Requests sent during the outage may never get a response.
             self.renew_pending_reads()
--- a/pumicespur/store/__init__.py
+++ b/pumicespur/store/__init__.py
@@ -19,6 +19,7 @@
     describe_fault,
 )
 from pumicespur.store._latency import ResponseTimes
+from pumicespur.store._outage import OutageTracker
 from pumicespur.store._rows import (
     Condition,
     Listing,
@@ -41,6 +42,7 @@
     "Listing",
     "NeverDone",
     "NotListening",
+    "OutageTracker",
     "Page",
     "ResponseTimes",
     "Row",
