--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -18,6 +18,7 @@
     SubmissionAttempt,
     resubmission_outcome,
 )
+from pumicespur.jobs._submission_hold import SubmissionHold
 from pumicespur.model import AccountId, CancellationOutcome, JobId, SubmissionOutcome
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, Condition, Row, Transaction, Write
@@ -40,6 +41,7 @@
         self, table: PlatformTable, other_pools: Callable[[Route, bool], list[PoolId]]
     ) -> None:
         self.table = table
+        self.hold = SubmissionHold(table.outage)
         self.other_pools = other_pools
         """Other pools that may have jobs of a route: all, or only its earlier ones if true."""
 
@@ -48,7 +50,7 @@
 
         `give_up_at` is the monotonic time by which the caller needs a response.
         """
-        attempt = SubmissionAttempt(self.table, route, record, give_up_at)
+        attempt = SubmissionAttempt(self.table, self.hold, route, record, give_up_at)
         with anyio.CancelScope(deadline=give_up_at):
             return await self._submit(attempt)
         return attempt.refuse(AnswerLost("no response in time"))
--- a/pumicespur/jobs/_submission_attempt.py
+++ b/pumicespur/jobs/_submission_attempt.py
@@ -13,10 +13,11 @@
 from pumicespur.jobs._keys import submission_key
 from pumicespur.model import AccountId, JobId, SubmissionOutcome
 from pumicespur.schema.jobs_pb import JobRecord
-from pumicespur.store import AnswerLost, Condition, Conflict, Transaction, Write
+from pumicespur.store import AnswerLost, Condition, Conflict, Transaction, Unavailable, Write
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
+    from pumicespur.jobs._submission_hold import SubmissionHold
     from pumicespur.model import Route
     from pumicespur.platform import PlatformTable
     from pumicespur.schema.jobs_pb import ProgressRecord
@@ -30,14 +31,24 @@
 MAX_RETRY_DELAY_S = 0.4
 """Longest such delay."""
 
+SEND_RESERVE_S = 0.1
+"""Part of the caller's time that a write needs to be confirmed, some twenty usual response times. A
+write that is sent later and cut off would leave unknown whether it is recorded."""
+
 
 class SubmissionAttempt:
     """One call of a caller to record a job."""
 
     def __init__(
-        self, table: PlatformTable, route: Route, record: JobRecord, give_up_at: float
+        self,
+        table: PlatformTable,
+        hold: SubmissionHold,
+        route: Route,
+        record: JobRecord,
+        give_up_at: float,
     ) -> None:
         self.table = table
+        self.hold = hold
         self.route = route
         self.record = record
         self.give_up_at = give_up_at
@@ -47,9 +58,14 @@
         """Whether a write without an answer may have been applied, or may be applied later."""
 
     async def record_job(self) -> SubmissionOutcome:
-        """Write the job's row until the store confirms it or the caller's time is up."""
+        """Write the job's row until the store confirms it or the caller's time is up.
+
+        Nothing is sent while the store does not answer, so that a refusal can be certain.
+        """
         pause_s = RETRY_DELAY_S
         while True:
+            if not await self.hold.wait_until_answering(self.give_up_at - SEND_RESERVE_S):
+                return self.refuse(Unavailable("the store does not answer"))
             known = await self._look_up() if self.may_be_recorded else None
             if known is not None:
                 return resubmission_outcome(self.route, self.record, known)
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -28,7 +28,7 @@
 from pumicespur.node._refusals import KeyRefusals
 from pumicespur.node._reload import SettingsFile
 from pumicespur.node._table_follower import RescanPolicy, TableFollower
-from pumicespur.node._tables import REPORTS_TABLE, process_row_key
+from pumicespur.node._tables import PRESENCE_TABLE, REPORTS_TABLE, process_row_key
 from pumicespur.node._workers import WorkerList
 from pumicespur.platform import (
     CONFIGURATION_KEY,
@@ -38,6 +38,7 @@
     FleetOrders,
     HttpClient,
     PlatformTable,
+    StoreProbe,
     WorkerOrders,
     decode_configuration,
     decode_wave,
@@ -141,6 +142,8 @@
                 RescanPolicy(after_s=0.0, when_outdated=True),
             )
             tasks.start_soon(self.operators.run)
+            own_row = process_row_key(PRESENCE_TABLE, ProcessId(settings.process.id))
+            tasks.start_soon(StoreProbe(self.table, own_row).run)
             tasks.start_soon(WorkerList(settings, self.view, self.table, self.controller).run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self)
--- a/pumicespur/platform/__init__.py
+++ b/pumicespur/platform/__init__.py
@@ -21,6 +21,7 @@
 from pumicespur.platform._fleet import FleetOrders
 from pumicespur.platform._http import HttpClient
 from pumicespur.platform._orders import WorkerOrders
+from pumicespur.platform._store_probe import StoreProbe
 from pumicespur.platform._table import PlatformTable
 
 __all__ = [
@@ -32,6 +33,7 @@
     "FleetOrders",
     "HttpClient",
     "PlatformTable",
+    "StoreProbe",
     "WorkerOrders",
     "decode_configuration",
     "decode_wave",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -188,6 +188,14 @@
         self.world.store.faults.silent = True
         self.assertEqual(504, await self.world.submit(self.node, job_id(2), [STEP]))
 
+    async def test_a_submission_is_accepted_when_the_store_returns_in_its_time(self) -> None:
+        # The second write was sent into the silence, and hung until the caller's time was up: 504.
+        self.world.store.faults.silent = True
+        submission = asyncio.ensure_future(self.world.submit(self.node, job_id(5), [STEP]))
+        await asyncio.sleep(0.8)
+        self.world.store.faults.silent = False
+        self.assertEqual(200, await submission)
+
     async def test_requests_are_refused_at_once_while_the_store_is_known_to_be_silent(self) -> None:
         # Requests were held for more than half of their callers' timeout.
         self.world.store.faults.silent = True
--- a/tests/test_submission_faults.py
+++ b/tests/test_submission_faults.py
@@ -6,19 +6,33 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from collections import deque
 from enum import Enum
+from types import SimpleNamespace
 from typing import Any, cast
+from unittest.mock import patch
 
 import anyio
 from expression import Error, Ok, Result
 
 from pumicespur.jobs import JobService
 from pumicespur.jobs._keys import submission_key
+from pumicespur.jobs._submission_attempt import SEND_RESERVE_S
+from pumicespur.jobs._submission_hold import MAX_HELD
 from pumicespur.model import AccountId, JobId, SubmissionOutcome
+from pumicespur.platform import StoreProbe, _store_probe
 from pumicespur.schema.jobs_pb import JobRecord
-from pumicespur.store import AnswerLost, Conflict, Fault, Row, Transaction, Unavailable
+from pumicespur.store import (
+    AnswerLost,
+    Conflict,
+    Fault,
+    OutageTracker,
+    Row,
+    Transaction,
+    Unavailable,
+)
 from pumicespur.utils import monotonic
 from tests.test_jobs import POOL, ROUTE
 
@@ -54,6 +68,9 @@
         self.rows: dict[str, Row] = {}
         self.late: list[Transaction] = []
         self.calls: list[str] = []
+        self.outage = OutageTracker()
+        self.fails_outage = False
+        """Whether a lost answer begins an outage, as in the real table."""
 
     def next_fault(self) -> Does:
         return self.script.popleft() if self.script else self.otherwise
@@ -79,6 +96,8 @@
                 self.late.append(transaction)
             case Does.HANGS:
                 await anyio.sleep_forever()
+        if self.fails_outage:
+            self.outage.note_failure(monotonic())
         return Error(AnswerLost("nothing came"))
 
     def apply(self, transaction: Transaction) -> Result[int, Fault]:
@@ -180,3 +199,118 @@
         outcome = await self.submit(store, SHORT_S, ("earlier",))
         self.assertEqual(SubmissionOutcome.NOT_ACCEPTED, outcome)
         self.assertEqual(["read"], store.calls)
+
+
+class HeldSubmissionTest(unittest.IsolatedAsyncioTestCase):
+    """Submissions that arrive while the store is known not to answer."""
+
+    def setUp(self) -> None:
+        self.store = FakeStore()
+        self.store.outage.note_failure(monotonic())
+        self.service = JobService(cast("Any", self.store), lambda route, earlier: [])
+
+    async def submit(self, time_s: float = LONG_S) -> SubmissionOutcome:
+        record = JobRecord(id=JOB, route=ROUTE.name, account=OWN)
+        return await self.service.submit(ROUTE, record, monotonic() + time_s)
+
+    async def wait_held(self, count: int) -> None:
+        while self.service.hold.held != count:
+            await anyio.sleep(0)
+
+    async def test_it_is_sent_as_soon_as_another_call_succeeds(self) -> None:
+        # A submission slept through the store's return, for up to its own retry delay of 0.4 s.
+        submission = asyncio.ensure_future(self.submit())
+        await self.wait_held(1)
+        self.assertEqual([], self.store.calls)
+        self.store.outage.note_success()
+        self.assertEqual(SubmissionOutcome.ACCEPTED, await submission)
+        self.assertEqual(["write"], self.store.calls)
+
+    async def test_it_is_refused_for_certain_if_the_store_stays_away(self) -> None:
+        # Each submission was sent to the silent store, so its caller heard 504.
+        self.assertEqual(SubmissionOutcome.NOT_ACCEPTED, await self.submit(SHORT_S))
+        self.assertEqual([], self.store.calls)
+        self.assertEqual(0, self.service.hold.held)
+
+    async def test_it_is_not_sent_when_too_little_time_is_left_for_an_answer(self) -> None:
+        time_s = SEND_RESERVE_S / 2
+        self.assertEqual(SubmissionOutcome.NOT_ACCEPTED, await self.submit(time_s))
+        self.assertEqual([], self.store.calls)
+
+    async def test_a_submission_beyond_the_bound_is_refused_at_once(self) -> None:
+        # Held submissions keep their bodies in memory.
+        held = [asyncio.ensure_future(self.submit()) for _ in range(MAX_HELD)]
+        await self.wait_held(MAX_HELD)
+        self.assertEqual(SubmissionOutcome.NOT_ACCEPTED, await self.submit())
+        self.store.outage.note_success()
+        outcomes = await asyncio.gather(*held)
+        self.assertEqual({SubmissionOutcome.ACCEPTED}, set(outcomes))
+        self.assertEqual(0, self.service.hold.held)
+
+    async def test_a_lost_write_is_held_and_looked_up_when_the_store_returns(self) -> None:
+        self.store.outage.note_success()
+        self.store.script.append(Does.LOSES_ANSWER)
+        self.store.fails_outage = True
+        submission = asyncio.ensure_future(self.submit())
+        await self.wait_held(1)
+        self.assertEqual(["write"], self.store.calls)
+        self.store.outage.note_success()
+        self.assertEqual(SubmissionOutcome.ACCEPTED, await submission)
+        self.assertEqual(["write", "read"], self.store.calls)
+
+
+class StoreProbeTest(unittest.IsolatedAsyncioTestCase):
+    """Detection of the store's return."""
+
+    async def asyncSetUp(self) -> None:
+        self.outage = OutageTracker()
+        self.reads = 0
+        self.pending = 0
+        self.max_pending = 0
+        self.answering = anyio.Event()
+        probe = StoreProbe(cast("Any", SimpleNamespace(outage=self.outage, read=self.read)), "row")
+        self.running = asyncio.ensure_future(probe.run())
+        self.addCleanup(self.running.cancel)
+
+    async def read(self, key: str) -> None:
+        self.reads += 1
+        self.pending += 1
+        self.max_pending = max(self.max_pending, self.pending)
+        try:
+            if not self.answering.is_set():
+                await anyio.sleep_forever()
+            self.outage.note_success()
+        finally:
+            self.pending -= 1
+
+    async def wait_reads(self, count: int) -> None:
+        while self.reads < count:
+            await anyio.sleep(0.001)
+
+    async def test_probes_go_on_while_earlier_ones_hang(self) -> None:
+        # A call that hung for up to 3 s hid the store's return from a process without others.
+        with patch.object(_store_probe, "PROBE_INTERVAL_S", 0.01):
+            self.outage.note_failure(monotonic())
+            await self.wait_reads(3)
+            self.answering.set()
+            await self.outage.wait_until_over()
+        self.assertGreaterEqual(self.reads, 4)
+
+    async def test_hanging_probes_are_bounded(self) -> None:
+        with (
+            patch.object(_store_probe, "PROBE_INTERVAL_S", 0.02),
+            patch.object(_store_probe, "PROBE_TIMEOUT_S", 0.06),
+        ):
+            self.outage.note_failure(monotonic())
+            await self.wait_reads(20)
+        self.assertLess(self.max_pending, 8)
+
+    async def test_nothing_is_read_while_the_store_answers(self) -> None:
+        self.answering.set()
+        self.outage.note_failure(monotonic())
+        await self.wait_reads(1)
+        self.outage.note_success()
+        reads = self.reads
+        for _ in range(100):
+            await anyio.sleep(0)
+        self.assertEqual(reads, self.reads)
