--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -33,7 +33,7 @@
 from pumicespur.node._refusals import KeyRefusals
 from pumicespur.node._reload import SettingsFile
 from pumicespur.node._table_follower import RescanPolicy, TableFollower
-from pumicespur.node._tables import REPORTS_TABLE, process_row_key
+from pumicespur.node._tables import PRESENCE_TABLE, REPORTS_TABLE, process_row_key
 from pumicespur.node._workers import WorkerList
 from pumicespur.platform import (
     CONFIGURATION_KEY,
@@ -43,6 +43,7 @@
     FleetOrders,
     HttpClient,
     PlatformTable,
+    StoreProbe,
     WorkerOrders,
     decode_configuration,
     decode_wave,
@@ -73,7 +74,7 @@
 """Time without the store after which another process serves callers better."""
 
 REFUSE_AFTER_S = 1.0
-"""Time without the store after which callers are refused at once: two heartbeat intervals.
+"""Length of an outage of the store after which callers are refused at once: two heartbeats.
 Attempts that cannot succeed would only keep callers from trying elsewhere."""
 
 MAX_WAITING_AGE_S = 6.0
@@ -148,6 +149,8 @@
             )
             tasks.start_soon(self.operators.run)
             tasks.start_soon(self.evacuations.run)
+            own_row = process_row_key(PRESENCE_TABLE, ProcessId(settings.process.id))
+            tasks.start_soon(StoreProbe(self.table, own_row).run)
             tasks.start_soon(WorkerList(settings, self.view, self.table, self.controller).run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self)
@@ -369,8 +372,12 @@
         METRICS.refused_keys.inc({"why": "no key" if digest is None else "unknown key"})
 
     def is_store_responding(self) -> bool:
-        """Return whether the store responded recently, or no call has failed since it did."""
-        return self.table.failing_for_s(monotonic()) < REFUSE_AFTER_S
+        """Return whether calls to the store succeed, or have failed only for a short time."""
+        return self.store_failing_for_s() < REFUSE_AFTER_S
+
+    def store_failing_for_s(self) -> float:
+        """Return how long calls to the store have failed, in seconds."""
+        return self.table.outage.length_s(monotonic())
 
     def is_stopping(self) -> bool:
         """Return whether connections are to be closed after their response."""
