--- a/pumicespur/node/_ownership_controller.py
+++ b/pumicespur/node/_ownership_controller.py
@@ -134,6 +134,13 @@
         for owner in self.roles.pool_owners():
             owner.sync_workers()
 
+    def apply_evacuations(self) -> None:
+        """Notify the owners and the fleet leader that other data halls are evacuated."""
+        for owner in self.roles.pool_owners():
+            owner.apply_evacuated_halls()
+        if self.roles.fleet_leader is not None:
+            self.roles.fleet_leader.wake()
+
     async def _check_pools(self) -> None:
         if self.roles.stopping:
             return
@@ -221,6 +228,7 @@
                 earlier,
                 self.heartbeats.expedite_report,
             )
+            owner.pool.spread_halls = self.settings.fleet.tolerated_halls > 0
         self.roles.owned[pool] = owner
         self.owning.set()
         self.heartbeats.expedite()
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import signal
 import uuid
@@ -16,19 +17,23 @@
     JobService,
     PoolOwner,
     describe_accounts,
+    describe_evacuated_hall,
+    describe_hall_block,
     describe_limit_block,
     describe_progress,
     update_account_metrics,
+    update_evacuation_metrics,
 )
 from pumicespur.listeners import bound_address
 from pumicespur.model import JobId, ProcessId
+from pumicespur.node._evacuations import EvacuationFollower
 from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._ownership_controller import OwnershipController
 from pumicespur.node._process_tracker import count_waiting
 from pumicespur.node._refusals import KeyRefusals
 from pumicespur.node._reload import SettingsFile
 from pumicespur.node._table_follower import RescanPolicy, TableFollower
-from pumicespur.node._tables import REPORTS_TABLE, process_row_key
+from pumicespur.node._tables import PRESENCE_TABLE, REPORTS_TABLE, process_row_key
 from pumicespur.node._workers import WorkerList
 from pumicespur.platform import (
     CONFIGURATION_KEY,
@@ -38,11 +43,12 @@
     FleetOrders,
     HttpClient,
     PlatformTable,
+    StoreProbe,
     WorkerOrders,
     decode_configuration,
     decode_wave,
 )
-from pumicespur.utils import METRICS, monotonic
+from pumicespur.utils import METRICS, monotonic, now_ms
 from pumicespur.view import FleetView
 
 if TYPE_CHECKING:
@@ -68,7 +74,7 @@
 """Time without the store after which another process serves callers better."""
 
 REFUSE_AFTER_S = 1.0
-"""Time without the store after which callers are refused at once: two heartbeat intervals.
+"""Length of an outage of the store after which callers are refused at once: two heartbeats.
 Attempts that cannot succeed would only keep callers from trying elsewhere."""
 
 MAX_WAITING_AGE_S = 6.0
@@ -129,6 +135,7 @@
         self.controller = OwnershipController(
             settings, self.view, self.table, self.orders, self.fleet_orders, self.incarnation
         )
+        self.evacuations = EvacuationFollower(settings, self.view, self.table, self.controller)
         self.server = CallerServer(self)
         async with anyio.create_task_group() as tasks:
             await tasks.start(self._listen_to_signals)
@@ -141,6 +148,9 @@
                 RescanPolicy(after_s=0.0, when_outdated=True),
             )
             tasks.start_soon(self.operators.run)
+            tasks.start_soon(self.evacuations.run)
+            own_row = process_row_key(PRESENCE_TABLE, ProcessId(settings.process.id))
+            tasks.start_soon(StoreProbe(self.table, own_row).run)
             tasks.start_soon(WorkerList(settings, self.view, self.table, self.controller).run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self)
@@ -207,8 +217,16 @@
             for owner in self.controller.roles.pool_owners():
                 METRICS.owned_jobs.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
                 update_account_metrics(owner.pool)
+            if self.settings.workers.evacuate_ms:
+                self._update_evacuation_gauges()
             await anyio.sleep(GAUGE_INTERVAL_S)
 
+    def _update_evacuation_gauges(self) -> None:
+        METRICS.evacuated_halls.set({}, len(self.evacuations.in_force))
+        METRICS.clear_evacuated_tasks()
+        for owner in self.controller.roles.pool_owners():
+            update_evacuation_metrics(owner.pool)
+
     def _report_store_use(self) -> None:
         for table, used in self.table.usage.describe().items():
             METRICS.store_calls.set({"table": table}, used["calls"])
@@ -222,6 +240,25 @@
 
     def describe(self) -> dict[str, object]:
         """Return the process's state."""
+        evacuates = self.settings.workers.evacuate_ms > 0
+        return self._describe_roles() | (
+            {"evacuations": self._describe_evacuations()} if evacuates else {}
+        )
+
+    def _describe_evacuations(self) -> dict[str, object]:
+        """Return what this process knows of evacuated halls, and what its pools still run there."""
+        now = monotonic()
+        age_s = self.view.evacuations_progress.age_s(now)
+        halls: dict[str, object] = {}
+        for hall, evacuation in sorted(self.view.evacuated_halls.items()):
+            left = {
+                str(owner.pool.pool): describe_evacuated_hall(owner.pool, hall, now)
+                for owner in self.controller.roles.pool_owners()
+            }
+            halls[hall] = {"since_version": evacuation.version, "pools": left}
+        return {"age_s": round(age_s, 3) if age_s < math.inf else None, "halls": halls}
+
+    def _describe_roles(self) -> dict[str, object]:
         view = self.view
         return {
             "incarnation": self.incarnation,
@@ -250,20 +287,26 @@
             lambda job: (
                 refused
                 if job is None
-                else describe_progress(name, *job) | self._describe_limit_block(JobId(name))
+                else describe_progress(name, *job) | self._describe_block(JobId(name))
             )
         )
 
-    def _describe_limit_block(self, name: JobId) -> dict[str, object]:
-        """Describe how its account's limit holds back a job of a pool that this process owns."""
+    def _describe_block(self, name: JobId) -> dict[str, object]:
+        """Describe what holds back a job of a pool that this process owns.
+
+        It may be its account's limit or the evacuation of data halls.
+        """
         for owner in self.controller.roles.pool_owners():
             job = owner.pool.jobs.get(name)
             if job is not None:
                 reports = self.view.fresh_reports(MAX_ALLOTMENT_REPORT_AGE_S)
-                return describe_limit_block(owner.pool, job, reports)
+                return describe_limit_block(owner.pool, job, reports) | describe_hall_block(
+                    owner.pool, job, monotonic(), now_ms()
+                )
         return {}
 
     def _on_operators_rows(self, rows: Sequence[Row], whole: bool) -> None:
+        self.evacuations.note_operators_rows(rows, whole)
         for row in rows:
             if row.version <= self.operator_row_versions.get(row.key, 0):
                 continue
@@ -329,8 +372,12 @@
         METRICS.refused_keys.inc({"why": "no key" if digest is None else "unknown key"})
 
     def is_store_responding(self) -> bool:
-        """Return whether the store responded recently, or no call has failed since it did."""
-        return self.table.failing_for_s(monotonic()) < REFUSE_AFTER_S
+        """Return whether calls to the store succeed, or have failed only for a short time."""
+        return self.store_failing_for_s() < REFUSE_AFTER_S
+
+    def store_failing_for_s(self) -> float:
+        """Return how long calls to the store have failed, in seconds."""
+        return self.table.outage.length_s(monotonic())
 
     def is_stopping(self) -> bool:
         """Return whether connections are to be closed after their response."""
--- a/pumicespur/platform/__init__.py
+++ b/pumicespur/platform/__init__.py
@@ -9,10 +9,12 @@
 from pumicespur.platform._callers import CallerServer
 from pumicespur.platform._declarations import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     OPERATORS_TABLE,
     WAVE_PREFIX,
     WORKERS_TABLE,
     decode_configuration,
+    decode_evacuation,
     decode_wave,
     decode_worker,
     encode_wave_state,
@@ -21,10 +23,12 @@
 from pumicespur.platform._fleet import FleetOrders
 from pumicespur.platform._http import HttpClient
 from pumicespur.platform._orders import WorkerOrders
+from pumicespur.platform._store_probe import StoreProbe
 from pumicespur.platform._table import PlatformTable
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
     "OPERATORS_TABLE",
     "WAVE_PREFIX",
     "WORKERS_TABLE",
@@ -32,8 +36,10 @@
     "FleetOrders",
     "HttpClient",
     "PlatformTable",
+    "StoreProbe",
     "WorkerOrders",
     "decode_configuration",
+    "decode_evacuation",
     "decode_wave",
     "decode_worker",
     "encode_wave_state",
