--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -59,6 +59,9 @@
 log = Logger(__name__)
 
 STORE_CONNECTIONS = 16
+PROBE_CONNECTIONS = 5
+"""Connections to the store for probes in an outage: one for each that waits for a response."""
+
 ORDER_CONNECTIONS = 4
 """Connections to one worker for orders; eight processes together stay under its limit of 64."""
 
@@ -121,6 +124,7 @@
         """Serve until a signal requests a stop, then release all pools, finish requests and end."""
         settings = self.settings
         self.store_client = HttpClient(STORE_CONNECTIONS)
+        self.probe_client = HttpClient(PROBE_CONNECTIONS)
         self.order_client = HttpClient(ORDER_CONNECTIONS)
         self.watch_client = HttpClient(WATCH_CONNECTIONS)
         self.table = PlatformTable(settings.store, self.store_client)
@@ -143,7 +147,8 @@
             )
             tasks.start_soon(self.operators.run)
             own_row = process_row_key(PRESENCE_TABLE, ProcessId(settings.process.id))
-            tasks.start_soon(StoreProbe(self.table, own_row).run)
+            probe = PlatformTable(settings.store, self.probe_client)
+            tasks.start_soon(StoreProbe(self.table, probe, own_row).run)
             tasks.start_soon(WorkerList(settings, self.view, self.table, self.controller).run)
             if settings.listen.metrics:
                 inspection = await serve_inspection(settings.listen.metrics, self)
@@ -163,7 +168,8 @@
             await self._drain()
             tasks.cancel_scope.cancel()
         await self.server.aclose()
-        for client in (self.store_client, self.order_client, self.watch_client):
+        clients = (self.store_client, self.probe_client, self.order_client, self.watch_client)
+        for client in clients:
             await client.aclose()
         log.info("process stopped", in_flight=self.server.in_flight)
 
--- a/pumicespur/platform/_store_probe.py
+++ b/pumicespur/platform/_store_probe.py
@@ -6,6 +6,9 @@
 
 import anyio
 
+from pumicespur.platform._table import MIN_OUTAGE_S
+from pumicespur.utils import monotonic
+
 if TYPE_CHECKING:
     from pumicespur.platform._table import PlatformTable
 
@@ -19,23 +22,48 @@
 
 
 class StoreProbe:
-    """Reads one small row repeatedly while calls to the store fail."""
+    """Reads one small row repeatedly while calls to the store fail.
+
+    It has connections of its own: those of an owner are all taken by the hanging reads of its
+    pool's submissions.
+    """
 
-    def __init__(self, table: PlatformTable, key: str) -> None:
+    def __init__(self, table: PlatformTable, probed: PlatformTable, key: str) -> None:
         self.table = table
+        """The table that is told of the store's return."""
+        self.probed = probed
+        """The same service, over connections of the probe's own."""
         self.key = key
 
     async def run(self) -> None:
         """Probe in every outage until cancelled."""
         while True:
             await self.table.outage.began.wait()
-            async with anyio.create_task_group() as reads:
-                while self.table.outage.began_at is not None:
-                    reads.start_soon(self._read)
-                    with anyio.move_on_after(PROBE_INTERVAL_S):
-                        await self.table.outage.wait_until_over()
-                reads.cancel_scope.cancel()
+            began_at = anyio.current_time()
+            await self._probe()
+            if anyio.current_time() - began_at > MIN_OUTAGE_S:
+                await self._renew_reads()
+
+    async def _probe(self) -> None:
+        async with anyio.create_task_group() as reads:
+            while self.table.outage.began_at is not None:
+                reads.start_soon(self._read)
+                with anyio.move_on_after(PROBE_INTERVAL_S):
+                    await self.table.outage.wait_until_over()
+            reads.cancel_scope.cancel()
+
+    async def _renew_reads(self) -> None:
+        """Give up reads that were sent too late in the outage to count as dead at its end.
+
+        A read of the configuration that was sent 0.2 s before the store's return hung for 2.6 s
+        more, in which all callers were refused.
+        """
+        ended_at = anyio.current_time()
+        await anyio.sleep(self.table.response_times.usual_timeout_s())
+        self.table.renew_pending_reads(sent_before=ended_at)
 
     async def _read(self) -> None:
         with anyio.move_on_after(PROBE_TIMEOUT_S):
-            await self.table.read(self.key)
+            found = await self.probed.read(self.key)
+            if found.is_ok():
+                self.table.note_success(monotonic())
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -152,7 +152,11 @@
         if not result.is_ok() or result.ok.status not in EXPECTED_STATUSES:
             self.last_failure_at = now
             self.outage.note_failure(now)
-            return
+        else:
+            self.note_success(now)
+
+    def note_success(self, now: float) -> None:
+        """Note that the service responded with a result."""
         failing_for_s = self.failing_for_s(now)
         self.last_success_at = now
         self.outage.note_success()
@@ -160,16 +164,20 @@
             # Requests sent during the outage may never get a response.
             self.renew_pending_reads()
 
-    def renew_pending_reads(self) -> None:
+    def renew_pending_reads(self, sent_before: float = math.inf) -> None:
         """Give up the pending reads that received nothing; their connections may be dead.
 
+        Reads sent at `sent_before` (in the event loop's time) or later continue.
+
         A read that is receiving, or was sent less than a call's timeout ago, continues, since it
         carries the data that is needed. If every read were given up at each newer version, frequent
-        configurations (one every 0.8 s, over 10 Mbit/s) would not arrive for as long as 14 s.
+        configurations (one every 0.8 s, over 10 Mbit/s) would not arrive for as long as 14 s. The
+        usual timeout counts, since reads sent late in an outage have one of up to 3 s.
         """
-        allowed_s = self.response_times.timeout_s()
+        allowed_s = self.response_times.usual_timeout_s()
         for read in list(self.pending_reads):
-            if read.first_bytes_at is None and read.elapsed_s > allowed_s:
+            is_late = read.sent_at < sent_before and read.elapsed_s > allowed_s
+            if read.first_bytes_at is None and is_late:
                 read.give_up()
 
     async def transact(self, transaction: Transaction) -> Result[int, Fault]:
--- a/pumicespur/store/_latency.py
+++ b/pumicespur/store/_latency.py
@@ -40,8 +40,11 @@
 
     def timeout_s(self) -> float:
         """Return the timeout of the next call, in seconds."""
-        allowed = self.min_s + MEAN_FACTOR * self.mean_s
-        return min(self.max_s, allowed * 2**self.doublings)
+        return min(self.max_s, self.usual_timeout_s() * 2**self.doublings)
+
+    def usual_timeout_s(self) -> float:
+        """Return the timeout of a call after a response, in seconds."""
+        return min(self.max_s, self.min_s + MEAN_FACTOR * self.mean_s)
 
     def note_response(self, now: float, took_s: float) -> None:
         """Note a response."""
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -153,6 +153,25 @@
         result = await self.watch_since(self.world.store.version - 1)
         self.assertEqual(["op//config"], [row.key for row in result.ok.rows])
 
+    async def test_read_without_bytes_is_given_up_by_the_usual_timeout(self) -> None:
+        # After an outage the timeout is 3 s, so that dead reads went on for that long.
+        self.table.response_times.max_s = 3.0
+        self.table.response_times.doublings = 5
+        result = await self.watch_since(self.world.store.version)
+        self.assertEqual(Unavailable("given up"), result.error)
+
+    async def test_read_sent_after_a_given_time_goes_on(self) -> None:
+        watch = asyncio.ensure_future(self.table.changes("op", self.world.store.version, 30.0))
+        while not self.table.pending_reads:
+            await asyncio.sleep(0.01)
+        (read,) = self.table.pending_reads
+        while read.elapsed_s < 2 * self.table.response_times.timeout_s():
+            await asyncio.sleep(0.01)
+        self.table.renew_pending_reads(sent_before=read.sent_at)
+        self.assertFalse(read.given_up)
+        self.table.renew_pending_reads()
+        self.assertEqual(Unavailable("given up"), (await watch).error)
+
     async def test_watch_that_receives_nothing_is_given_up(self) -> None:
         result = await self.watch_since(self.world.store.version)
         self.assertEqual(Unavailable("given up"), result.error)
--- a/tests/test_submission_faults.py
+++ b/tests/test_submission_faults.py
@@ -29,6 +29,7 @@
     Conflict,
     Fault,
     OutageTracker,
+    ResponseTimes,
     Row,
     Transaction,
     Unavailable,
@@ -268,18 +269,23 @@
         self.pending = 0
         self.max_pending = 0
         self.answering = anyio.Event()
-        probe = StoreProbe(cast("Any", SimpleNamespace(outage=self.outage, read=self.read)), "row")
+        self.table = SimpleNamespace(
+            outage=self.outage, note_success=lambda now: self.outage.note_success()
+        )
+        probe = StoreProbe(
+            cast("Any", self.table), cast("Any", SimpleNamespace(read=self.read)), "row"
+        )
         self.running = asyncio.ensure_future(probe.run())
         self.addCleanup(self.running.cancel)
 
-    async def read(self, key: str) -> None:
+    async def read(self, key: str) -> Result[Row, Fault]:
         self.reads += 1
         self.pending += 1
         self.max_pending = max(self.max_pending, self.pending)
         try:
             if not self.answering.is_set():
                 await anyio.sleep_forever()
-            self.outage.note_success()
+            return Ok(Row(key, b"", 0))
         finally:
             self.pending -= 1
 
@@ -305,6 +311,20 @@
             await self.wait_reads(20)
         self.assertLess(self.max_pending, 8)
 
+    async def test_reads_sent_into_the_outage_are_given_up_after_it(self) -> None:
+        # A read of the configuration sent just before the store's return hung for 2.6 s after it,
+        # and all callers were refused meanwhile.
+        renewed: list[float] = []
+        self.table.response_times = ResponseTimes(0.0, 3.0)
+        self.table.renew_pending_reads = lambda sent_before: renewed.append(sent_before)
+        self.answering.set()
+        with patch.object(_store_probe, "MIN_OUTAGE_S", 0.0):
+            sent_at = anyio.current_time()
+            self.outage.note_failure(monotonic())
+            while not renewed:
+                await anyio.sleep(0.001)
+        self.assertGreater(renewed[0], sent_at)
+
     async def test_nothing_is_read_while_the_store_answers(self) -> None:
         self.answering.set()
         self.outage.note_failure(monotonic())
