Operators see how much waiting work is late and how long it has waited

By pool: gauges pumicespur_waiting_tasks and pumicespur_longest_overdue_wait_seconds, the same figures as "waiting" in /state, and overdue_tasks and longest_overdue_wait_s in the log line pool load. Refusals are counted by reason already (pumicespur_jobs_total, pumicespur_refused_keys_total).

--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -16,6 +16,7 @@
 from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._owner import PoolOwner
 from pumicespur.jobs._service import JobService
+from pumicespur.jobs._waiting_report import describe_waiting_work, update_waiting_metrics
 
 __all__ = [
     "MAX_ALLOTMENT_REPORT_AGE_S",
@@ -30,7 +31,9 @@
     "describe_accounts",
     "describe_limit_block",
     "describe_progress",
+    "describe_waiting_work",
     "owner_key",
     "update_account_metrics",
+    "update_waiting_metrics",
     "workers_max_age_s",
 ]
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -364,13 +364,3 @@
             spec.cpu_millis <= capacity.cpu_millis and spec.memory_mb <= capacity.memory_mb
             for capacity in self.capacities
         )
-
-    def count_waiting_tasks(self, now_ms: float) -> int:
-        """Count the waiting tasks that are ready to start and fit on some worker."""
-        return sum(
-            len(group.waiting())
-            for job in self.jobs.values()
-            if not job.ended
-            for group in job.ready_groups(now_ms)
-            if self.fits_anywhere(group.spec)
-        )
--- a/pumicespur/jobs/_pool_sizing.py
+++ b/pumicespur/jobs/_pool_sizing.py
@@ -14,6 +14,7 @@
     count_required_workers,
     measure_demand,
 )
+from pumicespur.jobs._waiting_report import measure_waiting_work
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
@@ -114,8 +115,9 @@
 
     def _log_load(self, now: float) -> None:
         """Log what decides the pool's requested size, unless the pool is idle."""
-        waiting = self.pool.count_waiting_tasks(now_ms())
-        if not waiting and not self.current.short.cpu_millis:
+        waiting = measure_waiting_work(self.pool, now_ms())
+        waiting_tasks = waiting.timely_tasks + waiting.overdue_tasks
+        if not waiting_tasks and not self.current.short.cpu_millis:
             return
         log.info(
             "pool load",
@@ -125,7 +127,9 @@
             wanted_workers=self._count_workers(self.demand.forecast()),
             busy_workers=self.reported_workers,
             arriving_cpu_millis=self.arrivals.cpu_millis(now_ms()),
-            waiting_tasks=waiting,
+            waiting_tasks=waiting_tasks,
+            overdue_tasks=waiting.overdue_tasks,
+            longest_overdue_wait_s=waiting.longest_overdue_wait_s,
             short_cpu_millis=self.current.short.cpu_millis,
             long_running_cpu_millis=self.current.long_running.cpu_millis,
             used_cpu_millis=sum(load.cpu_millis for load in self.pool.loads.values()),
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -18,7 +18,9 @@
     describe_accounts,
     describe_limit_block,
     describe_progress,
+    describe_waiting_work,
     update_account_metrics,
+    update_waiting_metrics,
 )
 from pumicespur.listeners import bound_address
 from pumicespur.model import JobId, ProcessId
@@ -42,7 +44,7 @@
     decode_configuration,
     decode_wave,
 )
-from pumicespur.utils import METRICS, monotonic
+from pumicespur.utils import METRICS, monotonic, now_ms
 from pumicespur.view import FleetView
 
 if TYPE_CHECKING:
@@ -203,10 +205,11 @@
             METRICS.configuration_version.set(
                 {"which": "newest heard"}, self.view.newest_known_version()
             )
-            METRICS.clear_accounts()
+            METRICS.clear_pools()
             for owner in self.controller.roles.pool_owners():
                 METRICS.owned_jobs.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
                 update_account_metrics(owner.pool)
+                update_waiting_metrics(owner.pool, now_ms())
             await anyio.sleep(GAUGE_INTERVAL_S)
 
     def _report_store_use(self) -> None:
@@ -235,6 +238,7 @@
                     "jobs": len(owner.pool.jobs),
                     "workers": len(owner.sessions),
                     "accounts": describe_accounts(owner.pool),
+                    "waiting": describe_waiting_work(owner.pool, now_ms()),
                 }
                 for pool, owner in self.controller.roles.owned.items()
                 if isinstance(owner, PoolOwner)
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -44,6 +44,14 @@
             "pumicespur_account_part",
             "Share of its limit that a pool holds for an account, by pool and account.",
         )
+        self.waiting_tasks = Gauge(
+            "pumicespur_waiting_tasks",
+            "Waiting tasks of the pools owned, by pool and whether they can still be in time.",
+        )
+        self.longest_overdue_wait = Gauge(
+            "pumicespur_longest_overdue_wait_seconds",
+            "Longest wait of work that can no longer be in time, by pool.",
+        )
         self.refused_keys = Counter(
             "pumicespur_refused_keys_total", "Calls refused for their key, by why."
         )
@@ -78,6 +86,8 @@
             self.owned_jobs,
             self.account_cpu,
             self.account_allotment,
+            self.waiting_tasks,
+            self.longest_overdue_wait,
             self.refused_keys,
             self.failed_reads,
             self.configuration_version,
@@ -87,9 +97,14 @@
         ):
             self.registry.register(series)
 
-    def clear_accounts(self) -> None:
-        """Drop the series of all accounts, so that only accounts that are set again remain."""
-        for series in (self.account_cpu, self.account_allotment):
+    def clear_pools(self) -> None:
+        """Drop the series of accounts and of waiting work, so that only those set again remain."""
+        for series in (
+            self.account_cpu,
+            self.account_allotment,
+            self.waiting_tasks,
+            self.longest_overdue_wait,
+        ):
             series.values.store.clear()
 
     def render_page(self) -> tuple[bytes, dict[str, str]]:
--- a/tests/test_account_report.py
+++ b/tests/test_account_report.py
@@ -45,7 +45,7 @@
 
     def test_series_are_bounded_and_old_ones_removed(self) -> None:
         for _ in range(2):
-            METRICS.clear_accounts()
+            METRICS.clear_pools()
             update_account_metrics(self.make(MAX_NAMED_ACCOUNTS + 7))
         self.assertEqual(MAX_NAMED_ACCOUNTS + 1, len(METRICS.account_cpu.values))
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -522,6 +522,7 @@
         while "main" not in owned:
             owned = json.loads(await self.fetch("/state"))["owned"]
         self.assertEqual(0, owned["main"]["jobs"])
+        self.assertEqual(0, owned["main"]["waiting"]["overdue_tasks"])
 
     async def test_settings_are_reloaded_on_sighup(self) -> None:
         path = self.node.log.with_suffix(".ini")
