Running late work does not keep instances from the load peak of another pool

Three seconds after its arrivals had ended, a pool's running late work counted in the busy workers that it reports.

--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -64,7 +64,8 @@
     """Demand of the running tasks of a pool and of those that are ready to start."""
 
     short: Demand = Demand()
-    """Running short tasks, and waiting ones that are not overdue, with `WAITING_WEIGHT`."""
+    """Running short tasks before their job's deadline, and waiting ones that are not overdue, with
+    `WAITING_WEIGHT`."""
     long_running: Demand = Demand()
     """Long-running tasks, running or waiting."""
     waiting: Demand = Demand()
@@ -251,7 +252,10 @@
             if spec.long_running:
                 long_running.add(spec, started + startable)
             elif is_overdue(group, now_ms):
-                short.add(spec, started)
+                if now_ms <= job.deadline_ms:
+                    # Running late work doesn't count: a pool that ran it on all of its workers kept
+                    # them from the load peak of another pool for as long as its backlog lasted.
+                    short.add(spec, started)
                 overdue.add(spec, startable)
             else:
                 short.add(spec, started + WAITING_WEIGHT * startable)
