--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -21,6 +21,7 @@
 from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._owner import PoolOwner
 from pumicespur.jobs._service import JobService
+from pumicespur.jobs._waiting_report import describe_waiting_work, update_waiting_metrics
 
 __all__ = [
     "MAX_ALLOTMENT_REPORT_AGE_S",
@@ -37,9 +38,11 @@
     "describe_hall_block",
     "describe_limit_block",
     "describe_progress",
+    "describe_waiting_work",
     "evacuations_max_age_s",
     "owner_key",
     "update_account_metrics",
     "update_evacuation_metrics",
+    "update_waiting_metrics",
     "workers_max_age_s",
 ]
--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from pumicespur.jobs._feasibility import is_overdue
 from pumicespur.jobs._job import TaskState
-from pumicespur.jobs._placement import is_overdue
 
 if TYPE_CHECKING:
     from pumicespur.jobs._account_usage import ResourceUsage
@@ -64,7 +64,8 @@
     """Demand of the running tasks of a pool and of those that are ready to start."""
 
     short: Demand = Demand()
-    """Running short tasks, and waiting ones that are not overdue, with `WAITING_WEIGHT`."""
+    """Running short tasks before their job's deadline, and waiting ones that are not overdue, with
+    `WAITING_WEIGHT`."""
     long_running: Demand = Demand()
     """Long-running tasks, running or waiting."""
     waiting: Demand = Demand()
@@ -251,7 +252,10 @@
             if spec.long_running:
                 long_running.add(spec, started + startable)
             elif is_overdue(group, now_ms):
-                short.add(spec, started)
+                if now_ms <= job.deadline_ms:
+                    # Running late work doesn't count: a pool that ran it on all of its workers kept
+                    # them from the load peak of another pool for as long as its backlog lasted.
+                    short.add(spec, started)
                 overdue.add(spec, startable)
             else:
                 short.add(spec, started + WAITING_WEIGHT * startable)
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -21,8 +21,10 @@
     describe_hall_block,
     describe_limit_block,
     describe_progress,
+    describe_waiting_work,
     update_account_metrics,
     update_evacuation_metrics,
+    update_waiting_metrics,
 )
 from pumicespur.listeners import bound_address
 from pumicespur.model import JobId, ProcessId
@@ -219,10 +221,11 @@
             METRICS.configuration_version.set(
                 {"which": "newest heard"}, self.view.newest_known_version()
             )
-            METRICS.clear_accounts()
+            METRICS.clear_pools()
             for owner in self.controller.roles.pool_owners():
                 METRICS.owned_jobs.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
                 update_account_metrics(owner.pool)
+                update_waiting_metrics(owner.pool, now_ms())
             if self.settings.workers.evacuate_ms:
                 self._update_evacuation_gauges()
             await anyio.sleep(GAUGE_INTERVAL_S)
@@ -278,6 +281,7 @@
                     "jobs": len(owner.pool.jobs),
                     "workers": len(owner.sessions),
                     "accounts": describe_accounts(owner.pool),
+                    "waiting": describe_waiting_work(owner.pool, now_ms()),
                 }
                 for pool, owner in self.controller.roles.owned.items()
                 if isinstance(owner, PoolOwner)
