--- a/pumicespur/jobs/_feasibility.py
+++ b/pumicespur/jobs/_feasibility.py
@@ -18,9 +18,8 @@
 little late instead of some of them very late."""
 
 LONG_OVERDUE_RATIO = 0.1
-"""Share of a pool's running work up to which long overdue work goes first. In a pool that was
-overloaded by a third for a minute, a tenth reduced the longest wait from 40 to 34 s for 1 job in
-100 that missed its deadline; a fifth reduced it to 30 s for 7 in 100."""
+"""Share of a pool's running work up to which long overdue work goes first. A larger share shortens
+the longest wait in a pool that stays overloaded, and makes more of the other jobs late."""
 
 REMAINING_TIME_RATIO = 1.0
 """Share of a job's expected remaining time that must fit before its deadline, or else the job is
