--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -104,7 +104,9 @@
         self.token = ownership.token
         self.earlier_leases = earlier_leases
         self.pool = PoolState(
-            ownership.pool, distinguishes_cold_workers=settings.workers.evacuate_ms > 0
+            ownership.pool,
+            distinguishes_cold_workers=settings.workers.evacuate_ms > 0,
+            spread_halls=settings.fleet.tolerated_halls > 0,
         )
         self.journal = Journal(table, ownership)
         self.sessions: dict[WorkerId, WorkerSession] = {}
--- a/pumicespur/node/_ownership_controller.py
+++ b/pumicespur/node/_ownership_controller.py
@@ -228,7 +228,6 @@
                 earlier,
                 self.heartbeats.expedite_report,
             )
-            owner.pool.spread_halls = self.settings.fleet.tolerated_halls > 0
         self.roles.owned[pool] = owner
         self.owning.set()
         self.heartbeats.expedite()
