Evacuations are read as often as the store's answer times require

A fixed pause of an eighth cost twice the calls that a fast store needs to stay below a quarter of the maximum age, and did not stay below it with a slow one.

--- a/pumicespur/node/_evacuations.py
+++ b/pumicespur/node/_evacuations.py
@@ -35,9 +35,12 @@
 END_KEY = FIRST_KEY[:-1] + chr(ord(FIRST_KEY[-1]) + 1)
 """The first key after those that begin with `FIRST_KEY`."""
 
-READ_INTERVAL_RATIO = 0.125
-"""Pause between two readings, as a part of the maximum age. The age stays below a quarter of it as
-long as a reading takes no longer than this pause."""
+TARGET_AGE_RATIO = 0.225
+"""Age that what is known may reach by the next answer, as a part of the maximum age. It is to stay
+below a quarter; the rest is for late timers."""
+
+MIN_PAUSE_RATIO = 1 / 16
+"""Shortest pause between two readings, as a part of the maximum age, however slow the store is."""
 
 MAX_CONCURRENT_READS = 3
 """Readings that may be under way at once; a slow one delays neither the next nor a requested one.
@@ -104,10 +107,15 @@
             if self.reads_under_way < MAX_CONCURRENT_READS:
                 self.reads_under_way += 1
                 tasks.start_soon(self._read)
-            max_age_s = evacuations_max_age_s(self.settings.workers)
-            with anyio.move_on_after(READ_INTERVAL_RATIO * max_age_s):
+            with anyio.move_on_after(self._pause_s()):
                 await self.read_requested.wait()
 
+    def _pause_s(self) -> float:
+        """Return the pause until the next reading, which is shorter if the store answers slowly."""
+        max_age_s = evacuations_max_age_s(self.settings.workers)
+        slowest_s = self.table.response_times.max_recent_s(monotonic())
+        return max(MIN_PAUSE_RATIO * max_age_s, TARGET_AGE_RATIO * max_age_s - slowest_s)
+
     async def _read(self) -> None:
         asked_at = monotonic()
         max_age_s = evacuations_max_age_s(self.settings.workers)
--- a/tests/test_evacuation_model.py
+++ b/tests/test_evacuation_model.py
@@ -48,7 +48,7 @@
 from pumicespur.platform import EVACUATION_PREFIX
 from pumicespur.schema.jobs_pb import JobPhase, ProgressRecord, StepRecord
 from pumicespur.schema.node_pb import WorkerSettings
-from pumicespur.store import AnswerLost, Page, Row, TableProgress, Unavailable
+from pumicespur.store import AnswerLost, Page, ResponseTimes, Row, TableProgress, Unavailable
 from pumicespur.utils import _clock as clock_module
 from pumicespur.utils import monotonic
 from pumicespur.view import FleetView
@@ -133,6 +133,8 @@
         self.rows: dict[DataHall, int] = {}
         self.evacuations: list[Evacuation] = []
         self.away_until = 0.0
+        self.response_times = ResponseTimes(CALL_TIMEOUT_S, CALL_TIMEOUT_S)
+        """Without any response, so that readings are as rare as with a fast store."""
         self.disturbed = True
 
     def evacuate(self, hall: DataHall) -> Row:
@@ -162,7 +164,7 @@
         return Ok(page)
 
     def _delay_s(self) -> float:
-        slow = self.disturbed and self.chance.random() < 0.2
+        slow = self.disturbed and self.chance.random() < 0.4
         return self.chance.uniform(0.2, 1.5) if slow else 0.002
 
 
@@ -388,7 +390,7 @@
         while monotonic() < until:
             await anyio.sleep(self.chance.uniform(0.0, 0.5))
             worker = self.chance.choice(list(self.workers.values()))
-            worker.cut_until = monotonic() + self.chance.uniform(0.1, 4.0)
+            worker.cut_until = monotonic() + self.chance.uniform(0.5, 3.0)
 
     async def _lose_store(self) -> None:
         until = monotonic() + DISTURBANCE_S
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -10,11 +10,13 @@
 import anyio
 from expression import Error, Ok, Result
 
+from pumicespur.jobs import evacuations_max_age_s
 from pumicespur.model import DataHall, WorkerName
 from pumicespur.node import _evacuations
 from pumicespur.node._evacuations import EvacuationFollower
 from pumicespur.platform import EVACUATION_PREFIX
-from pumicespur.store import AnswerLost, Page, Row, TableProgress
+from pumicespur.store import AnswerLost, Page, ResponseTimes, Row, TableProgress
+from pumicespur.utils import monotonic
 from pumicespur.view import FleetView
 from tests.base import default_settings, quiet_loop
 from tests.test_jobs import make_worker
@@ -55,6 +57,7 @@
         self.rows: list[Row] = []
         self.version = 1
         self.reads = 0
+        self.response_times = ResponseTimes(0.4, 3.0)
         self.faults: list[Fault] = []
         self.gates: list[anyio.Event] = []
         """What the next readings wait for, in order."""
@@ -251,8 +254,16 @@
             await self.until(lambda: self.table.reads == 4)
 
         await self.follow(check)
-        # The pause and a reading as long as it stay below a quarter of the maximum age.
-        self.assertLessEqual(2 * _evacuations.READ_INTERVAL_RATIO, 0.25)
+
+    async def test_the_age_stays_below_a_quarter_of_what_is_allowed(self) -> None:
+        quarter_s = evacuations_max_age_s(self.settings.workers) / 4
+        for answer_s in (0.005, 0.3, 0.8):
+            self.table.response_times.note_response(monotonic(), answer_s)
+            self.assertLess(self.follower._pause_s() + answer_s, quarter_s)
+
+    async def test_a_very_slow_store_is_not_asked_all_the_time(self) -> None:
+        self.table.response_times.note_response(monotonic(), 30.0)
+        self.assertGreater(self.follower._pause_s(), 0.25)
 
     async def test_what_is_known_is_cleared_without_a_role(self) -> None:
         # Guards against starts by what an earlier ownership knew.
