--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,11 +7,22 @@
 
 import anyio
 
-from benchmarks import accounts, claims, control, decisions, entry, jobs, reports, routing
+from benchmarks import (
+    accounts,
+    claims,
+    control,
+    decisions,
+    entry,
+    evacuations,
+    jobs,
+    reports,
+    routing,
+)
 
 BENCHMARKS = {
     "accounts": accounts.main,
     "decisions": decisions.main,
+    "evacuations": evacuations.main,
     "jobs": jobs.main,
     "reports": reports.main,
     "routing": routing.main,
--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -34,15 +34,15 @@
 REPEATS = 20
 
 
-def make_pool(workers: int) -> PoolState:
-    """Make a pool with open jobs whose tasks are placed already."""
+def make_idle_pool(workers: int, halls: int = 1) -> PoolState:
+    """Make a pool without jobs, whose racks take turns over the data halls."""
     pool = PoolState(POOL)
     for number in range(workers):
         worker = Worker(
             WorkerId(f"w-{number}"),
             POOL,
             "127.0.0.1:1",
-            DataHall("hall"),
+            DataHall(f"hall-{number // 12 % halls}"),
             WorkerState.READY,
             Capacity(16_000, 32_768),
             frozenset({"a"}),
@@ -50,6 +50,12 @@
             InstanceId(f"m-{number}"),
         )
         pool.add_worker(worker).reachable = True
+    return pool
+
+
+def make_pool(workers: int) -> PoolState:
+    """Make a pool with open jobs whose tasks are placed already."""
+    pool = make_idle_pool(workers)
     for number in range(int(workers * JOBS_PER_WORKER)):
         add_job(pool, number)
     pool.place(0.0, 0.0)
--- a/pumicespur/jobs/_worker_load.py
+++ b/pumicespur/jobs/_worker_load.py
@@ -56,6 +56,8 @@
     """Whether it responded to the last call."""
     evacuating: bool = False
     """Whether it is being evacuated for the fleet leader; it then gets no new tasks."""
+    hall_evacuated: bool = False
+    """Whether its data hall is evacuated; it then gets no new tasks."""
     evacuation_requested: bool = False
     """The latest, still fresh request of the fleet leader is to evacuate it."""
     evacuation_reported_at: float = float("-inf")
@@ -123,7 +125,8 @@
         """Whether the worker can be given tasks now."""
         ready = self.listed and self.worker.state is WorkerState.READY
         usable = self.reachable and not self.has_unknown_runs
-        return ready and usable and not self.evacuating and now >= self.paused_until
+        closed = self.evacuating or self.hall_evacuated
+        return ready and usable and not closed and now >= self.paused_until
 
     def is_overcommitted(self) -> bool:
         """Whether the load exceeds the capacity, which may have shrunk since assignments."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -82,6 +82,27 @@
         self.assertEqual(place_one_by_one(self.pool(workers, steps)), chosen)
 
 
+class EvacuatedHallTest(unittest.TestCase):
+    """Placement while a worker's data hall is evacuated."""
+
+    def test_worker_in_an_evacuated_hall_gets_no_task(self) -> None:
+        # A start in an evacuated hall breaks the guarantee that operators rely on.
+        pool = make_pool(make_worker("w-1"), make_worker("w-2"))
+        loads = list(pool.loads.values())
+        loads[0].hall_evacuated = True
+        submit(pool, make_record(StepRecord(count=2, cpu_millis=1000)))
+        self.assertEqual({loads[1].worker.id}, {task.worker for task in run_all(pool)})
+
+    def test_tasks_wait_until_a_hall_opens(self) -> None:
+        pool = make_pool(make_worker("w-1"))
+        (load,) = pool.loads.values()
+        load.hall_evacuated = True
+        submit(pool, make_record(StepRecord(count=1, cpu_millis=1000)))
+        self.assertEqual([], run_all(pool))
+        load.hall_evacuated = False
+        self.assertEqual(1, len(run_all(pool)))
+
+
 class SpreadOverHallsTest(unittest.TestCase):
     """Long-running tasks where a data hall may be lost."""
 
