--- a/pumicespur/maintenance/_hall_spread.py
+++ b/pumicespur/maintenance/_hall_spread.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+import heapq
+from collections import Counter, defaultdict, deque
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Container, Iterable
 
-    from pumicespur.model import DataHall, Instance, PoolId
+    from pumicespur.model import DataHall, Instance, InstanceId, PoolId
 
 
 class HallCounts:
@@ -26,6 +27,41 @@
         return self.counts[pool][instance.data_hall]
 
 
+class CandidateQueue:
+    """Instances that may move to a pool, each next one from the hall of which the pool has least.
+
+    Without `spread`, they come in the given order. The lists of a large fleet are sorted once for
+    each pool, since a search for each move would take most of a round.
+    """
+
+    def __init__(
+        self,
+        candidates: Iterable[Instance],
+        effort: Callable[[Instance], tuple[Any, ...]],
+        spread: bool,
+    ) -> None:
+        self.effort = effort
+        self.queues: defaultdict[DataHall | None, deque[Instance]] = defaultdict(deque)
+        for instance in sorted(candidates, key=effort) if spread else candidates:
+            self.queues[instance.data_hall if spread else None].append(instance)
+
+    def take(
+        self, used: Container[InstanceId], count: Callable[[Instance], int]
+    ) -> Instance | None:
+        """Remove and return the next instance that is not used yet; None if there is none.
+
+        `count` returns how many instances the pool has in an instance's hall; a lower effort goes
+        before it.
+        """
+        for queue in self.queues.values():
+            while queue and queue[0].id in used:
+                queue.popleft()
+        filled = [queue for queue in self.queues.values() if queue]
+        if not filled:
+            return None
+        return min(filled, key=lambda q: (self.effort(q[0]), count(q[0]))).popleft()
+
+
 def order_for_release(
     instances: Iterable[Instance],
     effort: Callable[[Instance], tuple[Any, ...]],
@@ -39,17 +75,19 @@
     by_hall: defaultdict[DataHall, list[Instance]] = defaultdict(list)
     for instance in sorted(instances, key=lambda i: (effort(i), preference(i)), reverse=True):
         by_hall[instance.data_hall].append(instance)
+
+    def key(hall: DataHall) -> tuple[Any, ...]:
+        members = by_hall[hall]
+        return (effort(members[-1]), -len(members), preference(members[-1]), hall)
+
     ordered: list[Instance] = []
-    while by_hall:
-        hall = min(
-            by_hall,
-            key=lambda hall: (
-                effort(by_hall[hall][-1]),
-                -len(by_hall[hall]),
-                preference(by_hall[hall][-1]),
-            ),
-        )
+    heap = [key(hall) for hall in by_hall]
+    heapq.heapify(heap)
+    while heap:
+        hall = heap[0][-1]
         ordered.append(by_hall[hall].pop())
-        if not by_hall[hall]:
-            del by_hall[hall]
+        if by_hall[hall]:
+            heapq.heapreplace(heap, key(hall))
+        else:
+            heapq.heappop(heap)
     return ordered
--- a/pumicespur/maintenance/_rebalancing.py
+++ b/pumicespur/maintenance/_rebalancing.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from pumicespur.maintenance._hall_spread import HallCounts, order_for_release
+from pumicespur.maintenance._hall_spread import CandidateQueue, HallCounts, order_for_release
 from pumicespur.model import InstanceState
 
 if TYPE_CHECKING:
@@ -81,6 +81,26 @@
     """Data halls of the pools' instances after the moves; empty unless pools are spread."""
 
 
+@dataclass
+class AvailableInstances:
+    """Instances that short pools can get, the cheapest to move first."""
+
+    spare: list[Instance]
+    surplus: dict[PoolId, list[Instance]]
+    releasable: dict[PoolId, list[Instance]]
+    """Instances that pools lend for the work of others."""
+
+    def remove(self, instance: Instance) -> None:
+        """Remove an instance that a pool gets."""
+        for instances in (
+            self.spare,
+            self.surplus.get(instance.pool, []),
+            self.releasable.get(instance.pool, []),
+        ):
+            if instance in instances:
+                instances.remove(instance)
+
+
 class PoolRebalancer:
     """Planner of moves between pools, which tracks since when each pool has had a surplus."""
 
@@ -158,68 +178,67 @@
     ) -> None:
         """Send instances to pools that are short, from the spare pool first."""
         spare = [i for pool in sorted(state.spare_pools) for i in _members(state, pool)]
-        releasable = self._releasable_by_pool(state)
-        max_moving = _max_moving(state)
+        available = AvailableInstances(spare, surplus, self._releasable_by_pool(state))
         missing = {pool: _missing(state, pool) for pool in state.reserved}
         for pool in sorted(missing, key=lambda pool: -missing[pool]):
-            missing_for_work = _busy_workers(state, pool) - _present(state, pool)
-            for number in range(max(0, missing[pool])):
-                if len(state.moving) + len(plan.moves) >= max_moving:
-                    return
-                found = self._pick_instance(state, pool, spare, surplus, plan)
-                if found is None and number < missing_for_work:
-                    found = self._pick_instance(state, pool, [], releasable, plan)
-                if found is None:
-                    break
-                plan.halls.add(pool, found)
-                if found.id in state.empty:
-                    plan.moves.append((found.id, pool))
-                else:
-                    plan.evacuating.add(found.id)
+            self._fill_pool(state, plan, available, pool, missing[pool])
 
-    def _pick_instance(
+    def _fill_pool(
         self,
         state: RebalanceInput,
-        pool: PoolId,
-        spare: list[Instance],
-        available: dict[PoolId, list[Instance]],
         plan: MovePlan,
-    ) -> Instance | None:
-        """Remove and return an instance for a pool, from `spare` first; None if there is none."""
-        allowed = (i for i in spare if (i.id, pool) not in state.rejected_moves)
-        found = self._choose_by_hall(state, pool, allowed, plan)
-        if found is not None:
-            spare.remove(found)
-            return found
-        used = plan.evacuating | {name for name, _ in plan.moves}
-        extra = (
-            instance
-            for source, instances in available.items()
-            for instance in instances
-            if source != pool
-            and instance.id not in used
-            and (instance.id, pool) not in state.rejected_moves
+        available: AvailableInstances,
+        pool: PoolId,
+        missing: int,
+    ) -> None:
+        """Send instances to one pool; others lend what it is short of for its work only."""
+        if missing <= 0:
+            return
+        missing_for_work = _busy_workers(state, pool) - _present(state, pool)
+        sources = [
+            self._queue(state, pool, [available.spare]),
+            self._queue(state, pool, available.surplus.values()),
+        ]
+        lenders = self._queue(state, pool, available.releasable.values())
+        for number in range(missing):
+            if len(state.moving) + len(plan.moves) >= _max_moving(state):
+                return
+            may_borrow = number < missing_for_work
+            found = self._pick_instance(pool, [*sources, lenders] if may_borrow else sources, plan)
+            if found is None:
+                return
+            available.remove(found)
+            plan.halls.add(pool, found)
+            if found.id in state.empty:
+                plan.moves.append((found.id, pool))
+            else:
+                plan.evacuating.add(found.id)
+
+    def _queue(
+        self, state: RebalanceInput, pool: PoolId, lists: Iterable[list[Instance]]
+    ) -> CandidateQueue:
+        """Return the instances that may move to a pool, in the order of the lists."""
+        return CandidateQueue(
+            (
+                instance
+                for instances in lists
+                for instance in instances
+                if instance.pool != pool and (instance.id, pool) not in state.rejected_moves
+            ),
+            lambda i: (i.id not in state.empty, i.id not in self.evacuating),
+            state.spread_halls,
         )
-        found = self._choose_by_hall(state, pool, extra, plan)
-        if found is not None:
-            available[found.pool].remove(found)
-        return found
 
-    def _choose_by_hall(
-        self, state: RebalanceInput, pool: PoolId, found: Iterable[Instance], plan: MovePlan
+    def _pick_instance(
+        self, pool: PoolId, sources: Iterable[CandidateQueue], plan: MovePlan
     ) -> Instance | None:
-        """Return the first instance, or one in the hall of which the pool has least."""
-        if not state.spread_halls:
-            return next(iter(found), None)
-        return min(
-            found,
-            key=lambda i: (
-                i.id not in state.empty,
-                i.id not in self.evacuating,
-                plan.halls.of(pool, i),
-            ),
-            default=None,
-        )
+        """Return an instance for a pool, from the first source that has one."""
+        used = plan.evacuating | {name for name, _ in plan.moves}
+        for source in sources:
+            found = source.take(used, lambda i: plan.halls.of(pool, i))
+            if found is not None:
+                return found
+        return None
 
     def _track_surplus(self, pools_with_surplus: set[PoolId], now: float) -> None:
         for pool in list(self.surplus_since):
