--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -562,6 +562,27 @@
         for now in (0.4, 0.8):
             self.assertEqual(first, set(rebalancer.plan(state, now).evacuating))
 
+    def test_choice_is_kept_when_the_halls_of_the_pool_change(self) -> None:
+        # Each change of a pool's halls would evacuate another instance and move none.
+        rebalancer = PoolRebalancer()
+        others = [make_instance(f"o-{hall}", OTHER, hall=hall) for hall in HALLS[:2]]
+        for own in HALLS[:2]:
+            instances = index(make_instance("m-0", hall=own), *others)
+            state = make_state(instances, {MAIN: 2, OTHER: 0}, spread_halls=True)
+            rebalancer.plan(state, 0.0)
+            self.assertEqual({"o-east"}, rebalancer.evacuating)
+
+    def test_idle_instance_that_is_being_evacuated_stays_surplus(self) -> None:
+        rebalancer = PoolRebalancer()
+        instances = index(*(make_instance(f"m-{n}", hall=HALLS[n % 2]) for n in range(4)))
+        for now in (0.0, 2.0):
+            rebalancer.plan(make_state(instances, {MAIN: 3}, spread_halls=True), now)
+        (chosen,) = rebalancer.evacuating
+        hall = next(h for h in HALLS[:2] if h != instances[chosen].data_hall)
+        instances |= index(*(make_instance(f"n-{n}", hall=hall) for n in range(3)))
+        rebalancer.plan(make_state(instances, {MAIN: 6}, spread_halls=True), 3.0)
+        self.assertEqual({chosen}, rebalancer.evacuating)
+
     def test_largest_share_is_smaller_after_peaks_in_turn(self) -> None:
         # The largest hall has 0.36 of the instances. Over these seeds, the mean of the largest
         # share was 0.46 without spreading and 0.30 with it, the maximum 0.77 and 0.45.
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -212,7 +212,8 @@
     def test_candidates_in_the_hall_of_a_failed_owner_wait(self) -> None:
         # After the loss of a hall, each of its other processes would delay the takeover by the head
         # start of one candidate, since they count as alive for seconds.
-        self.receive_owner("pool-0", "north-0")
+        for pool, hall in zip(self.POOLS, self.HALLS, strict=False):
+            self.receive_owner(pool, f"{hall}-0")
         self.takeover_policy.is_turn(self.POOLS[0], NOW)
         candidates = self.takeover_policy.rank_candidates(self.POOLS[0], NOW)
         last = [self.halls[process] for process in candidates[-self.HALLS["north"] :]]
