--- a/pumicespur/__main__.py
+++ b/pumicespur/__main__.py
@@ -42,6 +42,7 @@
 BASE_HELP = "The revision that your files are based on; the newest if left out."
 PRUNE_HELP = "Remove the declared sections that are not in the files."
 INSTANCE_HELP = "The instance."
+DATA_HALL_HELP = "A data hall, all instances of which are meant."
 RESUME_HELP = "Return the instance to service."
 WAVE_HELP = "The wave."
 WATCH_HELP = "Print the wave's progress until it no longer runs."
@@ -57,6 +58,7 @@
 Prune = Annotated[bool, Parameter(help=PRUNE_HELP, negative="")]
 Json = Annotated[bool, Parameter(name="--json", help=JSON_HELP, negative="")]
 Instance = Annotated[str, Parameter(help=INSTANCE_HELP)]
+DataHall = Annotated[str, Parameter(help=DATA_HALL_HELP)]
 Resume = Annotated[bool, Parameter(help=RESUME_HELP, negative="")]
 Wanted = Annotated[str, Parameter(help=WANTED_HELP)]
 Logs = Annotated[list[Path], Parameter(help=LOGS_HELP, negative="")]
@@ -221,17 +223,26 @@
 
 @app.command
 async def drain(
-    instance: Instance,
+    instance: Instance = "",
     *,
+    data_hall: DataHall = "",
     resume: Resume = False,
     json: Json = False,
     connection: Connection = DEFAULT_CONNECTION,
 ) -> None:
-    """Drain one instance, or return it to service.
+    """Drain one instance or those of a data hall within their budgets, or return them to service.
 
     Example: pumicespur drain regina-a-r1-1
+
+    Example: pumicespur drain --data-hall regina-a
     """
-    await drain_command.drain(connection.client(), instance, resume=resume, as_json=json)
+    if bool(instance) == bool(data_hall):
+        raise PumicespurError("either an instance or --data-hall must be given")
+    client = connection.client()
+    if data_hall:
+        await drain_command.drain_hall(client, data_hall, resume=resume, as_json=json)
+        return
+    await drain_command.drain(client, instance, resume=resume, as_json=json)
 
 
 @wave.command
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import datetime
+import io
 import ipaddress
 import json
 import os
@@ -11,7 +13,9 @@
 import subprocess
 import sys
 import tempfile
+import unittest
 from pathlib import Path
+from typing import Any, cast
 
 import anyio
 import httpx
@@ -20,6 +24,11 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from pumicespur.commands.drain import drain_hall
+from pumicespur.exceptions import PumicespurError
+from pumicespur.schema.fleet_pb import Assignment, DrainReason, InstanceState
+from pumicespur.schema.operators_pb import DrainRequest, DrainResponse, StatusResponse
+from pumicespur.utils import replace_fields
 from standins.launcher import Child, wait_until
 from tests.base import ClusterCase, make_wave, one_pool
 
@@ -36,6 +45,69 @@
     return subprocess.CompletedProcess(command, result.returncode, out, err)
 
 
+class FakeOperatorClient:
+    """A manager whose pool may lose two instances."""
+
+    def __init__(self, assignments: list[Assignment]) -> None:
+        self.assignments = assignments
+        self.drained: list[str] = []
+
+    async def status(self) -> StatusResponse:
+        """Return the assignments."""
+        return StatusResponse(assignments=self.assignments)
+
+    async def drain(self, request: DrainRequest) -> DrainResponse:
+        """Drain an instance, or refuse it."""
+        if len(self.drained) >= 2 and not request.resume:
+            raise PumicespurError("its budget needs 2")
+        self.drained.append(request.instance)
+        return DrainResponse()
+
+
+class TestDrainHall(unittest.IsolatedAsyncioTestCase):
+    """The drain of all instances in a data hall."""
+
+    def setUp(self) -> None:
+        serving = [
+            Assignment(instance=f"b{n}", data_hall="north", state=InstanceState.SERVING)
+            for n in range(3)
+        ]
+        drained = Assignment(
+            instance="b3",
+            data_hall="north",
+            state=InstanceState.DRAINING,
+            reason=DrainReason.OPERATOR,
+        )
+        in_wave = replace_fields(drained, instance="b4", reason=DrainReason.WAVE)
+        elsewhere = replace_fields(serving[0], instance="b5", data_hall="south")
+        self.client = FakeOperatorClient([*serving, drained, in_wave, elsewhere])
+
+    async def drain(self, hall: str, resume: bool = False) -> str:
+        """Run the command; return its output and what it raised."""
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            try:
+                await drain_hall(cast("Any", self.client), hall, resume=resume, as_json=False)
+            except PumicespurError as failure:
+                output.write(str(failure))
+        return output.getvalue()
+
+    async def test_refused_instances_are_reported(self) -> None:
+        # A refusal must neither end the drain of the others nor look like a success.
+        output = await self.drain("north")
+        self.assertEqual(["b0", "b1"], self.client.drained)
+        self.assertIn("b2 refused: its budget needs 2", output)
+        self.assertIn("1 of 3 instances in north were refused", output)
+
+    async def test_only_what_operators_drained_returns(self) -> None:
+        # The return of an instance in a wave would end its maintenance.
+        await self.drain("north", resume=True)
+        self.assertEqual(["b3"], self.client.drained)
+
+    async def test_unknown_hall_is_an_error(self) -> None:
+        self.assertIn("no instance to drain in 'west'", await self.drain("west"))
+
+
 class TestCommands(ClusterCase):
     """Commands print what happened and return the matching exit code."""
 
@@ -88,6 +160,8 @@
         refused = await run("drain", "b1", **self.env)
         self.assertEqual(refused.returncode, 1)
         self.assertIn("its budget needs 1", refused.stderr)
+        hall = await run("drain", "--data-hall", "h0", "--resume", **self.env)
+        self.assertEqual("b0 returns to service\n", hall.stdout, hall.stderr)
         dump = await run("dump", "entry-0", **self.env)
         self.assertEqual(json.loads(dump.stdout)["addresses"]["process"], "entry-0")
 
