--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
     control,
     decisions,
     entry,
+    evacuations,
     jobs,
     late_work,
     reports,
@@ -22,6 +23,7 @@
 BENCHMARKS = {
     "accounts": accounts.main,
     "decisions": decisions.main,
+    "evacuations": evacuations.main,
     "jobs": jobs.main,
     "late_work": late_work.main,
     "reports": reports.main,
