--- a/tests/pool_play.py
+++ b/tests/pool_play.py
@@ -134,13 +134,13 @@
 class PoolPlay:
     """Plays a load on a pool of a few workers; a seed always gives the same load."""
 
-    def __init__(self, load: Load, seed: int) -> None:
+    def __init__(self, load: Load, seed: int, workers: int = WORKERS) -> None:
         self.load = load
         self.seed = seed
         self.random = random.Random(seed)
         cores = CORES_PER_WORKER * 1000
         self.pool: PoolState = make_pool(
-            *(make_worker(f"w-{n}", f"r1-{n % 2}", cores) for n in range(WORKERS))
+            *(make_worker(f"w-{n}", f"r1-{n % 2}", cores) for n in range(workers))
         )
         weight = 2 * JOBS_PER_S / len(ACCOUNTS)
         self.configuration = Configuration(
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -18,8 +18,9 @@
 from pumicespur.platform import HttpClient, PlatformTable
 from pumicespur.schema.node_pb import StoreSettings
 from pumicespur.store import Transaction, Unavailable, Write
+from pumicespur.utils import monotonic
 from standins.hosted import Link, Passage, World
-from tests.base import quiet_loop
+from tests.base import default_settings, quiet_loop
 
 if TYPE_CHECKING:
     from expression import Result
@@ -41,6 +42,10 @@
 """Changes during an outage; to transfer all of them would take 20 s."""
 
 
+BURST_GAP_S = 0.25
+BURST_CHANGES = 18
+
+
 def versions_in_force(node: Node) -> list[int]:
     """Return the versions of the configurations that a node has put in force, from its log."""
     lines = [json.loads(line) for line in node.log.read_text().splitlines()]
@@ -91,6 +96,56 @@
         await self.change_until_in_force(slow, self.world.version)
 
 
+class BurstTest(SlowLinkCase):
+    """Operators change a configuration each 0.25 s for 4.5 s."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.versions: dict[int, float] = {}
+        """When each version was written (monotonic seconds)."""
+
+    async def write_burst(self, node: Node) -> float:
+        """Write the burst; return how long at most a node lacked what was written."""
+        behind_s = 0.0
+        for _ in range(BURST_CHANGES):
+            self.change()
+            self.versions[self.world.version] = monotonic()
+            await asyncio.sleep(BURST_GAP_S)
+            behind_s = max(behind_s, self.behind_s(node))
+        while versions_in_force(node)[-1] < self.world.version:
+            behind_s = max(behind_s, self.behind_s(node))
+            await asyncio.sleep(0.05)
+        return behind_s
+
+    def behind_s(self, node: Node) -> float:
+        """Return since when a node lacks a version that was written."""
+        known = versions_in_force(node)[-1]
+        missing = [at for version, at in self.versions.items() if version > known]
+        return monotonic() - min(missing, default=monotonic())
+
+    async def check(self, node: Node) -> list[int]:
+        """Check that a node keeps to the bound, and return the versions that it put in force."""
+        self.assertLess(
+            await self.write_burst(node), default_settings().process.configuration_ms / 1000
+        )
+        versions = [v for v in versions_in_force(node) if v in self.versions]
+        self.assertEqual(sorted(set(versions)), versions)
+        return versions
+
+    async def test_process_near_the_store_puts_the_newest_in_force(self) -> None:
+        node = self.world.start_node("near")
+        await self.world.wait_ready(node)
+        await self.check(node)
+
+    async def test_process_on_a_slow_link_skips_what_is_overtaken(self) -> None:
+        # Each transfer lasts for two changes; one that follows every change falls ever further
+        # behind.
+        node = self.start_behind_link()
+        await self.world.wait_ready(node)
+        self.link.bytes_per_s = LINK_BYTES_PER_S
+        self.assertLess(len(await self.check(node)), BURST_CHANGES)
+
+
 class OutageTest(SlowLinkCase):
     """A process reconnects after it missed many changes."""
 
