--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -18,6 +18,7 @@
     _known_state,
     _lease,
     _limits,
+    _placement,
     _pool,
     _service,
     _worker_session,
@@ -66,6 +67,9 @@
     """Starts are ordered however stale the known state is."""
     LEAVING_NOT_ASKED_AGAIN = "leaving-not-asked-again"
     """Nothing is checked again between the record of a placement and its start order."""
+    LATE_WORK_STARVES = "late-work-starves"
+    """Late work never goes first. The soak does not judge latency, so `tests/test_feasibility.py`
+    detects it."""
 
 
 TRANSACTION = _journal.Journal._transaction
@@ -156,6 +160,8 @@
             _replace(_pool.PoolState, "drop_worker", _drop_worker_and_all_starts)
         case Mutant.ROOM_NOT_READ_AGAIN:
             _replace(_pool.PoolState, "add_worker", _keep_first_capacity)
+        case Mutant.LATE_WORK_STARVES:
+            _replace(_placement, "is_long_overdue", lambda *arguments: False)
         case Mutant.CHANGES_REPLAYED:
             _replace(_table_follower.TableFollower, "_should_rescan", lambda *arguments: False)
 
--- a/tests/test_feasibility.py
+++ b/tests/test_feasibility.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import contextmanager
 from dataclasses import replace
 from functools import cache
+from typing import TYPE_CHECKING
 from unittest.mock import patch
 
 from pumicespur.jobs import _placement
@@ -20,6 +22,7 @@
 )
 from pumicespur.jobs._placement import order_groups
 from pumicespur.schema.jobs_pb import StepRecord
+from soak.mutant import Mutant, apply_mutant
 from tests.pool_play import (
     ACCOUNTS,
     BATCH,
@@ -35,6 +38,9 @@
 )
 from tests.test_jobs import make_pool, make_record, make_worker, run_all, submit
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 SEEDS = (1, 2, 3)
 
 STEP = StepRecord(count=1, cpu_millis=1000, estimated_ms=1000)
@@ -54,9 +60,17 @@
     return [PoolPlay(load, seed).run() for seed in SEEDS]
 
 
+@contextmanager
+def unbounded_wait() -> Iterator[None]:
+    """Apply the soak's mutant without the bound of the wait of late work."""
+    with patch.object(_placement, "is_long_overdue"):
+        apply_mutant(Mutant.LATE_WORK_STARVES)
+        yield
+
+
 def play_unbounded(load: Load) -> list[Outcome]:
     """Play a load without the bound of the wait of late work."""
-    with patch.object(_placement, "is_long_overdue", lambda *arguments: False):
+    with unbounded_wait():
         return [PoolPlay(load, seed).run() for seed in SEEDS]
 
 
@@ -129,9 +143,9 @@
                     self.assertLessEqual(wait_s, LONGEST_WAIT_S)
 
     def test_finds_late_work_that_starves(self) -> None:
-        with patch.object(_placement, "is_long_overdue", lambda *arguments: False):
+        with unbounded_wait():
             wait_s = self.longest_wait_s(BATCH, exceeds_share=True)
-            self.assertGreater(wait_s, LONGEST_WAIT_S)
+        self.assertGreater(wait_s, LONGEST_WAIT_S)
 
 
 class PlayTest(unittest.TestCase):
