Stand-ins: data halls, evacuations by operators, cold workers and ranges of rows

A world can have several halls, assigned by rack; without that all racks are in one hall as before. Each run records for how long its hall had been evacuated when it began. A late start that a later incarnation carries out records nothing: that incarnation's clock is set back, so that no deadline of the order bounds it.

--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -5,6 +5,7 @@
 from standins.hosted._advice import TICKET_VALIDITY_MS
 from standins.hosted._fleet import FleetOrder, HostedFleet
 from standins.hosted._foreign import FOREIGN_ENTRIES, USUAL_ENTRY
+from standins.hosted._halls import DEFAULT_HALL, HallEvacuations
 from standins.hosted._links import Link, Passage
 from standins.hosted._nodes import NODE_MODULE, SUSPENDABLE_MODULE, Node, Nodes
 from standins.hosted._store import HostedStore, StoredRow
@@ -13,6 +14,7 @@
 
 __all__ = [
     "CRASHING_PAYLOAD",
+    "DEFAULT_HALL",
     "FOREIGN_ENTRIES",
     "HOST",
     "MAX_ATTEMPTS",
@@ -22,6 +24,7 @@
     "USUAL_ENTRY",
     "WORKER_CPU",
     "FleetOrder",
+    "HallEvacuations",
     "HostedFleet",
     "HostedStore",
     "HostedWorker",
--- a/standins/hosted/_fleet.py
+++ b/standins/hosted/_fleet.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from pumicespur.utils import monotonic
+from standins.hosted._halls import DEFAULT_HALL
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -35,11 +36,14 @@
         self,
         take_down: Callable[[str], Awaitable[None]],
         bring_up: Callable[[str, str], Awaitable[None]],
+        hall_of: Callable[[str], str] = lambda rack: DEFAULT_HALL,
     ) -> None:
         self.take_down = take_down
         """Stops the worker of an instance."""
         self.bring_up = bring_up
         """Starts a new worker on an instance, in a pool."""
+        self.hall_of = hall_of
+        """Returns the data hall of a rack."""
         self.busy_s = 0.0
         """Duration of a move or maintenance."""
         self.busy: dict[str, str] = {}
@@ -69,7 +73,7 @@
                 "machine": name,
                 "pool": pool,
                 "state": self.busy.get(name, "up"),
-                "zone": "hall",
+                "zone": self.hall_of(self.racks[name]),
                 "labels": ["a", self.racks[name]],
                 "capacity": {"cpu": 4000, "memMb": 8000},
                 "id": self.workers.get(name),
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -186,6 +186,7 @@
                 for (table, part, key), row in self.rows.items()
                 if table == query["table"] and part == query.get("part", "") and not row.gone
                 if key >= query.get("from", "")
+                if "targetVersion" not in query or key < query["targetVersion"]
             ),
             key=lambda row: row.place,
         )
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -13,11 +13,14 @@
 from aiohttp import web
 
 from pumicespur.utils import monotonic
+from standins.hosted._halls import DEFAULT_HALL
 from standins.hosted._serving import AppServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from standins.hosted._halls import HallEvacuations
+
 ENDLESS_S = 10**9
 """Duration longer than any test."""
 
@@ -30,6 +33,9 @@
 INITIAL_CLOCK_MS = 10_000_000.0
 """Clock of a worker's first incarnation at its start; later incarnations start at a lower time."""
 
+COLD_SLOWDOWN = 2.0
+"""Factor by which tasks take longer on a cold worker."""
+
 CRASH_DELAY_S = 0.01
 """Time from the start of such a task to the crash, so that the start still gets its response."""
 
@@ -60,6 +66,8 @@
     """Throttle of the run: its speed in percent of full speed."""
     since_leaving_s: float | None = None
     """How long before the start the worker had published that it leaves; None if it had not."""
+    since_evacuation_s: float | None = None
+    """How long before the start the worker's data hall was evacuated; None if it was not."""
 
 
 @dataclass
@@ -93,6 +101,11 @@
     """Changes of capacity: monotonic time, and from then on thousandths of a core."""
     memory_mb: int = 8000
     task_s: float = 0.05
+    hall: str = DEFAULT_HALL
+    evacuations: HallEvacuations | None = None
+    """The operators' evacuations of data halls, by which starts are recorded."""
+    cold_until: float = 0.0
+    """Monotonic time in seconds until which tasks take longer."""
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     address: str = ""
     born: int = field(default_factory=lambda: next(_start_times_ms))
@@ -139,6 +152,7 @@
             self.id, self.pool, self.instance, self.rack, self.history, self.cpu
         )
         restarted.capacities = self.capacities
+        restarted.hall = self.hall
         restarted.task_s = self.task_s
         restarted.clock_base_ms = INITIAL_CLOCK_MS / 2
         self.next_incarnation = restarted
@@ -157,19 +171,21 @@
 
     def encode_entry(self) -> bytes:
         """Return the worker's entry in the store."""
-        return json.dumps(
-            {
-                "backend": self.pool,
-                "address": self.address,
-                "zone": "hall",
-                "state": "ready" if self.leaving_at is None else "draining",
-                "capacity": {"cpu": self.cpu, "memMb": self.memory_mb},
-                "labels": ["a", self.rack],
-                "machine": self.instance,
-                "callSeq": 0,
-                "born": self.born,
-            }
-        ).encode()
+        entry = {
+            "backend": self.pool,
+            "address": self.address,
+            "zone": self.hall,
+            "state": "ready" if self.leaving_at is None else "draining",
+            "capacity": {"cpu": self.cpu, "memMb": self.memory_mb},
+            "labels": ["a", self.rack],
+            "machine": self.instance,
+            "callSeq": 0,
+            "born": self.born,
+        }
+        cold_s = self.cold_until - monotonic()
+        if cold_s > 0:
+            entry["coldRemainingMs"] = int(cold_s * 1000)
+        return json.dumps(entry).encode()
 
     def resize(self, cpu: int) -> None:
         """Change the capacity from now on; present runs continue."""
@@ -236,7 +252,8 @@
         """Carry out a late start order, in the latest incarnation if the worker has restarted.
 
         If a stop order revoked the run in an earlier incarnation, the start is dropped, unless a
-        test sets `late_starts_ignore_stops`.
+        test sets `late_starts_ignore_stops`. The clock of a later incarnation is set back, so that
+        the order's deadline does not bound the start there, nor does an evacuation.
         """
         incarnation = self
         while incarnation.next_incarnation is not None:
@@ -245,9 +262,9 @@
                 return
             incarnation = incarnation.next_incarnation
         if incarnation.alive:
-            incarnation._process_start(body)
+            incarnation._process_start(body, is_bounded=incarnation is self)
 
-    def _process_start(self, body: dict[str, Any]) -> web.Response:
+    def _process_start(self, body: dict[str, Any], *, is_bounded: bool = True) -> web.Response:
         refused = self._accept_order(body)
         if refused is not None:
             return refused
@@ -259,10 +276,12 @@
             return self._refuse("old")
         if body["deadlineMs"] < self.clock_ms():
             return self._refuse("late")
-        self._begin(body)
+        self._begin(body, is_bounded=is_bounded)
         return web.json_response({"clockMs": self.clock_ms()})
 
-    def _begin(self, body: dict[str, Any]) -> None:
+    def _begin(self, body: dict[str, Any], *, is_bounded: bool) -> None:
+        """Start a run; a start that its deadline did not bound is not held against evacuations."""
+        evacuations = self.evacuations if is_bounded else None
         run = Run(
             body["task"],
             body["run"],
@@ -273,6 +292,7 @@
             monotonic(),
             ticket=body.get("ticket", ""),
             since_leaving_s=None if self.leaving_at is None else monotonic() - self.leaving_at,
+            since_evacuation_s=None if evacuations is None else evacuations.age_s(self.hall),
         )
         self.running[run.task] = run
         self.history.append(run)
@@ -280,7 +300,8 @@
         if self._crashes_worker(run) and self.on_crash is not None:
             loop.call_later(CRASH_DELAY_S, self.on_crash)
             return
-        duration_s = ENDLESS_S if run.payload == "lasts" else self.task_s
+        slowdown = COLD_SLOWDOWN if monotonic() < self.cold_until else 1.0
+        duration_s = ENDLESS_S if run.payload == "lasts" else self.task_s * slowdown
         if duration_s < ENDLESS_S:
             how = "failed" if self.faults.fail_all or run.payload == "fails" else "done"
             loop.call_later(duration_s, self._end, run, how)
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -14,6 +14,7 @@
 from pumicespur.utils import monotonic
 from standins.hosted._advice import HostedAdvice
 from standins.hosted._fleet import HostedFleet
+from standins.hosted._halls import DEFAULT_HALL, HallEvacuations
 from standins.hosted._nodes import NODE_MODULE, Nodes
 from standins.hosted._serving import AppServer
 from standins.hosted._store import HostedStore
@@ -41,7 +42,10 @@
 
     def __init__(self) -> None:
         self.store = HostedStore()
-        self.fleet = HostedFleet(self.take_down, self.bring_up)
+        self.halls: dict[str, str] = {}
+        """Data halls by rack; a rack that is missing is in `DEFAULT_HALL`."""
+        self.evacuations = HallEvacuations(self.store)
+        self.fleet = HostedFleet(self.take_down, self.bring_up, self.hall_of)
         self.advice = HostedAdvice()
         self.nodes = Nodes()
         self.node_module = NODE_MODULE
@@ -57,6 +61,8 @@
         self.worker_numbers = itertools.count(1)
         self.task_s = TASK_S
         """Duration of a short task on new workers."""
+        self.cold_s = 0.0
+        """Time for which workers are cold after their start or an evacuation of their hall."""
         self.servers: list[AppServer] = []
         self.capacities: dict[str, list[tuple[float, int]]] = {}
         """By worker, also those that are gone: its `HostedWorker.capacities`."""
@@ -137,6 +143,8 @@
 
     async def _start_incarnation(self, worker: HostedWorker, port: int = 0) -> None:
         worker.on_crash = lambda: self._schedule_crash(worker)
+        worker.hall, worker.evacuations = self.hall_of(worker.rack), self.evacuations
+        worker.cold_until = monotonic() + self.cold_s
         try:
             await worker.serve(port)
         except OSError:
@@ -192,6 +200,24 @@
         """Return runs that started over `allowed_s` after their worker was marked as leaving."""
         return [run for run in self.history if (run.since_leaving_s or 0.0) > allowed_s]
 
+    def hall_of(self, rack: str) -> str:
+        """Return the data hall of a rack."""
+        return self.halls.get(rack, DEFAULT_HALL)
+
+    def end_evacuation(self, hall: str) -> None:
+        """End the evacuation of a data hall, whose workers may be cold then."""
+        if self.evacuations.current(hall) is None:
+            return
+        self.evacuations.end(hall)
+        for worker in self.workers.values():
+            if self.cold_s and worker.hall == hall:
+                worker.cold_until = monotonic() + self.cold_s
+                self.store.put(("servers", "", worker.id), worker.encode_entry())
+
+    def starts_in_evacuated_halls(self, allowed_s: float) -> list[Run]:
+        """Return runs that started over `allowed_s` after the evacuation of their hall began."""
+        return [run for run in self.history if (run.since_evacuation_s or 0.0) > allowed_s]
+
     def resize_worker(self, instance: str, cpu: int) -> None:
         """Change a worker's capacity and its entry in the store."""
         worker = self.workers[instance]
