Soak: evacuations of data halls, judged by what workers start there

A data hall per rack; evacuations of one hall, two that overlap, or all, alone and beside a killed node, a slow store, one that forgets its history, and tables that are refused or not told of. The nodes' evacuate_ms is 1.5 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
     Deployment,
     FaultKind,
     Plan,
+    draw_evacuation_plan,
     draw_overlapping_plan,
     draw_plan,
     load_plan,
@@ -49,13 +50,21 @@
     workers: int = 6,
     at_once: int = 2,
     kinds: list[FaultKind] | None = None,
+    evacuations: bool = False,
     keep: Path = DEFAULT_ARTIFACTS_DIR,
     module: str = SUSPENDABLE_MODULE,
 ) -> int:
-    """Run the plans of consecutive seeds, several at once; new seeds unless one is given."""
+    """Run the plans of consecutive seeds, several at once; new seeds unless one is given.
+
+    With `evacuations`, the plans evacuate data halls, alone or beside one other fault each.
+    """
     first = int(time.time()) % 10_000_000 if seed is None else seed
     deployment = Deployment(nodes=nodes, workers=workers)
-    plans = [draw_plan(first + n, length_s, deployment, kinds or ()) for n in range(count)]
+    seeds = range(first, first + count)
+    if evacuations:
+        plans = [draw_evacuation_plan(number, length_s, deployment) for number in seeds]
+    else:
+        plans = [draw_plan(number, length_s, deployment, kinds or ()) for number in seeds]
     outcomes = asyncio.run(_run_plans(plans, at_once, keep, module))
     failed = [outcome.plan.seed for outcome in outcomes if outcome.findings]
     print(f"{count - len(failed)} seeds held, {len(failed)} failed: {failed}")
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -40,6 +40,10 @@
 """Time after a worker's announcement that it leaves, from which on no task may start on it;
 `drain_ms` of the nodes' settings."""
 
+EVACUATE_TIMEOUT_S = 1.5
+"""Time after the store has taken an evacuation, from which on no task may start in that data hall;
+`evacuate_ms` of the nodes' settings."""
+
 MAX_UNAVAILABLE_S = 1.5
 """Time for which a long-running task may be unavailable before it counts towards the budget:
 a worker's lease in the soak, and the time to start the task again."""
@@ -98,6 +102,7 @@
             self._check_crashing_jobs(runs),
             self._check_capacity(),
             self._check_leaving_workers(),
+            self._check_evacuated_halls(),
             self._check_account_limits(),
             self._check_api_keys(),
             self._check_runs_requested(),
@@ -195,6 +200,18 @@
         for run in self.world.starts_on_leaving(DRAIN_TIMEOUT_S):
             yield Finding("nothing starts on a worker that leaves", str(run))
 
+    def _check_evacuated_halls(self) -> Iterator[Finding]:
+        """Check that nothing starts in a data hall once its evacuation is binding.
+
+        This holds during faults too, because the worker refuses an order that arrives too late.
+        """
+        for run in self.world.starts_in_evacuated_halls(EVACUATE_TIMEOUT_S):
+            age_s = f"{run.since_evacuation_s:.3f} s after the evacuation"
+            yield Finding(
+                "no start in an evacuated hall",
+                f"{run.task} run {run.number} on {run.worker}, {age_s}",
+            )
+
     def _check_account_limits(self) -> Iterator[Finding]:
         details = find_runs_over_limit(
             self.world.account_history,
@@ -378,6 +395,10 @@
                 yield Finding("no key stands in a log", node.name)
 
     def _check_nothing_lost(self) -> Iterator[Finding]:
+        all_halls = set(self.world.halls.values())
+        if all_halls and all_halls <= self.world.evacuations.evacuated_halls():
+            # Nothing may start anywhere, so what waits is not lost.
+            return
         running = {run.task for run in self.world.history if run.ended_at is None}
         for job in self.jobs.values():
             if job.accepted_at is None or job.cancel_sent_at is not None:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,12 +11,8 @@
 
 from pumicespur.utils import monotonic
 from soak._accounts import ACCOUNT_NAMES, LOW_LIMIT_CPU_MILLIS, NORMAL_LIMIT_CPU_MILLIS
-from soak._leaving import (
-    DEPARTURE_KINDS,
-    WORKER_RECORD_KINDS,
-    block_worker_records,
-    make_workers_leave,
-)
+from soak._evacuations import evacuate_halls
+from soak._leaving import DEPARTURE_KINDS, RECORD_KINDS, block_records, make_workers_leave
 from soak._plan import FaultKind
 from soak._restarts import RESTART_KINDS, restart_workers
 from soak._world import FOREIGN_PREFIX
@@ -69,6 +65,7 @@
         FaultKind.LIMIT_FALLS,
         FaultKind.HOT_ACCOUNT,
         FaultKind.WAVE,
+        FaultKind.EVACUATE_HALL,
     }
 )
 """Planned work and other events that are no faults: every promise must hold during them."""
@@ -141,8 +138,10 @@
                 )
             case kind if kind in DEPARTURE_KINDS:
                 await make_workers_leave(self.world, fault)
-            case kind if kind in WORKER_RECORD_KINDS:
-                await block_worker_records(self.world, fault)
+            case kind if kind in RECORD_KINDS:
+                await block_records(self.world, fault)
+            case FaultKind.EVACUATE_HALL:
+                await evacuate_halls(self.world, fault)
             case kind if kind in RESTART_KINDS:
                 await restart_workers(self.world, fault)
             case FaultKind.FOREIGN_ENTRIES:
--- a/soak/_leaving.py
+++ b/soak/_leaving.py
@@ -1,4 +1,4 @@
-"""Faults in which workers announce that they leave, or the store withholds worker records."""
+"""Faults in which workers announce that they leave, or the store withholds such records."""
 
 from __future__ import annotations
 
@@ -22,8 +22,14 @@
     }
 )
 
-WORKER_RECORD_KINDS = frozenset(
-    {FaultKind.LIST_UNREAD, FaultKind.LIST_UNTOLD, FaultKind.COMMITS_REFUSED}
+RECORD_KINDS = frozenset(
+    {
+        FaultKind.LIST_UNREAD,
+        FaultKind.LIST_UNTOLD,
+        FaultKind.COMMITS_REFUSED,
+        FaultKind.EVACUATIONS_UNREAD,
+        FaultKind.EVACUATIONS_UNTOLD,
+    }
 )
 
 SHORT_NOTICE_S = 0.15
@@ -72,13 +78,15 @@
     await world.replace_worker(worker, for_s / 2, next_pool)
 
 
-async def block_worker_records(world: SoakWorld, fault: Fault) -> None:
-    """Make the store withhold the list of workers, or refuse records of where tasks run."""
+async def block_records(world: SoakWorld, fault: Fault) -> None:
+    """Make the store withhold workers or evacuations, or refuse records of where tasks run."""
     faults = world.store.faults
     blocked, value = {
         FaultKind.LIST_UNREAD: (faults.refused_tables, "servers"),
         FaultKind.LIST_UNTOLD: (faults.stalled_feeds, "servers"),
         FaultKind.COMMITS_REFUSED: (faults.refused_texts, WORKER_ID_PREFIX),
+        FaultKind.EVACUATIONS_UNREAD: (faults.refused_tables, "op"),
+        FaultKind.EVACUATIONS_UNTOLD: (faults.stalled_feeds, "op"),
     }[fault.kind]
     blocked.add(value)
     await asyncio.sleep(fault.for_s)
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -72,6 +72,10 @@
     LIST_UNREAD = "list of workers refused"
     LIST_UNTOLD = "changes of the workers told to nobody"
     COMMITS_REFUSED = "commits of starts refused"
+    EVACUATE_HALL = "data hall evacuated"
+    """One hall, two whose evacuations overlap, or all of them, by the fault's strength."""
+    EVACUATIONS_UNREAD = "operators' table refused"
+    EVACUATIONS_UNTOLD = "changes of the operators' table told to nobody"
     WORKER_CLOCK_SLOW = "worker's clock slow"
     WORKER_SHRINKS = "worker's room shrinks"
     FOREIGN_ENTRIES = "entries of other writers among the workers"
@@ -85,6 +89,18 @@
     WAVE = "maintenance wave"
 
 
+EVACUATION_COMPANIONS: tuple[tuple[FaultKind, ...], ...] = (
+    (),
+    (FaultKind.KILL_NODE,),
+    (FaultKind.STORE_SLOW,),
+    (FaultKind.STORE_FORGETS,),
+    (FaultKind.LIST_UNTOLD,),
+    (FaultKind.EVACUATIONS_UNREAD,),
+    (FaultKind.EVACUATIONS_UNTOLD,),
+)
+"""Faults that are drawn together with evacuations of data halls, in turn by seed."""
+
+
 @dataclass(frozen=True)
 class Deployment:
     """Number of processes, workers and callers in a run."""
@@ -159,6 +175,12 @@
     return Plan(seed, deployment, length_s, tuple(faults))
 
 
+def draw_evacuation_plan(seed: int, length_s: float, deployment: Deployment) -> Plan:
+    """Draw evacuations, alone or beside one of the faults that delay what owners know of them."""
+    companions = EVACUATION_COMPANIONS[seed % len(EVACUATION_COMPANIONS)]
+    return draw_overlapping_plan(seed, length_s, deployment, (FaultKind.EVACUATE_HALL, *companions))
+
+
 def _draw_series(source: random.Random, length_s: float, kinds: Sequence[FaultKind]) -> list[Fault]:
     kind = source.choice(kinds)
     at_s = source.uniform(FIRST_FAULT_DELAY_S, length_s)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,7 +12,7 @@
 from soak._checker import CONFIGURE_TIMEOUT_S, Checker, Finding
 from soak._faults import Injector
 from soak._plan import save_plan
-from soak._world import INSTANCES_PER_RACK, SoakWorld
+from soak._world import COLD_S, HALLS, INSTANCES_PER_RACK, SoakWorld
 from standins.hosted import SUSPENDABLE_MODULE
 
 if TYPE_CHECKING:
@@ -75,6 +75,10 @@
 
 async def _start_deployment(plan: Plan, world: SoakWorld) -> None:
     size = plan.deployment.workers
+    world.cold_s = COLD_S
+    for number in range(size + plan.deployment.spares):
+        rack = number // INSTANCES_PER_RACK
+        world.halls[f"r1-{rack}"] = f"hall-{rack % HALLS}"
     for number in range(size):
         await world.add_worker(f"m-{number:02}", f"r1-{number // INSTANCES_PER_RACK}")
     for number in range(size, size + plan.deployment.spares):
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -26,6 +26,12 @@
 
 INSTANCES_PER_RACK = 2
 
+HALLS = 4
+"""Data halls, to which racks belong in turn; as many as in the deployments that evacuate them."""
+
+COLD_S = 0.5
+"""Time for which workers are cold; some tasks at half speed."""
+
 
 @dataclass
 class NodeLinks:
--- a/standins/hosted/_halls.py
+++ b/standins/hosted/_halls.py
@@ -54,6 +54,10 @@
         """Return the evacuation of a hall that is in force, if any."""
         return next((p for p in reversed(self.periods) if p.hall == hall and p.is_open), None)
 
+    def evacuated_halls(self) -> set[str]:
+        """Return the halls whose evacuation is in force."""
+        return {period.hall for period in self.periods if period.is_open}
+
     def age_s(self, hall: str) -> float | None:
         """Return for how long a hall has been evacuated, None if it is not."""
         period = self.current(hall)
--- a/standins/hosted/_nodes.py
+++ b/standins/hosted/_nodes.py
@@ -44,6 +44,7 @@
 longest_lease_ms = 3000
 drain_ms = 1200
 cancel_ms = 2000
+evacuate_ms = 1500
 advice = {advice}
 [fleet]
 address = {fleet}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,9 +10,25 @@
 from typing import cast
 
 from soak._callers import Caller, Exchange, JobKind, SentJob
-from soak._checker import CAPACITY_UPDATE_TIMEOUT_S, MAX_CRASHING_STARTS, Checker
+from soak._checker import (
+    CAPACITY_UPDATE_TIMEOUT_S,
+    EVACUATE_TIMEOUT_S,
+    MAX_CRASHING_STARTS,
+    Checker,
+)
+from soak._evacuations import evacuate_halls
 from soak._faults import Injector
-from soak._plan import Deployment, Plan, draw_plan, load_plan, save_plan
+from soak._plan import (
+    EVACUATION_COMPANIONS,
+    Deployment,
+    Fault,
+    FaultKind,
+    Plan,
+    draw_evacuation_plan,
+    draw_plan,
+    load_plan,
+    save_plan,
+)
 from soak._run import run_plan
 from soak._world import SoakWorld
 from standins.hosted import NODE_MODULE, WORKER_CPU, Link, Passage, Run
@@ -38,6 +54,17 @@
             save_plan(plan, path)
             self.assertEqual(plan, load_plan(path))
 
+    def test_evacuations_are_drawn_alone_and_beside_each_companion(self) -> None:
+        """Guards against a companion of evacuations that no seed draws."""
+        drawn = {
+            frozenset(fault.kind for fault in draw_evacuation_plan(seed, 10, Deployment()).faults)
+            for seed in range(len(EVACUATION_COMPANIONS))
+        }
+        self.assertEqual(
+            {frozenset((FaultKind.EVACUATE_HALL, *kinds)) for kinds in EVACUATION_COMPANIONS},
+            drawn,
+        )
+
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     """The loopback proxy between two parties."""
@@ -213,6 +240,59 @@
         self.record_exchange("GET", 200, "failed")
         self.assertIn("a failed job has used its attempts", self.broken_promises())
 
+    def test_start_in_an_evacuated_hall(self) -> None:
+        """Guards against starts after the bound of an evacuation that go unnoticed."""
+        run = self.add_run(1, 1.0, 2.0, "done")
+        run.since_evacuation_s = EVACUATE_TIMEOUT_S - 0.1
+        self.assertEqual(set(), self.broken_promises())
+        run.since_evacuation_s = EVACUATE_TIMEOUT_S + 0.1
+        self.assertEqual({"no start in an evacuated hall"}, self.broken_promises())
+
+    def test_waiting_job_is_lost_only_if_a_hall_is_open(self) -> None:
+        """Guards against false findings while no start is allowed, and against none otherwise."""
+        self.world.halls = {"r1-0": "hall-0", "r1-1": "hall-1"}
+        self.world.evacuations.begin("hall-0")
+        self.world.evacuations.begin("hall-1")
+        self.checker.check_settled()
+        self.assertEqual(set(), self.checker.findings)
+        self.world.end_evacuation("hall-1")
+        self.checker.check_settled()
+        self.assertEqual(
+            {"accepted jobs complete"}, {finding.promise for finding in self.checker.findings}
+        )
+
+
+class EvacuationFaultTest(unittest.IsolatedAsyncioTestCase):
+    """Data halls that an evacuation fault closes, and opens again."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.world = SoakWorld(NODE_MODULE)
+        self.world.halls = {f"r1-{number}": f"hall-{number}" for number in range(4)}
+
+    async def asyncTearDown(self) -> None:
+        self.world.nodes.close()
+
+    async def halls_closed_by(self, strength: float) -> list[str]:
+        await evacuate_halls(self.world, Fault(FaultKind.EVACUATE_HALL, 0.0, 0.02, 3, strength))
+        self.assertEqual(set(), self.world.evacuations.evacuated_halls())
+        return [period.hall for period in self.world.evacuations.periods]
+
+    async def test_weak_fault_closes_the_target_only(self) -> None:
+        """Guards against plans that never leave another hall open."""
+        self.assertEqual(["hall-3"], await self.halls_closed_by(0.1))
+
+    async def test_stronger_fault_closes_two_halls_that_overlap(self) -> None:
+        """Guards against evacuations that are only ever alone."""
+        self.assertEqual(["hall-3", "hall-0"], await self.halls_closed_by(0.6))
+        first, second = self.world.evacuations.periods
+        self.assertLess(second.began_at, first.ended_at)
+        self.assertLess(first.ended_at, second.ended_at)
+
+    async def test_strongest_fault_closes_all_halls(self) -> None:
+        """Guards against plans in which some hall is always open."""
+        self.assertEqual(4, len(await self.halls_closed_by(0.9)))
+
 
 class RunPlanTest(unittest.IsolatedAsyncioTestCase):
     """Runs of real processes under faults."""
