--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -52,17 +52,22 @@
 
 def _priority_key(
     group: StepGroup, now_ms: float, goes_first: bool
-) -> tuple[bool, float, str, int, int]:
-    """Return a sort key: groups that go first by their deadline alone, then all others."""
+) -> tuple[bool, bool, float, str, int, int]:
+    """Return a sort key: groups that go first by their deadline alone, then all others.
+
+    Jobs that have begun and can be in time go before those that have not begun. Otherwise a pool
+    at its load peak has many jobs half done, which then all miss their deadlines.
+    """
     job = group.job
     deadline = job.deadline_ms
+    begun = not is_overdue(group, now_ms) and any(task.run for task in job.tasks)
     if not goes_first:
         deadline += job.priority * PRIORITY_DELAY_MS
         if is_overdue(group, now_ms):
             deadline += OVERDUE_DELAY_MS
         if job.exceeds_share:
             deadline += OVER_SHARE_DELAY_MS
-    return (not goes_first, deadline, job.id, group.repeat, group.step)
+    return (not goes_first, not begun, deadline, job.id, group.repeat, group.step)
 
 
 def release_evacuated_racks(groups: Iterable[StepGroup], loads: Iterable[WorkerLoad]) -> None:
