Soak: mutants of evacuated data halls; readings of evacuations can be refused

The fault now refuses only ranges of keys.

The finding of a process that ended unasked names its exit status.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -130,6 +130,10 @@
     Mutant.AGES_IGNORED: (FaultKind.WORKERS_SCALED_IN, FaultKind.LIST_UNREAD),
     Mutant.LEAVING_NOT_ASKED_AGAIN: (FaultKind.WORKERS_RELEASED, FaultKind.COMMITS_REFUSED),
     Mutant.LIMITS_IGNORED: (FaultKind.HOT_ACCOUNT, FaultKind.LIMIT_FALLS),
+    Mutant.EVACUATION_AGES_IGNORED: (FaultKind.EVACUATE_HALL, FaultKind.EVACUATIONS_UNREAD),
+    Mutant.EVACUATED_HALLS_IGNORED: (FaultKind.EVACUATE_HALL,),
+    Mutant.HALLS_EVACUATED_FOR_GOOD: (FaultKind.EVACUATE_HALL,),
+    Mutant.EVACUATIONS_FORGOTTEN: (FaultKind.EVACUATE_HALL,),
 }
 """Faults that, when they overlap, reveal the safeguard that each mutant lacks."""
 
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -386,7 +386,8 @@
     def _check_processes(self) -> Iterator[Finding]:
         for node in self.world.started_nodes:
             if node.process.poll() is not None and node.process.pid not in self.world.expected_ends:
-                yield Finding("processes end only when asked", f"{node.name} {node.process.pid}")
+                ended = f"{node.name} {node.process.pid} with status {node.process.returncode}"
+                yield Finding("processes end only when asked", ended)
         for node in self.world.nodes.nodes.values():
             text = node.log.read_text()
             if "Traceback" in text:
--- a/soak/_leaving.py
+++ b/soak/_leaving.py
@@ -85,7 +85,7 @@
         FaultKind.LIST_UNREAD: (faults.refused_tables, "servers"),
         FaultKind.LIST_UNTOLD: (faults.stalled_feeds, "servers"),
         FaultKind.COMMITS_REFUSED: (faults.refused_texts, WORKER_ID_PREFIX),
-        FaultKind.EVACUATIONS_UNREAD: (faults.refused_tables, "op"),
+        FaultKind.EVACUATIONS_UNREAD: (faults.refused_ranges, "op"),
         FaultKind.EVACUATIONS_UNTOLD: (faults.stalled_feeds, "op"),
     }[fault.kind]
     blocked.add(value)
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -74,7 +74,7 @@
     COMMITS_REFUSED = "commits of starts refused"
     EVACUATE_HALL = "data hall evacuated"
     """One hall, two whose evacuations overlap, or all of them, by the fault's strength."""
-    EVACUATIONS_UNREAD = "operators' table refused"
+    EVACUATIONS_UNREAD = "readings of evacuations refused"
     EVACUATIONS_UNTOLD = "changes of the operators' table told to nobody"
     WORKER_CLOCK_SLOW = "worker's clock slow"
     WORKER_SHRINKS = "worker's room shrinks"
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -20,11 +20,12 @@
     _limits,
     _pool,
     _service,
+    _worker_load,
     _worker_session,
     _worker_starts,
 )
 from pumicespur.model import ANONYMOUS_ACCOUNT
-from pumicespur.node import _table_follower
+from pumicespur.node import _evacuations, _table_follower
 from pumicespur.platform import _callers, _declarations, _orders, _table
 from pumicespur.store import Transaction
 
@@ -66,6 +67,14 @@
     """Starts are ordered however stale the known state is."""
     LEAVING_NOT_ASKED_AGAIN = "leaving-not-asked-again"
     """Nothing is checked again between the record of a placement and its start order."""
+    EVACUATION_AGES_IGNORED = "evacuation-ages-ignored"
+    """Starts are ordered however old the known evacuations of data halls are."""
+    EVACUATED_HALLS_IGNORED = "evacuated-halls-ignored"
+    """Workers in evacuated data halls get tasks as any others do, at placement and at the order."""
+    HALLS_EVACUATED_FOR_GOOD = "halls-evacuated-for-good"
+    """A data hall stays evacuated when its row is gone."""
+    EVACUATIONS_FORGOTTEN = "evacuations-forgotten"
+    """A reading leaves out the evacuations that an earlier one has shown."""
 
 
 TRANSACTION = _journal.Journal._transaction
@@ -74,6 +83,9 @@
 FIRST_CAPACITIES: dict[Any, Any] = {}
 SUBMIT = _service.JobService.submit
 DROP_WORKER = _pool.PoolState.drop_worker
+STALENESS_REASON = _known_state.KnownState.staleness_reason
+VALID_FOR_S = _known_state.KnownState.valid_for_s
+DECODE_EVACUATIONS = _evacuations.EvacuationFollower._decode
 AUTHENTICATE = _callers.CallerServer._authenticate
 
 
@@ -118,6 +130,23 @@
         read.give_up()
 
 
+def _find_other_staleness(self: _known_state.KnownState, *arguments: Any) -> str:
+    return STALENESS_REASON(replace(self, evacuations=None), *arguments)
+
+
+def _other_validity_s(self: _known_state.KnownState, *arguments: Any) -> float:
+    return VALID_FOR_S(replace(self, evacuations=None), *arguments)
+
+
+def _keep_evacuations(self: _evacuations.EvacuationFollower, rows: Any) -> Any:
+    return {**self.view.evacuated_halls, **DECODE_EVACUATIONS(self, rows)}
+
+
+def _decode_new_evacuations(self: _evacuations.EvacuationFollower, rows: Any) -> Any:
+    shown_to = self.view.evacuations_progress.version
+    return DECODE_EVACUATIONS(self, [row for row in rows if row.version > shown_to])
+
+
 def apply_mutant(mutant: Mutant) -> None:
     """Disable one safeguard of the product in this process."""
     match mutant:
@@ -150,6 +179,16 @@
         case Mutant.AGES_IGNORED:
             _replace(_known_state.KnownState, "staleness_reason", lambda *arguments: "")
             _replace(_known_state.KnownState, "valid_for_s", lambda *arguments: math.inf)
+        case Mutant.EVACUATION_AGES_IGNORED:
+            _replace(_known_state.KnownState, "staleness_reason", _find_other_staleness)
+            _replace(_known_state.KnownState, "valid_for_s", _other_validity_s)
+        case Mutant.EVACUATED_HALLS_IGNORED:
+            never = property(lambda self: False, lambda self, evacuated: None)
+            _replace(_worker_load.WorkerLoad, "hall_evacuated", never)
+        case Mutant.HALLS_EVACUATED_FOR_GOOD:
+            _replace(_evacuations.EvacuationFollower, "_decode", _keep_evacuations)
+        case Mutant.EVACUATIONS_FORGOTTEN:
+            _replace(_evacuations.EvacuationFollower, "_decode", _decode_new_evacuations)
         case Mutant.LEAVING_NOT_ASKED_AGAIN:
             _replace(_worker_starts.WorkerStarts, "_reason_to_withhold", lambda *arguments: "")
         case Mutant.OPEN_STARTS_FORGOTTEN:
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -71,6 +71,8 @@
     late_s: float = 0.5
     refused_tables: set[str] = field(default_factory=set)
     """Tables that can't be read at present: requests for them get status 503."""
+    refused_ranges: set[str] = field(default_factory=set)
+    """Tables of which no range of keys can be read at present, while their changes are told."""
     stalled_feeds: set[str] = field(default_factory=set)
     """Tables whose change feeds stall at present: requests for them get no response."""
     refused_texts: set[str] = field(default_factory=set)
@@ -137,6 +139,11 @@
             await asyncio.sleep(self.faults.slow_s)
         if request.query.get("table") in self.faults.refused_tables:
             return web.json_response({"error": "turned away"}, status=503)
+        if (
+            "targetVersion" in request.query
+            and request.query["table"] in self.faults.refused_ranges
+        ):
+            return web.json_response({"error": "turned away"}, status=503)
         if self.faults.refuse_with:
             return web.json_response({"error": "refused"}, status=self.faults.refuse_with)
         return None
