--- a/tests/test_evacuated_starts.py
+++ b/tests/test_evacuated_starts.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
 from dataclasses import replace
+from pathlib import Path
 from typing import Any, cast
 from unittest.mock import patch
 
+from pumicespur.config import load_node_settings
 from pumicespur.jobs import Ownership, PoolOwner, evacuations_max_age_s, workers_max_age_s
 from pumicespur.jobs import _owner as owner_module
 from pumicespur.jobs import _worker_starts as starts_module
@@ -32,6 +35,32 @@
 ONE_TASK = StepRecord(count=1, cpu_millis=1)
 
 
+SETTINGS = """
+[process]
+id = n
+data_hall = h
+[listen]
+callers = 127.0.0.1:0
+readiness = 127.0.0.1:0
+[store]
+address = 127.0.0.1:1
+[workers]
+evacuate_ms = {bound}
+"""
+
+
+class SettingTest(unittest.TestCase):
+    """The bound as a deployment's settings give it."""
+
+    def test_a_deployment_without_a_bound_has_none(self) -> None:
+        # The platform fills in nothing where it evacuates no halls.
+        for bound, expected in (("", 0), ("0", 0), ("5000", 5000)):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "node.ini"
+                path.write_text(SETTINGS.format(bound=bound))
+                self.assertEqual(expected, load_node_settings(path).workers.evacuate_ms)
+
+
 class EvacuationAgeTest(unittest.TestCase):
     """How old the known evacuations may be that a start depends on."""
 
--- a/tests/test_evacuation_report.py
+++ b/tests/test_evacuation_report.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import unittest
+from typing import Any
+from unittest.mock import AsyncMock, patch
 
+from pumicespur.commands import status as status_command
 from pumicespur.commands.explain import LogLine, select_lines
 from pumicespur.jobs import describe_evacuated_hall, describe_hall_block
 from pumicespur.schema.jobs_pb import StepRecord
@@ -64,6 +69,30 @@
         self.assertEqual({}, self.told())
 
 
+class StatusTest(unittest.IsolatedAsyncioTestCase):
+    """What `pumicespur status --node` prints."""
+
+    async def printed(self, state: dict[str, Any]) -> list[str]:
+        output = io.StringIO()
+        with (
+            patch.object(status_command, "_fetch", AsyncMock(return_value=state)),
+            contextlib.redirect_stdout(output),
+        ):
+            await status_command.evacuation_status("http://node", as_json=False)
+        return output.getvalue().splitlines()
+
+    async def test_a_node_that_follows_none_does_not_claim_that_there_are_none(self) -> None:
+        states: list[dict[str, Any]] = [{}, {"evacuations": {"age_s": None, "halls": {}}}]
+        for state in states:
+            (line,) = await self.printed(state)
+            self.assertIn("does not follow evacuations", line)
+
+    async def test_a_hall_without_tasks_is_shown(self) -> None:
+        halls = {"a": {"since_version": 7, "pools": {"main": {}}}}
+        lines = await self.printed({"evacuations": {"age_s": 0.2, "halls": halls}})
+        self.assertEqual(["a", "7", "-", "0", "0", "-"], lines[-1].split())
+
+
 class ExplainEvacuationTest(unittest.TestCase):
     """Evacuations among the log lines about a job."""
 
