--- a/pumicespur/maintenance/_peaks.py
+++ b/pumicespur/maintenance/_peaks.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 import statistics
 from typing import TYPE_CHECKING
 
@@ -48,14 +47,6 @@
 demand itself is the better indicator. From growth alone, the workers for the start of a peak were
 requested 1.5 s later."""
 
-RETAINED_RATIO = 0.5
-"""Ratio of its initial size that a pool retains for its own next peak; that is enough for the first
-second of the peak, until instances move in."""
-
-MIN_RETAINED = 8
-"""Min number of instances that a pool retains for its next peak, since one wide job takes that many
-at once. A small pool that gives up more loses more at the start of its own peak than it saves."""
-
 MAX_PEAKS = 24
 """Max number of peaks kept in the history: several rounds over the busy pools, in a row of a few
 kilobytes."""
@@ -208,18 +199,10 @@
 ) -> dict[PoolId, int]:
     """Return how many instances each pool keeps regardless of its current work.
 
-    A pool that may have the next peak keeps what serves the first second of the peak; the others
-    keep only what their work needs. When a forecast peak is overdue, no pool keeps instances for it
-    any longer.
+    A pool that may have the next peak keeps its initial size, which serves the first seconds of
+    the peak; the others keep only what their work needs. When a forecast peak is overdue, no pool
+    keeps instances for it any longer.
     """
     known = list(pools)
     candidates = set() if history.is_overdue(now_ms) else history.next_pools(known)
-    return {
-        pool: retained_size(initial_sizes.get(pool, 0)) if pool in candidates else 0
-        for pool in known
-    }
-
-
-def retained_size(initial_size: int) -> int:
-    """Return how many instances a pool retains for the first second of its own next peak."""
-    return max(math.ceil(RETAINED_RATIO * initial_size), min(initial_size, MIN_RETAINED))
+    return {pool: initial_sizes.get(pool, 0) if pool in candidates else 0 for pool in known}
--- a/pumicespur/maintenance/_rebalancing.py
+++ b/pumicespur/maintenance/_rebalancing.py
@@ -22,6 +22,15 @@
 """Time for which a pool must have a surplus before an instance moves to the spare pool; a move
 costs about as much as one second of an instance in a pool."""
 
+RETAINED_RATIO = 0.5
+"""Ratio of its initial size that a pool retains for its own next peak while other pools are short;
+that is enough for the first second of the peak."""
+
+MIN_RETAINED = 8
+"""Min number of instances that a pool retains while other pools are short, since one wide job
+takes that many at once. A small pool that lends more loses more at the start of its own peak than
+the other pools gain."""
+
 MAX_MOVING_RATIO = 0.3
 """Max ratio of all instances that change pool at the same time; a peak of one pool takes about as
 many."""
@@ -127,12 +136,13 @@
     def _releasable_by_pool(self, state: RebalanceInput) -> dict[PoolId, list[Instance]]:
         """Return the instances that each pool can give to a pool whose peak starts.
 
-        They are those beyond both the number that the pool keeps and what its work needs, without
+        They are those beyond both the number that the pool retains and what its work needs, without
         those whose tasks an availability budget protects.
         """
         releasable: dict[PoolId, list[Instance]] = {}
         for pool, reserved in state.reserved.items():
-            kept = max(reserved, _busy_workers(state, pool))
+            retained = max(math.ceil(RETAINED_RATIO * reserved), min(reserved, MIN_RETAINED))
+            kept = max(retained, _busy_workers(state, pool))
             found = self._instances_beyond(state, pool, kept)
             releasable[pool] = [i for i in found if i.id not in state.protected]
         return releasable
