--- a/benchmarks/late_work.py
+++ b/benchmarks/late_work.py
@@ -7,6 +7,7 @@
 
 from benchmarks._report import percentile, print_section, print_table
 from pumicespur.jobs import _placement
+from pumicespur.jobs._feasibility import is_overdue
 from tests.pool_play import BUSY, CALM, HOT, OVERLOAD, PEAKS, Outcome, PoolPlay
 
 if TYPE_CHECKING:
@@ -21,25 +22,25 @@
 
 Key: TypeAlias = tuple[bool, float, str, int, int]
 
-BEGUN_KEY = _placement._priority_key
-"""The product's order: what has begun and can be in time first, late work after a delay."""
+DEADLINE_KEY = _placement._priority_key
+"""The product's order: earliest deadline, late work after a delay."""
 
 
-def deadline_key(group: StepGroup, now_ms: float, goes_first: bool) -> Key:
-    """Return a sort key: the earliest deadline goes first, whether the job has begun or not."""
-    waits, _, deadline_ms, job, repeat, step = BEGUN_KEY(group, now_ms, goes_first)
-    return (waits, deadline_ms, job, repeat, step)
+def begun_key(group: StepGroup, now_ms: float, goes_first: bool) -> tuple[bool, bool, Key]:
+    """Return a sort key: jobs that have begun and can be in time go before the others."""
+    begun = not is_overdue(group, now_ms) and any(task.run for task in group.job.tasks)
+    return (not goes_first, not begun, DEADLINE_KEY(group, now_ms, goes_first))
 
 
 def slack_key(group: StepGroup, now_ms: float, goes_first: bool) -> Key:
     """Return a sort key: the least time left beyond the expected remaining time goes first."""
-    waits, deadline_ms, job, repeat, step = deadline_key(group, now_ms, goes_first)
+    waits, deadline_ms, job, repeat, step = DEADLINE_KEY(group, now_ms, goes_first)
     return (waits, deadline_ms - group.job.critical_paths_ms[step], job, repeat, step)
 
 
 ORDERS: dict[str, Callable[[StepGroup, float, bool], object]] = {
-    "earliest deadline": deadline_key,
-    "begun first": BEGUN_KEY,
+    "earliest deadline": DEADLINE_KEY,
+    "begun first": begun_key,
     "least slack": slack_key,
 }
 
--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -11,12 +11,14 @@
 from pumicespur.jobs._job import TaskState
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from pumicespur.jobs._account_usage import ResourceUsage
     from pumicespur.jobs._estimates import DurationEstimates
     from pumicespur.jobs._job import Job, StepGroup
     from pumicespur.jobs._limits import PoolLimits
     from pumicespur.jobs._pool import PoolState
-    from pumicespur.model import AccountId, Capacity
+    from pumicespur.model import AccountId, Capacity, WorkerId
     from pumicespur.schema.jobs_pb import StepRecord
 
 PEAK_RETENTION_S = 3.0
@@ -239,6 +241,7 @@
     waiting = DemandSum()
     overdue = DemandSum()
     headroom = LimitHeadroom(pool.limits)
+    evacuated = {load.worker.id for load in pool.loads.values() if load.hall_evacuated}
     for job in pool.jobs.values():
         if job.ended:
             continue
@@ -249,12 +252,14 @@
                 continue
             startable = headroom.reserve(job.account, spec, len(group.waiting()))
             started = len(group.tasks) - group.done - len(group.waiting())
+            # Tasks in evacuated halls stay where they run, so no other workers are needed for them.
+            started -= _count_on_workers(group, evacuated)
             if spec.long_running:
                 long_running.add(spec, started + startable)
             elif is_overdue(group, now_ms):
                 if now_ms <= job.deadline_ms:
-                    # Running late work doesn't count: a pool that ran it on all of its workers kept
-                    # them from the load peak of another pool for as long as its backlog lasted.
+                    # Running late work does not count, so that a pool with a backlog does not keep
+                    # its workers from the load peak of another pool.
                     short.add(spec, started)
                 overdue.add(spec, startable)
             else:
@@ -263,6 +268,11 @@
     return PoolDemand(short.total(), long_running.total(), waiting.total(), overdue.total())
 
 
+def _count_on_workers(group: StepGroup, workers: Set[WorkerId]) -> int:
+    """Count the tasks of a group that are on some workers."""
+    return sum(1 for task in group.tasks if task.worker in workers) if workers else 0
+
+
 def count_required_workers(
     pool: PoolState, short: Demand, long_running: Demand, capacity: Capacity
 ) -> int:
--- a/pumicespur/jobs/_feasibility.py
+++ b/pumicespur/jobs/_feasibility.py
@@ -48,17 +48,26 @@
     return has_deadline(group) and now_ms >= group.job.deadline_ms + MAX_OVERDUE_WAIT_S * 1000
 
 
-def may_long_overdue_go_first(jobs: Iterable[Job], now_ms: float) -> bool:
-    """Whether long overdue work takes less than its share of the processor time of running tasks.
-
-    Beyond that share it keeps its usual place. Otherwise a pool that stays overloaded would run
-    nothing but work that is late already.
+def select_going_first(
+    long_overdue: Iterable[StepGroup], jobs: Iterable[Job], now_ms: float
+) -> set[StepGroup]:
+    """Return the long overdue groups that go first, the longest overdue ones.
+
+    Together with what runs of such work, they take no more than its share of the processor time of
+    running tasks; at least one goes while nothing of it runs. The others keep their usual place.
+    Otherwise a pool that stays overloaded would run nothing but work that is late already.
     """
-    running = long_overdue = 0
+    running = running_overdue = 0
     for job in jobs:
         for group in job.groups:
             cpu_millis = group.spec.cpu_millis * sum(1 for task in group.tasks if task.worker)
             running += cpu_millis
             if is_long_overdue(group, now_ms):
-                long_overdue += cpu_millis
-    return long_overdue <= LONG_OVERDUE_RATIO * running
+                running_overdue += cpu_millis
+    going_first: set[StepGroup] = set()
+    for group in sorted(long_overdue, key=lambda g: (g.job.deadline_ms, g.name)):
+        if running_overdue > LONG_OVERDUE_RATIO * running:
+            break
+        going_first.add(group)
+        running_overdue += group.spec.cpu_millis * len(group.waiting())
+    return going_first
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -1,4 +1,4 @@
-"""Placement of waiting tasks on workers: by deadline and priority, preferably near their data."""
+"""Placement of waiting tasks on workers: by urgency, preferably near their data."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     MAX_OVERDUE_WAIT_S,
     is_long_overdue,
     is_overdue,
-    may_long_overdue_go_first,
+    select_going_first,
 )
 from pumicespur.jobs._job import RunStability, TaskState
 from pumicespur.utils import monotonic
@@ -45,29 +45,24 @@
     open_jobs = [job for job in jobs if not job.ended]
     groups = [group for job in open_jobs for group in job.ready_groups(now_ms)]
     groups = [group for group in groups if group.waiting()]
-    found = {group for group in groups if is_long_overdue(group, now_ms)}
-    first = found if found and may_long_overdue_go_first(open_jobs, now_ms) else set()
-    return sorted(groups, key=lambda group: _priority_key(group, now_ms, group in first))
+    long_overdue = [group for group in groups if is_long_overdue(group, now_ms)]
+    going_first = select_going_first(long_overdue, open_jobs, now_ms) if long_overdue else set()
+    return sorted(groups, key=lambda group: _priority_key(group, now_ms, group in going_first))
 
 
 def _priority_key(
     group: StepGroup, now_ms: float, goes_first: bool
-) -> tuple[bool, bool, float, str, int, int]:
-    """Return a sort key: groups that go first by their deadline alone, then all others.
-
-    Jobs that have begun and can be in time go before those that have not begun. Otherwise a pool
-    at its load peak has many jobs half done, which then all miss their deadlines.
-    """
+) -> tuple[bool, float, str, int, int]:
+    """Return a sort key: groups that go first by their deadline alone, then all others."""
     job = group.job
     deadline = job.deadline_ms
-    begun = not is_overdue(group, now_ms) and any(task.run for task in job.tasks)
     if not goes_first:
         deadline += job.priority * PRIORITY_DELAY_MS
         if is_overdue(group, now_ms):
             deadline += OVERDUE_DELAY_MS
         if job.exceeds_share:
             deadline += OVER_SHARE_DELAY_MS
-    return (not goes_first, not begun, deadline, job.id, group.repeat, group.step)
+    return (not goes_first, deadline, job.id, group.repeat, group.step)
 
 
 def release_evacuated_racks(groups: Iterable[StepGroup], loads: Iterable[WorkerLoad]) -> None:
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -176,7 +176,7 @@
             load.leaves_at = monotonic() + worker.leaves_in_s
         if self.distinguishes_cold_workers:
             # The same entry is seen again and again, so its time counts from the first time.
-            cold_until = monotonic() + worker.cold_for_s if worker.cold_for_s else 0.0
+            cold_until = monotonic() + worker.cold_for_s
             load.cold_until = cold_until if is_new else min(load.cold_until, cold_until)
         return load
 
--- a/pumicespur/jobs/_submission_attempt.py
+++ b/pumicespur/jobs/_submission_attempt.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from expression import Result
+from expression import Error, Ok, Result
 from logbook import Logger
 
 from pumicespur.jobs._access import is_visible_to
@@ -66,32 +66,44 @@
         while True:
             if not await self.hold.wait_until_answering(self.give_up_at - SEND_RESERVE_S):
                 return self.refuse(Unavailable("the store does not answer"))
-            known = await self._look_up() if self.may_be_recorded else None
-            if known is not None:
-                return resubmission_outcome(self.route, self.record, known)
-            match await self._write():
-                case Result(tag="ok", ok=version):
-                    self._log_accepted(version)
-                    return SubmissionOutcome.ACCEPTED
-                case Result(error=Conflict(rows=rows)):
-                    records = [JobRecord.from_binary(r.value) for r in rows if r.key == self.key]
-                    return resubmission_outcome(self.route, self.record, *records)
+            match await self._try_once():
+                case Result(tag="ok", ok=outcome):
+                    return outcome
                 case Result(error=error) if monotonic() + pause_s >= self.give_up_at:
                     return self.refuse(error)
             await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
             pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
 
-    async def _look_up(self) -> JobRecord | None:
+    async def _try_once(self) -> Result[SubmissionOutcome, Fault]:
+        """Look the job up if an earlier write may have been applied, else write it."""
+        if self.may_be_recorded:
+            match await self._look_up():
+                case Result(tag="ok", ok=JobRecord() as known):
+                    return Ok(resubmission_outcome(self.route, self.record, known))
+                case Result(tag="error", error=error):
+                    return Error(error)
+        match await self._write():
+            case Result(tag="ok", ok=version):
+                self._log_accepted(version)
+                return Ok(SubmissionOutcome.ACCEPTED)
+            case Result(error=Conflict(rows=rows) as conflict):
+                for row in rows:
+                    if row.key == self.key and row.value:
+                        known = JobRecord.from_binary(row.value)
+                        return Ok(resubmission_outcome(self.route, self.record, known))
+                # The row exists, but the response does not show whose it is.
+                self.may_be_recorded = True
+                return Error(conflict)
+            case Result(error=error):
+                return Error(error)
+
+    async def _look_up(self) -> Result[JobRecord | None, Fault]:
         """Read the row that a write without an answer may have left.
 
         A slow store queues the writes of a partition but not its reads.
         """
         found = await self.table.read(self.key)
-        match found:
-            case Result(tag="ok", ok=row) if row.version:
-                return JobRecord.from_binary(row.value)
-            case _:
-                return None
+        return found.map(lambda row: JobRecord.from_binary(row.value) if row.value else None)
 
     async def _write(self) -> Result[int, Fault]:
         """Write the row if it does not exist; repeated writes are applied once at most."""
@@ -131,11 +143,11 @@
 
 
 def resubmission_outcome(
-    route: Route, record: JobRecord, *known: JobRecord | ProgressRecord
+    route: Route, record: JobRecord, known: JobRecord | ProgressRecord
 ) -> SubmissionOutcome:
     """Return the outcome for an id that is recorded already: accepted if it is the caller's."""
     account = AccountId(record.account)
-    if not all(is_visible_to(account, route, job) for job in known):
+    if not is_visible_to(account, route, known):
         log.warning("job refused", job=record.id, route=route.name, reason="id of another account")
         return SubmissionOutcome.OTHER_ACCOUNT
     log.info("job accepted", job=record.id, route=route.name, repeat=True)
--- a/pumicespur/jobs/_worker_starts.py
+++ b/pumicespur/jobs/_worker_starts.py
@@ -76,12 +76,14 @@
         now = monotonic()
         settings = self.owner.settings.workers
         known, state = self.owner.known_state(), self.load.worker.state
-        # With this deadline the worker refuses a start that arrives after the known state expired.
-        valid_s = known.valid_for_s(settings, now)
-        deadline = self.lease.grant(now, settings.lease_s, valid_s)
         withhold_reason = self._reason_to_withhold(task, known, now)
-        if withhold_reason or deadline is None:
-            self._withdraw(task, run, withhold_reason or "the worker's clock is not known")
+        if withhold_reason:
+            self._withdraw(task, run, withhold_reason)
+            return
+        # With this deadline the worker refuses a start that arrives after the known state expired.
+        deadline = self.lease.grant(now, settings.lease_s, known.valid_for_s(settings, now))
+        if deadline is None:
+            self._withdraw(task, run, "the worker's clock is not known")
             return
         response = await self._send(task, run, deadline)
         log.info(
--- a/pumicespur/maintenance/_fleet_leader.py
+++ b/pumicespur/maintenance/_fleet_leader.py
@@ -155,7 +155,10 @@
             case Result(error=error):
                 log.warning("instances not listed", reason=str(error))
                 return
-        await self.wave_executor.run_round(self.instances, self.listed_at, self._rebalance_input)
+        if self._are_evacuations_known():
+            await self.wave_executor.run_round(
+                self.instances, self.listed_at, self._rebalance_input
+            )
         await self._rebalance()
 
     def _are_evacuations_known(self) -> bool:
--- a/pumicespur/maintenance/_rebalancing.py
+++ b/pumicespur/maintenance/_rebalancing.py
@@ -78,7 +78,7 @@
     moves: list[tuple[InstanceId, PoolId]] = field(default_factory=list)
     evacuating: set[InstanceId] = field(default_factory=set)
     halls: HallCounts = field(default_factory=HallCounts)
-    """Data halls of the pools' instances after the moves; empty unless pools are spread."""
+    """Data halls of the pools' instances after the moves."""
 
 
 @dataclass
@@ -225,7 +225,11 @@
                 for instance in instances
                 if instance.pool != pool and (instance.id, pool) not in state.rejected_moves
             ),
-            lambda i: (i.id not in state.empty, i.id not in self.evacuating),
+            lambda i: (
+                i.id in state.protected,
+                i.id not in state.empty,
+                i.id not in self.evacuating,
+            ),
             state.spread_halls,
         )
 
--- a/pumicespur/node/_evacuations.py
+++ b/pumicespur/node/_evacuations.py
@@ -36,8 +36,8 @@
 """The first key after those that begin with `FIRST_KEY`."""
 
 TARGET_AGE_RATIO = 0.225
-"""Age that what is known may reach by the next answer, as a part of the maximum age. It is to stay
-below a quarter; the rest is for late timers."""
+"""Target for the age of the known evacuations when the next response arrives, as a part of the
+maximum age; below a quarter, to allow for late timers."""
 
 MIN_PAUSE_RATIO = 1 / 16
 """Shortest pause between two readings, as a part of the maximum age, however slow the store is."""
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -157,6 +157,7 @@
             tasks.start_soon(self.evacuations.run)
             own_row = process_row_key(PRESENCE_TABLE, ProcessId(settings.process.id))
             probe = PlatformTable(settings.store, self.probe_client)
+            probe.usage = self.table.usage
             tasks.start_soon(StoreProbe(self.table, probe, own_row).run)
             tasks.start_soon(WorkerList(settings, self.view, self.table, self.controller).run)
             if settings.listen.metrics:
--- a/pumicespur/platform/_store_probe.py
+++ b/pumicespur/platform/_store_probe.py
@@ -13,8 +13,8 @@
     from pumicespur.platform._table import PlatformTable
 
 PROBE_INTERVAL_S = 0.2
-"""Pause between probes. Other calls wait up to 3 s for a response after some were lost, and a
-process that owns nothing makes one each 1.5 s, so callers were refused after the store's return."""
+"""Pause between probes. Other calls notice the store's return later: they wait up to 3 s for a
+response after some were lost, and a process that owns nothing makes one each 1.5 s."""
 
 PROBE_TIMEOUT_S = 1.0
 """Timeout of a probe, four response times of a store that is sixty times slower than usual. It
@@ -37,12 +37,14 @@
 
     async def run(self) -> None:
         """Probe in every outage until cancelled."""
-        while True:
-            await self.table.outage.began.wait()
-            began_at = anyio.current_time()
-            await self._probe()
-            if anyio.current_time() - began_at > MIN_OUTAGE_S:
-                await self._renew_reads()
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self.table.outage.began.wait()
+                began_at = anyio.current_time()
+                await self._probe()
+                if anyio.current_time() - began_at > MIN_OUTAGE_S:
+                    tasks.start_soon(self._renew_reads)
+                await anyio.sleep(PROBE_INTERVAL_S)
 
     async def _probe(self) -> None:
         async with anyio.create_task_group() as reads:
@@ -55,8 +57,7 @@
     async def _renew_reads(self) -> None:
         """Give up reads that were sent too late in the outage to count as dead at its end.
 
-        A read of the configuration that was sent 0.2 s before the store's return hung for 2.6 s
-        more, in which all callers were refused.
+        Such a read may hang for seconds. While it is one of the configuration, callers are refused.
         """
         ended_at = anyio.current_time()
         await anyio.sleep(self.table.response_times.usual_timeout_s())
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -52,6 +52,9 @@
 """Min length of an outage (two heartbeats) after which pending reads without data are given up, so
 that they are sent again."""
 
+REFUSAL_STATUSES = frozenset({400, 403, 404, 413, 429, 503})
+"""Status codes of responses by which the service says that it did nothing."""
+
 EXPECTED_STATUSES = frozenset({200, 410, 412})
 """Status codes of responses that report a result; any other one counts as a failure."""
 
@@ -147,13 +150,17 @@
         """Return whether the service responded with a result within `MAX_RESPONSE_AGE_S`."""
         return monotonic() - self.last_success_at < MAX_RESPONSE_AGE_S
 
-    def _note_outcome(self, result: Result[Response, Unavailable | AnswerLost]) -> None:
+    def _note_outcome(
+        self, result: Result[Response, Unavailable | AnswerLost], sent_at: float
+    ) -> None:
         now = monotonic()
-        if not result.is_ok() or result.ok.status not in EXPECTED_STATUSES:
-            self.last_failure_at = now
-            self.outage.note_failure(now)
-        else:
+        if result.is_ok() and result.ok.status in EXPECTED_STATUSES:
             self.note_success(now)
+            return
+        self.last_failure_at = now
+        if sent_at >= self.last_success_at:
+            # A call that was sent in an outage may fail after the outage has ended.
+            self.outage.note_failure(now)
 
     def note_success(self, now: float) -> None:
         """Note that the service responded with a result."""
@@ -163,6 +170,7 @@
         if failing_for_s > MIN_OUTAGE_S:
             # Requests sent during the outage may never get a response.
             self.renew_pending_reads()
+            self.response_times.reset_backoff()
 
     def renew_pending_reads(self, sent_before: float = math.inf) -> None:
         """Give up the pending reads that received nothing; their connections may be dead.
@@ -193,10 +201,11 @@
                 written.map(lambda decoded: self._note_clock(decoded.now_ms, sent_at))
                 return written.map(lambda decoded: decoded.ver)
             case Result(tag="ok", ok=Response(status=412, body=content)):
-                rows = tuple(_decode_row(row) for row in _ROWS_DECODER.decode(content).rows)
-                return Error(Conflict(tuple(row.key for row in rows), rows))
+                return _decode_conflict(content)
             case Result(tag="ok", ok=Response(status=status, body=content)):
-                return Error(_refusal_error(status, content))
+                if status in REFUSAL_STATUSES:
+                    return Error(_refusal_error(status, content))
+                return Error(AnswerLost(f"answered with {status}"))
             case Result(error=error):
                 return Error(error)
 
@@ -308,7 +317,7 @@
             self.pending_reads.discard(transfer)
             self.usage.note(table, 0, transfer.received_bytes)
         if not transfer.given_up:
-            self._note_outcome(result)
+            self._note_outcome(result, monotonic() - transfer.elapsed_s)
         return result
 
     async def _timed_call(
@@ -321,7 +330,7 @@
         now = monotonic()
         received = result.map(lambda r: len(r.body)).default_value(0)
         self.usage.note(table, len(body or b""), received)
-        self._note_outcome(result)
+        self._note_outcome(result, started_at)
         if result.is_ok():
             self.response_times.note_response(now, now - started_at)
         else:
@@ -387,6 +396,16 @@
             return Error(error)
 
 
+def _decode_conflict(content: bytes) -> Result[int, Fault]:
+    """Return the error for a condition that does not hold, with the rows that the service shows."""
+    match decode_body(_ROWS_DECODER.decode, content):
+        case Result(tag="ok", ok=decoded):
+            rows = tuple(_decode_row(row) for row in decoded.rows)
+            return Error(Conflict(tuple(row.key for row in rows), rows))
+        case Result(error=error):
+            return Error(error)
+
+
 def _refusal_error(status: int, content: bytes) -> Unavailable:
     """Return the error for a refusal, by which the service says that it did nothing."""
     return Unavailable(f"refused with {status}: {content[:200].decode(errors='replace')}")
--- a/pumicespur/store/_latency.py
+++ b/pumicespur/store/_latency.py
@@ -58,6 +58,10 @@
             self.doublings += 1
         self._note_recent(now, waited_s)
 
+    def reset_backoff(self) -> None:
+        """Use the usual timeout again, as after a response."""
+        self.doublings = 0
+
     def _note_recent(self, now: float, took_s: float) -> None:
         self.recent.append((now, took_s))
         while self.recent and now - self.recent[0][0] > RECENT_WINDOW_S:
--- a/tests/test_evacuated_placement.py
+++ b/tests/test_evacuated_placement.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from pumicespur.jobs._crash_attribution import QUARANTINE_MIN_LOSSES
+from pumicespur.jobs._demand import measure_demand
 from pumicespur.jobs._estimates import ColdSlowdown
 from pumicespur.jobs._job import TaskState, WorkerLoss
 from pumicespur.jobs._placement import order_groups
@@ -260,3 +261,15 @@
 
     def test_no_slowdown_is_told_before_the_first_task(self) -> None:
         self.assertIsNone(ColdSlowdown().factor())
+
+
+class DemandTest(unittest.TestCase):
+    """What a pool asks for while some of its tasks run in an evacuated hall."""
+
+    def test_tasks_that_stay_in_an_evacuated_hall_need_no_other_workers(self) -> None:
+        pool = make_pool(worker("a-0", A, cpu=4000))
+        submit(pool, make_record(StepRecord(count=4, cpu_millis=1000, long_running=True)))
+        run_all(pool)
+        self.assertEqual(4000, measure_demand(pool, 0.0).long_running.cpu_millis)
+        evacuate(pool, A)
+        self.assertEqual(0, measure_demand(pool, 0.0).long_running.cpu_millis)
--- a/tests/test_evacuation_rows.py
+++ b/tests/test_evacuation_rows.py
@@ -16,7 +16,7 @@
     decode_worker,
 )
 from pumicespur.schema.node_pb import StoreSettings
-from pumicespur.store import Row
+from pumicespur.store import AnswerLost, Conflict, Row, Transaction, Unavailable, Write
 from standins.hosted import USUAL_ENTRY
 from standins.hosted._store import HostedStore
 from tests.base import quiet_loop
@@ -93,3 +93,37 @@
         self.store.put(("op", "", "config"), b"x")
         found = await self.table.scan_range("op", "", "evacuate/", "evacuate0")
         self.assertEqual(([], 1), (found.ok.rows, found.ok.version))
+
+
+class TransactionStatusTest(unittest.IsolatedAsyncioTestCase):
+    """What the status of a response to a transaction says about the write."""
+
+    async def fault_of(self, status: int, text: str = "") -> object:
+        """Write to a store that answers with a status; return the error."""
+
+        async def respond(request: web.Request) -> web.Response:
+            return web.Response(status=status, text=text)
+
+        app = web.Application()
+        app.router.add_post("/pumicespur/rows-tx", respond)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        client = HttpClient(1)
+        self.addAsyncCleanup(client.aclose)
+        settings = StoreSettings(
+            address=f"127.0.0.1:{runner.addresses[0][1]}", timeout_s=5.0, max_timeout_s=10.0
+        )
+        table = PlatformTable(settings, client)
+        return (await table.transact(Transaction([], [Write("t//k", b"x")]))).error
+
+    async def test_only_a_refusal_proves_that_nothing_was_done(self) -> None:
+        # A submission was refused as not recorded although the store may have applied it.
+        for status in (429, 503):
+            self.assertIsInstance(await self.fault_of(status), Unavailable, status)
+        for status in (201, 500, 502, 504):
+            self.assertIsInstance(await self.fault_of(status), AnswerLost, status)
+
+    async def test_a_conflict_that_cannot_be_decoded_is_no_exception(self) -> None:
+        self.assertNotIsInstance(await self.fault_of(412, "<html>"), Conflict)
--- a/tests/test_feasibility.py
+++ b/tests/test_feasibility.py
@@ -18,7 +18,7 @@
     MAX_OVERDUE_WAIT_S,
     is_long_overdue,
     is_overdue,
-    may_long_overdue_go_first,
+    select_going_first,
 )
 from pumicespur.jobs._placement import order_groups
 from pumicespur.schema.jobs_pb import StepRecord
@@ -106,13 +106,16 @@
         pool = make_pool(make_worker("w", cpu=20_000))
         submit(pool, make_record(replace_step(count=20), job="1" * 16))
         self.assertEqual(20, len(run_all(pool)))
-        self.assertTrue(may_long_overdue_go_first(pool.jobs.values(), 0.0))
-        self.assertFalse(may_long_overdue_go_first(pool.jobs.values(), 1e9))
+        late = submit(pool, make_record(STEP, job="2" * 16)).groups[0]
+        self.assertEqual({late}, select_going_first([late], pool.jobs.values(), 0.0))
+        self.assertEqual(set(), select_going_first([late], pool.jobs.values(), 1e9))
 
     def test_late_work_goes_first_where_nothing_runs(self) -> None:
+        # After an outage all work may be long overdue: one step goes first, not all of it at once.
         pool = make_pool(make_worker("w"))
-        submit(pool, make_record(STEP))
-        self.assertTrue(may_long_overdue_go_first(pool.jobs.values(), 1e9))
+        jobs = [submit(pool, make_record(STEP, job=digit * 16)) for digit in "12"]
+        groups = [job.groups[0] for job in jobs]
+        self.assertEqual({groups[0]}, select_going_first(groups, pool.jobs.values(), 1e9))
 
 
 def replace_step(**fields: int | bool) -> StepRecord:
--- a/tests/test_submission_faults.py
+++ b/tests/test_submission_faults.py
@@ -178,6 +178,16 @@
         self.assertEqual(SubmissionOutcome.OTHER_ACCOUNT, await self.submit(store))
 
 
+class ConflictTest(SubmissionCase):
+    """A write that fails on its condition."""
+
+    async def test_a_conflict_that_does_not_show_the_row_is_no_acceptance(self) -> None:
+        # The row may be another account's, and its caller was told that the job was accepted.
+        store = FakeStore()
+        store.rows[KEY] = Row(KEY, b"", 1)
+        self.assertIs(SubmissionOutcome.UNKNOWN, await self.submit(store))
+
+
 class RefusedSubmissionTest(SubmissionCase):
     """The caller is told that nothing is recorded only if that is certain."""
 
