--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -20,6 +20,7 @@
     _limits,
     _pool,
     _service,
+    _submission_attempt,
     _worker_session,
     _worker_starts,
 )
@@ -40,6 +41,10 @@
     """Leases count as expired at once."""
     LOST_ANSWERS_COUNT_AS_ACCEPTED = "lost-answers-count-as-accepted"
     """A submission with an unknown outcome is reported as accepted."""
+    ACCEPTED_UNRECORDED = "accepted-unrecorded"
+    """A submission is reported as accepted whether or not the store confirms its row."""
+    LOST_ANSWERS_COUNT_AS_REFUSED = "lost-answers-count-as-refused"
+    """A submission that may be recorded is reported as certainly not recorded."""
     UNANSWERED_STARTS_FORGOTTEN = "unanswered-starts-forgotten"
     """A task whose start got no response is requeued without revoking the run."""
     BUDGETS_IGNORED = "budgets-ignored"
@@ -93,6 +98,17 @@
     return _service.SubmissionOutcome.ACCEPTED if unknown else outcome
 
 
+async def _accept_unrecorded(self: _submission_attempt.SubmissionAttempt) -> Any:
+    await self._write()
+    return _service.SubmissionOutcome.ACCEPTED
+
+
+async def _report_unknown_as_refused(self: _service.JobService, *arguments: Any) -> Any:
+    outcome = await SUBMIT(self, *arguments)
+    unknown = outcome is _service.SubmissionOutcome.UNKNOWN
+    return _service.SubmissionOutcome.NOT_ACCEPTED if unknown else outcome
+
+
 async def _forget_start(self: _worker_starts.WorkerStarts, task: Any, start: Any) -> None:
     self.unresolved.pop(task, None)
     self.requeue_if_unchanged(task, start.run, "start did not arrive")
@@ -129,6 +145,10 @@
             _replace(_lease.WorkerLease, "expires_at", lambda self: 0.0)
         case Mutant.LOST_ANSWERS_COUNT_AS_ACCEPTED:
             _replace(_service.JobService, "submit", _report_unknown_as_accepted)
+        case Mutant.ACCEPTED_UNRECORDED:
+            _replace(_submission_attempt.SubmissionAttempt, "record_job", _accept_unrecorded)
+        case Mutant.LOST_ANSWERS_COUNT_AS_REFUSED:
+            _replace(_service.JobService, "submit", _report_unknown_as_refused)
         case Mutant.UNANSWERED_STARTS_FORGOTTEN:
             _replace(_worker_starts.WorkerStarts, "_revoke", _forget_start)
         case Mutant.BUDGETS_IGNORED:
--- a/tests/test_submission_faults.py
+++ b/tests/test_submission_faults.py
@@ -45,6 +45,9 @@
 LONG_S = 20.0
 """Caller's time in tests that end by an answer."""
 
+WAIT_S = 10.0
+"""Longest wait for a state that a test needs."""
+
 SHORT_S = 0.2
 """Caller's time in tests that end when it is up."""
 
@@ -215,8 +218,9 @@
         return await self.service.submit(ROUTE, record, monotonic() + time_s)
 
     async def wait_held(self, count: int) -> None:
-        while self.service.hold.held != count:
-            await anyio.sleep(0)
+        with anyio.fail_after(WAIT_S):
+            while self.service.hold.held != count:
+                await anyio.sleep(0.001)
 
     async def test_it_is_sent_as_soon_as_another_call_succeeds(self) -> None:
         # A submission slept through the store's return, for up to its own retry delay of 0.4 s.
@@ -290,8 +294,9 @@
             self.pending -= 1
 
     async def wait_reads(self, count: int) -> None:
-        while self.reads < count:
-            await anyio.sleep(0.001)
+        with anyio.fail_after(WAIT_S):
+            while self.reads < count:
+                await anyio.sleep(0.001)
 
     async def test_probes_go_on_while_earlier_ones_hang(self) -> None:
         # A call that hung for up to 3 s hid the store's return from a process without others.
