--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,7 +36,12 @@
 
 REGRESSIONS = Path(__file__).parent.parent / "soak" / "regressions"
 CI_SEEDS = (2, 3)
+CI_EVACUATION_SEEDS = (15, 52)
+"""All halls are evacuated; in the first plan a node is killed, in the second one the store forgets
+its history. Both find the mutant `evacuated-halls-ignored`."""
 CI_LENGTH_S = 4.0
+CI_EVACUATION_LENGTH_S = 8.0
+"""Long enough for submissions after the bound of an evacuation, 1.5 s."""
 JOB = "0" * 16
 TASK = f"{JOB}.0.0.0"
 
@@ -317,3 +322,12 @@
         await self.assert_promises_hold(
             [draw_plan(seed, CI_LENGTH_S, Deployment()) for seed in CI_SEEDS]
         )
+
+    async def test_short_runs_with_evacuated_halls(self) -> None:
+        """Guards against starts in evacuated halls, beside a takeover and a lost history."""
+        await self.assert_promises_hold(
+            [
+                draw_evacuation_plan(seed, CI_EVACUATION_LENGTH_S, Deployment())
+                for seed in CI_EVACUATION_SEEDS
+            ]
+        )
