--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -177,7 +177,10 @@
         if self.distinguishes_cold_workers:
             # The same entry is seen again and again, so its time counts from the first time.
             cold_until = monotonic() + worker.cold_for_s
-            load.cold_until = cold_until if is_new else min(load.cold_until, cold_until)
+            if not is_new:
+                load.cold_until = min(load.cold_until, cold_until)
+            elif worker.cold_for_s:
+                load.cold_until = cold_until
         return load
 
     def load_of(self, task: Task) -> WorkerLoad | None:
--- a/tests/test_evacuated_placement.py
+++ b/tests/test_evacuated_placement.py
@@ -240,8 +240,11 @@
         before = load.cold_until
         self.pool.add_worker(load.worker)
         self.assertEqual(before, load.cold_until)
+        started_at = monotonic()
         self.pool.add_worker(replace(load.worker, cold_for_s=0.0))
         self.assertFalse(load.is_cold(monotonic()))
+        # A task that began before then ran slowly, which is not its usual run time.
+        self.assertTrue(load.is_cold(started_at))
 
     def test_without_a_bound_for_evacuations_all_workers_are_alike(self) -> None:
         pool = make_pool(replace(worker("c", A, cpu=2000), cold_for_s=60.0))
