--- a/pumicespur/jobs/_known_state.py
+++ b/pumicespur/jobs/_known_state.py
@@ -3,9 +3,8 @@
 An owner places a task by the tables it has read, records the placement, and then orders the start.
 Once the store has confirmed that a worker is draining, a job is cancelled or a data hall is
 evacuated, the platform allows starts there only for a limited time (`drain_ms`, `cancel_ms`,
-`evacuate_ms`). A read shows every change that was
-confirmed before the read was requested, so a start is in time if it begins within that limit after
-the request.
+`evacuate_ms`). A read shows every change that was confirmed before the read was requested, so a
+start is in time if it begins within that limit after the request.
 """
 
 from __future__ import annotations
--- a/pumicespur/jobs/_submission_hold.py
+++ b/pumicespur/jobs/_submission_hold.py
@@ -13,11 +13,11 @@
 
 MAX_HELD = 200
 """Maximum number of submissions held at a time: about 13 MB with rows of 64 KB, in processes of 200
-MB and more. A process gets some ten submissions a second at a load peak."""
+MB and more."""
 
 
 class SubmissionHold:
-    """Submissions that are not sent, since the last call to the store failed."""
+    """Lets submissions wait while calls to the store fail, up to a bound."""
 
     def __init__(self, outage: OutageTracker) -> None:
         self.outage = outage
--- a/pumicespur/model/_workers.py
+++ b/pumicespur/model/_workers.py
@@ -66,7 +66,7 @@
 
     hall: DataHall
     version: int
-    """Version of the row, by which a request made again after it was taken back is told apart."""
+    """Version of the row; another one means that the evacuation was requested again."""
 
 
 class InstanceState(Enum):
--- a/pumicespur/node/_evacuations.py
+++ b/pumicespur/node/_evacuations.py
@@ -43,8 +43,7 @@
 """Shortest pause between two readings, as a part of the maximum age, however slow the store is."""
 
 MAX_CONCURRENT_READS = 3
-"""Readings that may be under way at once; a slow one delays neither the next nor a requested one.
-"""
+"""Readings that may be under way at once, so that a slow one does not delay the next."""
 
 RETRY_DELAY_S = 0.2
 """Pause after a failed reading."""
--- a/pumicespur/platform/_retry_after.py
+++ b/pumicespur/platform/_retry_after.py
@@ -17,7 +17,7 @@
 def retry_after_s(failing_for_s: float, time_limit_s: float, jitter: float) -> int:
     """Return the value of `Retry-After`, in whole seconds.
 
-    `failing_for_s` is how long the store has been failing; 0 if another cause led to the refusal.
+    `failing_for_s` is how long the store has been failing; 0 while it answers.
     `time_limit_s` is how long the caller waits for a response. It bounds the value, since a caller
     that gives one call less time does not use a longer wait either. `jitter`, from 0 to 1, is drawn
     for each refusal: callers that are refused at the same moment return in different seconds.
