--- a/tests/test_evacuated_node.py
+++ b/tests/test_evacuated_node.py
@@ -4,17 +4,15 @@
 
 import json
 from typing import Any
-from unittest.mock import patch
 
 import anyio
 
 from pumicespur.utils import monotonic
-from standins.hosted import _nodes
 from tests.test_commands import run
 from tests.test_node import LONG_RUNNING, STEP, NodeCase, job_id
 
 EVACUATE_S = 1.5
-"""Time after which no task may start in an evacuated hall; set in the nodes' settings."""
+"""Time after which no task may start in an evacuated hall, as in the nodes' settings."""
 
 ROW = ("op", "", "evacuate/hall")
 """The row that evacuates the hall of all workers of the stand-in."""
@@ -26,10 +24,7 @@
     """Tests of nodes with a bound for evacuations."""
 
     async def asyncSetUp(self) -> None:
-        bound = f"[workers]\nevacuate_ms = {int(EVACUATE_S * 1000)}\n"
-        settings = _nodes.SETTINGS.replace("[workers]\n", bound)
-        with patch.object(_nodes, "SETTINGS", settings):
-            await super().asyncSetUp()
+        await super().asyncSetUp()
         self.evacuated_at = 0.0
 
     async def evacuate(self) -> None:
