Small processes own pools only where there are no large ones, also where owners are spread over halls

By reading: the spread over data halls ranked the hall before the capacity, so a process of a fifth of the largest one's capacity went first in a hall without an owner. test_a_small_process_in_a_hall_without_an_owner_goes_last.

--- a/pumicespur/node/_hall_ranking.py
+++ b/pumicespur/node/_hall_ranking.py
@@ -11,6 +11,10 @@
 
     from pumicespur.model import DataHall, PoolId, ProcessId
 
+SMALL_RATIO = 0.5
+"""Processes with less than this part of the largest capacity own pools only if there are no others;
+an owner of a busy pool needs the processor time of a large instance."""
+
 
 @dataclass
 class HallRanking:
@@ -45,12 +49,13 @@
         self.note_owner(first, failed=False)
 
     def rank(self, pool: PoolId) -> list[ProcessId]:
-        """Return the candidates for a pool, those in the hall with fewest owners first."""
+        """Return the candidates for a pool: large ones, in the hall with fewest owners, first."""
         return sorted(self.capacities, key=lambda process: self._key(pool, process))
 
-    def _key(self, pool: PoolId, process: ProcessId) -> tuple[int, bool, float, bytes]:
+    def _key(self, pool: PoolId, process: ProcessId) -> tuple[bool, int, bool, float, bytes]:
         hall = self.halls[process]
         return (
+            self.capacities[process] < SMALL_RATIO * max(self.capacities.values()),
             self.owners[hall],
             hall in self.suspected,
             (self.owned[process] + 1) / self.capacities[process],
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -196,6 +196,15 @@
         self.receive_owner("pool-2", "west-0")
         self.assertEqual("south", self.halls[self.successor("pool-3")])
 
+    def test_a_small_process_in_a_hall_without_an_owner_goes_last(self) -> None:
+        # A process that is too slow for a busy pool would own it for the sake of the spread.
+        self.receive_owner("pool-0", "north-0")
+        for number in range(self.HALLS["south"]):
+            self.receive_heartbeat(f"south-{number}", data_hall="south", capacity=0.2)
+        for hall in ("east", "west"):
+            self.receive_owner(f"pool-{hall}", f"{hall}-0")
+        self.assertNotEqual("south", self.halls[self.successor("pool-3")])
+
     def test_pools_without_owners_at_once_do_not_go_to_the_same_hall(self) -> None:
         # Five pools had three owners in one of four halls when each was ranked by load alone.
         self.assertEqual(2, self.largest_count(self.find_owners()))
