A worker may turn cold again after an evacuation; wording from reading the change as a newcomer

By reading: a listed worker whose entry told a new time for which it is cold was taken for warm (test_a_worker_may_turn_cold_again_after_an_evacuation). The rest are names, docstrings and pages: nothing that leaves the process changed but the text of pumicespur status for a node that knows no evacuations.

--- a/pumicespur/commands/status.py
+++ b/pumicespur/commands/status.py
@@ -43,7 +43,10 @@
         print(json.dumps(evacuations))
         return
     if evacuations is None or evacuations["age_s"] is None:
-        print("this node does not follow evacuations: it owns no pool, or no bound is set")
+        print(
+            "no evacuations are known: this node owns no pool and does not lead the fleet, has not "
+            "read them yet, or no bound is set"
+        )
         return
     print(f"as of {evacuations['age_s']} s ago")
     rows = [
--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -258,8 +258,8 @@
                 long_running.add(spec, started + startable)
             elif is_overdue(group, now_ms):
                 if now_ms <= job.deadline_ms:
-                    # Running late work does not count, so that a pool with a backlog does not keep
-                    # its workers from the load peak of another pool.
+                    # After their job's deadline, running tasks do not count, so that a pool with a
+                    # backlog does not keep its workers from the load peak of another pool.
                     short.add(spec, started)
                 overdue.add(spec, startable)
             else:
--- a/pumicespur/jobs/_feasibility.py
+++ b/pumicespur/jobs/_feasibility.py
@@ -12,9 +12,9 @@
 
     from pumicespur.jobs._job import Job, StepGroup
 
-MAX_OVERDUE_WAIT_S = 10.0
-"""Time after its deadline from which overdue work goes first, and for which it waits behind work
-that can be in time; about the length of a load peak. Without the wait, a peak makes every job a
+LONG_OVERDUE_AFTER_S = 10.0
+"""Time after its deadline from which overdue work may go first; also the delay added to its
+deadline before that. About the length of a load peak: without the delay, a peak makes every job a
 little late instead of some of them very late."""
 
 LONG_OVERDUE_RATIO = 0.1
@@ -44,8 +44,8 @@
 
 
 def is_long_overdue(group: StepGroup, now_ms: float) -> bool:
-    """Whether a waiting step has been late for so long that it goes first."""
-    return has_deadline(group) and now_ms >= group.job.deadline_ms + MAX_OVERDUE_WAIT_S * 1000
+    """Whether the deadline of a step's job passed so long ago that the step may go first."""
+    return has_deadline(group) and now_ms >= group.job.deadline_ms + LONG_OVERDUE_AFTER_S * 1000
 
 
 def select_going_first(
@@ -53,9 +53,10 @@
 ) -> set[StepGroup]:
     """Return the long overdue groups that go first, the longest overdue ones.
 
-    Together with what runs of such work, they take no more than its share of the processor time of
-    running tasks; at least one goes while nothing of it runs. The others keep their usual place.
-    Otherwise a pool that stays overloaded would run nothing but work that is late already.
+    Groups are added while the long overdue work that runs or is selected takes at most
+    `LONG_OVERDUE_RATIO` of the processor capacity of running tasks, so the last one added may
+    exceed it. The others keep their usual place; otherwise a pool that stays overloaded would run
+    only work that is late already.
     """
     running = running_overdue = 0
     for job in jobs:
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -419,7 +419,7 @@
 
     def _evacuate(self) -> None:
         """Keep new tasks off workers to be evacuated and move long-running ones away."""
-        self._update_evacuations()
+        self._update_worker_evacuations()
         now = monotonic()
         if now - self.ownership.acquired_at < MOVE_DELAY_S:
             return
@@ -431,7 +431,7 @@
                 task.unavailable_since = now
                 self.spawn(session.stop, task.name, task.run, "its worker is being evacuated")
 
-    def _update_evacuations(self) -> None:
+    def _update_worker_evacuations(self) -> None:
         """Update which workers are to be evacuated; report evacuated ones at once."""
         names = self.view.workers_to_evacuate(MAX_EVACUATION_AGE_S)
         now = monotonic()
@@ -499,7 +499,7 @@
         now = now_ms()
         # The commit may have taken long: apply what was received meanwhile before sending orders.
         self._mark_evacuated_halls()
-        self._update_evacuations()
+        self._update_worker_evacuations()
         self._update_limits(monotonic())
         self.allotments.note_recorded(batch.allotments)
         for job in batch.ended:
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/_placement.py
@@ -11,7 +11,7 @@
     quarantine_allows,
 )
 from pumicespur.jobs._feasibility import (
-    MAX_OVERDUE_WAIT_S,
+    LONG_OVERDUE_AFTER_S,
     is_long_overdue,
     is_overdue,
     select_going_first,
@@ -31,7 +31,7 @@
 """Added to a job's deadline per priority level when groups are ordered; higher levels are less
 urgent. A job one level up still goes first if its deadline is earlier by more than this."""
 
-OVERDUE_DELAY_MS = MAX_OVERDUE_WAIT_S * 1000
+OVERDUE_DELAY_MS = LONG_OVERDUE_AFTER_S * 1000
 """Added to the deadline of work that can no longer finish in time."""
 
 OVER_SHARE_DELAY_MS = PRIORITY_DELAY_MS
@@ -139,12 +139,12 @@
             return [load for load in eligible if group.ticket(load.worker.id, self.now)]
         return eligible
 
-    def restore_beside_evacuation(self) -> None:
-        """Offer workers again that a gang had filled in vain, while data halls are evacuated.
+    def restore_after_failed_gang(self) -> None:
+        """Make the workers available again that a gang would have filled, beside evacuated halls.
 
-        A gang may then wait for as long as the evacuation lasts, and must not block the work behind
-        it. Otherwise its workers stay taken for the round, so that smaller work does not fill them
-        time and again while the gang waits.
+        Such a gang may wait as long as the evacuation lasts and must not block the work behind it.
+        Otherwise these workers stay unavailable for the round, so that smaller work does not keep
+        filling them while the gang waits.
         """
         if any(load.hall_evacuated for load in self.loads):
             self.available = self._find_available()
@@ -256,7 +256,7 @@
     if len(placed) < len(group.tasks):
         for task in placed:
             undo_assignment(task, candidates.loads)
-        candidates.restore_beside_evacuation()
+        candidates.restore_after_failed_gang()
         return []
     align_gang_runs(group)
     return placed
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -95,7 +95,8 @@
     """Runs of earlier owners that are not yet counted on their workers."""
     fair_share: FairShareMeter = field(default_factory=FairShareMeter)
     distinguishes_cold_workers: bool = False
-    """Whether workers that are slow after their start are treated in their own way."""
+    """Whether cold workers come last, get one start at a time and are left out of the learnt task
+    durations."""
     cold_slowdown: ColdSlowdown = field(default_factory=ColdSlowdown)
     capacities: set[Capacity] | None = None
     """Cached set of the workers' distinct capacities; None if it must be recomputed."""
@@ -170,17 +171,12 @@
             self.capacities = None
         if load.worker.capacity != worker.capacity:
             self.capacities = None
+        if self.distinguishes_cold_workers:
+            load.note_cold(worker, monotonic(), is_new=is_new)
         load.worker = worker
         load.listed = True
         if worker.leaves_in_s is not None and load.leaves_at is None:
             load.leaves_at = monotonic() + worker.leaves_in_s
-        if self.distinguishes_cold_workers:
-            # The same entry is seen again and again, so its time counts from the first time.
-            cold_until = monotonic() + worker.cold_for_s
-            if not is_new:
-                load.cold_until = min(load.cold_until, cold_until)
-            elif worker.cold_for_s:
-                load.cold_until = cold_until
         return load
 
     def load_of(self, task: Task) -> WorkerLoad | None:
--- a/pumicespur/jobs/_submission_attempt.py
+++ b/pumicespur/jobs/_submission_attempt.py
@@ -32,8 +32,8 @@
 """Longest such delay."""
 
 SEND_RESERVE_S = 0.1
-"""Part of the caller's time that a write needs to be confirmed, some twenty usual response times. A
-write that is sent later and cut off would leave unknown whether it is recorded."""
+"""Part of the caller's time that is reserved for a write to be confirmed. A write that is sent
+later and cut off would leave unknown whether it is recorded."""
 
 
 class SubmissionAttempt:
--- a/pumicespur/jobs/_worker_load.py
+++ b/pumicespur/jobs/_worker_load.py
@@ -131,6 +131,19 @@
         wanted = not self.evacuating and not self.hall_evacuated
         return ready and usable and wanted and now >= self.paused_until
 
+    def note_cold(self, worker: Worker, now: float, *, is_new: bool) -> None:
+        """Apply for how long an entry says that the worker is cold.
+
+        The same entry is seen again and again, so its time counts from the first time. A worker may
+        turn cold again without a restart, after an evacuation of its data hall.
+        """
+        if not is_new and worker.cold_for_s == self.worker.cold_for_s:
+            return
+        if worker.cold_for_s:
+            self.cold_until = now + worker.cold_for_s
+        else:
+            self.cold_until = min(self.cold_until, now)
+
     def is_cold(self, now: float) -> bool:
         """Whether the worker is still slow after its start."""
         return now < self.cold_until
--- a/pumicespur/maintenance/_fleet_leader.py
+++ b/pumicespur/maintenance/_fleet_leader.py
@@ -155,13 +155,13 @@
             case Result(error=error):
                 log.warning("instances not listed", reason=str(error))
                 return
-        if self._are_evacuations_known():
+        if self._are_evacuated_halls_known():
             await self.wave_executor.run_round(
                 self.instances, self.listed_at, self._rebalance_input
             )
         await self._rebalance()
 
-    def _are_evacuations_known(self) -> bool:
+    def _are_evacuated_halls_known(self) -> bool:
         """Whether the evacuated data halls have been read, if this platform evacuates any.
 
         Before the first reading, a new leader would take closed instances for a surplus.
@@ -178,7 +178,7 @@
         self._note_peaks()
         state = self._rebalance_input()
         self.needed_workers = state.needed
-        plan = self.rebalancer.plan(state, now) if self._are_evacuations_known() else MovePlan()
+        plan = self.rebalancer.plan(state, now) if self._are_evacuated_halls_known() else MovePlan()
         if set(self.workers_to_evacuate()) != self.reported_evacuations:
             self.reported_evacuations = set(self.workers_to_evacuate())
             self.request_report()
--- a/pumicespur/maintenance/_hall_spread.py
+++ b/pumicespur/maintenance/_hall_spread.py
@@ -50,8 +50,8 @@
     ) -> Instance | None:
         """Remove and return the next instance that is not used yet; None if there is none.
 
-        `count` returns how many instances the pool has in an instance's hall; a lower effort goes
-        before it.
+        Instances of lowest `effort` come first; among them, those in the hall with the lowest
+        `count`, the number of instances that the pool has there.
         """
         for queue in self.queues.values():
             while queue and queue[0].id in used:
--- a/pumicespur/maintenance/_rebalancing.py
+++ b/pumicespur/maintenance/_rebalancing.py
@@ -88,7 +88,7 @@
     spare: list[Instance]
     surplus: dict[PoolId, list[Instance]]
     releasable: dict[PoolId, list[Instance]]
-    """Instances that pools lend for the work of others."""
+    """Instances that pools can give to a pool that lacks workers for its work."""
 
     def remove(self, instance: Instance) -> None:
         """Remove an instance that a pool gets."""
@@ -191,7 +191,7 @@
         pool: PoolId,
         missing: int,
     ) -> None:
-        """Send instances to one pool; others lend what it is short of for its work only."""
+        """Send instances to one pool; releasable ones of others go only to work that it lacks."""
         if missing <= 0:
             return
         missing_for_work = _busy_workers(state, pool) - _present(state, pool)
@@ -199,12 +199,14 @@
             self._queue(state, pool, [available.spare]),
             self._queue(state, pool, available.surplus.values()),
         ]
-        lenders = self._queue(state, pool, available.releasable.values())
+        releasable = self._queue(state, pool, available.releasable.values())
         for number in range(missing):
             if len(state.moving) + len(plan.moves) >= _max_moving(state):
                 return
-            may_borrow = number < missing_for_work
-            found = self._pick_instance(pool, [*sources, lenders] if may_borrow else sources, plan)
+            may_take_releasable = number < missing_for_work
+            found = self._pick_instance(
+                pool, [*sources, releasable] if may_take_releasable else sources, plan
+            )
             if found is None:
                 return
             available.remove(found)
--- a/pumicespur/node/_evacuations.py
+++ b/pumicespur/node/_evacuations.py
@@ -158,13 +158,13 @@
         evacuated = self._decode(rows)
         has_changed = evacuated.keys() != self.view.evacuated_halls.keys()
         self.view.evacuated_halls = evacuated
-        # An answer that shows a newer version also shows what an earlier one with a later request
-        # did, so the age counts from the later request.
+        # An answer of a newer version also includes what an older version showed, even if that one
+        # was requested later, so the age counts from the later request.
         asked_at = max(answer.asked_at, known.asked_at)
         self.view.evacuations_progress = TableProgress(answer.version, asked_at)
         self._log_changes(evacuated, asked_at)
         if has_changed:
-            self.controller.apply_evacuations()
+            self.controller.apply_evacuated_halls()
 
     def _decode(self, rows: Iterable[Row]) -> dict[DataHall, HallEvacuation]:
         """Return the evacuations, also of halls that are not known yet; report unusable rows.
--- a/pumicespur/node/_ownership_controller.py
+++ b/pumicespur/node/_ownership_controller.py
@@ -134,7 +134,7 @@
         for owner in self.roles.pool_owners():
             owner.sync_workers()
 
-    def apply_evacuations(self) -> None:
+    def apply_evacuated_halls(self) -> None:
         """Notify the owners and the fleet leader that other data halls are evacuated."""
         for owner in self.roles.pool_owners():
             owner.apply_evacuated_halls()
--- a/pumicespur/node/_takeover_policy.py
+++ b/pumicespur/node/_takeover_policy.py
@@ -131,7 +131,11 @@
     def _make_hall_ranking(
         self, pool: PoolId, capacities: Mapping[ProcessId, float]
     ) -> HallRanking:
-        """Count the owners by data hall; pools that are taken before this one have an owner."""
+        """Return the ranking for a pool.
+
+        Vacant pools before it in the order of `view.pools()` count as taken by their first
+        candidate.
+        """
         halls = {p: DataHall(s.heartbeat.data_hall) for p, s in self.view.processes.items()}
         halls[self.process_id] = DataHall(self.settings.process.data_hall)
         ranking = HallRanking(capacities, halls, _tie_breaker)
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -130,7 +130,10 @@
         """Note a call refused for its key, and the version of the configuration that decided it."""
 
     def is_store_responding(self) -> bool:
-        """Return whether the store responded lately; without it no job can be accepted or read."""
+        """Return whether calls to the store succeed, or have failed only for a short time.
+
+        Otherwise no job can be accepted or read.
+        """
 
     def store_failing_for_s(self) -> float:
         """Return how long calls to the store have failed, in seconds."""
--- a/pumicespur/platform/_store_probe.py
+++ b/pumicespur/platform/_store_probe.py
@@ -17,7 +17,7 @@
 response after some were lost, and a process that owns nothing makes one each 1.5 s."""
 
 PROBE_TIMEOUT_S = 1.0
-"""Timeout of a probe, four response times of a store that is sixty times slower than usual. It
+"""Timeout of a probe; long enough for the responses of a slow store. With `PROBE_INTERVAL_S` it
 bounds the concurrent probes to five."""
 
 
--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -250,6 +250,7 @@
         query = {
             "table": table,
             "part": part,
+            # The protocol's name for the key that ends the range; that key is excluded.
             "targetVersion": end,
             "limit": str(MAX_PAGE_ROWS),
         }
--- a/pumicespur/store/_outage.py
+++ b/pumicespur/store/_outage.py
@@ -6,10 +6,10 @@
 
 
 class OutageTracker:
-    """The time since the first failed call after the last successful one.
+    """Tracks an outage, which begins with the first failed call after a success.
 
-    It does not begin with the last success: a process that calls the store every 1.5 s would
-    otherwise take one lost response for an outage of that length.
+    Counted from the last success, one lost response would look like a long outage in a process that
+    calls the store rarely.
     """
 
     def __init__(self) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -56,7 +56,8 @@
 ) -> int:
     """Run the plans of consecutive seeds, several at once; new seeds unless one is given.
 
-    With `evacuations`, the plans evacuate data halls, alone or beside one other fault each.
+    With `evacuations`, the plans evacuate data halls, alone or beside one other fault each;
+    `kinds` is then ignored.
     """
     first = int(time.time()) % 10_000_000 if seed is None else seed
     deployment = Deployment(nodes=nodes, workers=workers)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -30,7 +30,7 @@
 """Data halls, to which racks belong in turn; as many as in the deployments that evacuate them."""
 
 COLD_S = 0.5
-"""Time for which workers are cold; some tasks at half speed."""
+"""Time for which workers are cold; tasks started meanwhile run at half speed."""
 
 
 @dataclass
--- a/tests/test_evacuated_placement.py
+++ b/tests/test_evacuated_placement.py
@@ -234,6 +234,13 @@
         placed = self.pool.place(monotonic(), 0.0)
         self.assertEqual(2, sum(1 for task in placed if str(task.worker).startswith("c-")))
 
+    def test_a_worker_may_turn_cold_again_after_an_evacuation(self) -> None:
+        # Workers of a hall that had been evacuated were taken for warm, as at their start.
+        load = next(load for load in self.pool.loads.values() if load.worker.name == "w")
+        self.assertFalse(load.is_cold(monotonic()))
+        self.pool.add_worker(replace(load.worker, cold_for_s=5.0))
+        self.assertTrue(load.is_cold(monotonic()))
+
     def test_the_same_entry_does_not_keep_a_worker_cold(self) -> None:
         # Owners apply each entry several times a second, also one that has not changed.
         load = self.pool.loads[WorkerId("c-0")]
--- a/tests/test_evacuation_model.py
+++ b/tests/test_evacuation_model.py
@@ -298,7 +298,7 @@
     roles: Any = field(default_factory=lambda: SimpleNamespace(owned={}, fleet_leader=None))
     follower: EvacuationFollower | None = None
 
-    def apply_evacuations(self) -> None:
+    def apply_evacuated_halls(self) -> None:
         """Notify the owner, as the ownership controller does."""
         self.owner.apply_evacuated_halls()
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -45,7 +45,7 @@
         self.roles.owned["main"] = object()
         self.owning.set()
 
-    def apply_evacuations(self) -> None:
+    def apply_evacuated_halls(self) -> None:
         """Count the change."""
         self.changes += 1
 
--- a/tests/test_feasibility.py
+++ b/tests/test_feasibility.py
@@ -14,8 +14,8 @@
 
 from pumicespur.jobs import _placement
 from pumicespur.jobs._feasibility import (
+    LONG_OVERDUE_AFTER_S,
     LONG_OVERDUE_RATIO,
-    MAX_OVERDUE_WAIT_S,
     is_long_overdue,
     is_overdue,
     select_going_first,
@@ -48,7 +48,7 @@
 FULL_OF_TIMELY_WORK = Load(rest=1.1, duration_s=40.0)
 """Just enough that work that can be in time always waits."""
 
-LONGEST_WAIT_S = MAX_OVERDUE_WAIT_S + (2 * BATCH.task_ms + 2 * 1.2 * BATCH.task_ms) / 1000 + 0.2
+LONGEST_WAIT_S = LONG_OVERDUE_AFTER_S + (2 * BATCH.task_ms + 2 * 1.2 * BATCH.task_ms) / 1000 + 0.2
 """Longest wait of a lone late job: the bound counts from its deadline, the wait from the latest
 start that would have been in time; then each of its two steps waits for a running task to end, and
 for a round."""
@@ -86,7 +86,7 @@
 
     def test_late_work_goes_first_after_the_maximum_wait(self) -> None:
         group = submit(make_pool(), make_record(STEP)).groups[0]
-        first_ms = group.job.deadline_ms + MAX_OVERDUE_WAIT_S * 1000
+        first_ms = group.job.deadline_ms + LONG_OVERDUE_AFTER_S * 1000
         self.assertFalse(is_long_overdue(group, first_ms - 1))
         self.assertTrue(is_long_overdue(group, first_ms))
 
@@ -95,7 +95,7 @@
         pool = make_pool(make_worker("w"))
         late = submit(pool, make_record(STEP, job="1" * 16))
         late.priority, late.exceeds_share = 1, True
-        now_ms = late.deadline_ms + MAX_OVERDUE_WAIT_S * 1000
+        now_ms = late.deadline_ms + LONG_OVERDUE_AFTER_S * 1000
         fresh = submit(pool, make_record(STEP, job="0" * 16, accepted_ms=int(now_ms)))
         before = [group.job for group in order_groups(pool.jobs.values(), now_ms - 1)]
         after = [group.job for group in order_groups(pool.jobs.values(), now_ms)]
@@ -173,7 +173,7 @@
     def test_peaks_leave_most_jobs_in_time_and_none_late_for_long(self) -> None:
         for outcome in play_bounded(PEAKS):
             self.assertGreater(outcome.ratio_in_time, 0.65)
-            self.assertLess(outcome.longest_late_wait_s, MAX_OVERDUE_WAIT_S)
+            self.assertLess(outcome.longest_late_wait_s, LONG_OVERDUE_AFTER_S)
 
     def test_bound_shortens_the_longest_wait_in_lasting_overload(self) -> None:
         for bounded, unbounded in zip(
--- a/tests/test_fleet_leader.py
+++ b/tests/test_fleet_leader.py
@@ -249,13 +249,13 @@
 
     def test_pools_wait_for_the_first_reading_only(self) -> None:
         # A new leader took closed instances for a surplus and moved them to other pools.
-        self.assertFalse(self.leader._are_evacuations_known())
+        self.assertFalse(self.leader._are_evacuated_halls_known())
         self.view.evacuations_progress = TableProgress(7, 1.0)
-        self.assertTrue(self.leader._are_evacuations_known())
+        self.assertTrue(self.leader._are_evacuated_halls_known())
 
     def test_pools_do_not_wait_where_halls_are_not_evacuated(self) -> None:
         self.leader.settings.workers.evacuate_ms = 0
-        self.assertTrue(self.leader._are_evacuations_known())
+        self.assertTrue(self.leader._are_evacuated_halls_known())
 
 
 class TestIntentLog(unittest.IsolatedAsyncioTestCase):
