--- a/pumicespur/commands/status.py
+++ b/pumicespur/commands/status.py
@@ -44,8 +44,8 @@
         return
     if evacuations is None or evacuations["age_s"] is None:
         print(
-            "no evacuations are known: this node owns no pool and does not lead the fleet, has not "
-            "read them yet, or no bound is set"
+            "this node does not follow evacuations, or has not read them yet: it owns no pool and "
+            "does not lead the fleet, or no bound is set"
         )
         return
     print(f"as of {evacuations['age_s']} s ago")
