An outage counts from when its first failed call was sent

Since the length of an outage counted from the end of the first failed call, a process with a silent store could call its configuration out of date before it refused callers for the silent store.

--- a/pumicespur/platform/_table.py
+++ b/pumicespur/platform/_table.py
@@ -159,8 +159,9 @@
             return
         self.last_failure_at = now
         if sent_at >= self.last_success_at:
-            # A call that was sent in an outage may fail after the outage has ended.
-            self.outage.note_failure(now)
+            # A call that was sent in an outage may fail after the outage has ended. A request for
+            # changes waits at the store, so only the time beyond that counts.
+            self.outage.note_failure(max(sent_at, now - self.response_times.timeout_s()))
 
     def note_success(self, now: float) -> None:
         """Note that the service responded with a result."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,6 +22,10 @@
     return f"{number:016x}"
 
 
+REFUSAL_TIMEOUT_S = 20.0
+"""Time limit for a node to refuse requests at once while the store is silent."""
+
+
 class NodeCase(unittest.IsolatedAsyncioTestCase):
     """Tests that each run in a platform stand-in of their own."""
 
@@ -201,8 +205,9 @@
         self.world.store.faults.silent = True
         status, body = 0, {"error": ""}
         until_refused = {"error": "the store does not answer; nothing was done"}
-        while body != until_refused:
-            status, body = await self.world.call(self.node, "GET", f"/quick/{job_id(3)}")
+        async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            while body != until_refused:
+                status, body = await self.world.call(self.node, "GET", f"/quick/{job_id(3)}")
         self.assertEqual(503, status)
         self.assertEqual(503, await self.world.submit(self.node, job_id(4), [STEP]))
         self.world.store.faults.silent = False
