Rebalancing: what short pools get is noted once, not removed from three lists

Each pick rebuilt a set of all planned moves and searched three lists by equality, beside the set that already keeps an instance from being chosen twice. The plan keeps that set now.

--- a/pumicespur/maintenance/_rebalancing.py
+++ b/pumicespur/maintenance/_rebalancing.py
@@ -79,6 +79,8 @@
     evacuating: set[InstanceId] = field(default_factory=set)
     halls: HallCounts = field(default_factory=HallCounts)
     """Data halls of the pools' instances after the moves."""
+    taken: set[InstanceId] = field(default_factory=set)
+    """Instances that short pools get, at once or after their evacuation."""
 
 
 @dataclass
@@ -90,16 +92,6 @@
     releasable: dict[PoolId, list[Instance]]
     """Instances that pools can give to a pool that lacks workers for its work."""
 
-    def remove(self, instance: Instance) -> None:
-        """Remove an instance that a pool gets."""
-        for instances in (
-            self.spare,
-            self.surplus.get(instance.pool, []),
-            self.releasable.get(instance.pool, []),
-        ):
-            if instance in instances:
-                instances.remove(instance)
-
 
 class PoolRebalancer:
     """Planner of moves between pools, which tracks since when each pool has had a surplus."""
@@ -196,10 +188,10 @@
             return
         missing_for_work = _busy_workers(state, pool) - _present(state, pool)
         sources = [
-            self._queue(state, pool, [available.spare]),
-            self._queue(state, pool, available.surplus.values()),
+            self._queue(state, plan, pool, [available.spare]),
+            self._queue(state, plan, pool, available.surplus.values()),
         ]
-        releasable = self._queue(state, pool, available.releasable.values())
+        releasable = self._queue(state, plan, pool, available.releasable.values())
         for number in range(missing):
             if len(state.moving) + len(plan.moves) >= _max_moving(state):
                 return
@@ -209,7 +201,7 @@
             )
             if found is None:
                 return
-            available.remove(found)
+            plan.taken.add(found.id)
             plan.halls.add(pool, found)
             if found.id in state.empty:
                 plan.moves.append((found.id, pool))
@@ -217,15 +209,21 @@
                 plan.evacuating.add(found.id)
 
     def _queue(
-        self, state: RebalanceInput, pool: PoolId, lists: Iterable[list[Instance]]
+        self,
+        state: RebalanceInput,
+        plan: MovePlan,
+        pool: PoolId,
+        lists: Iterable[list[Instance]],
     ) -> CandidateQueue:
-        """Return the instances that may move to a pool, in the order of the lists."""
+        """Return the instances that may still move to a pool, in the order of the lists."""
         return CandidateQueue(
             (
                 instance
                 for instances in lists
                 for instance in instances
-                if instance.pool != pool and (instance.id, pool) not in state.rejected_moves
+                if instance.pool != pool
+                and instance.id not in plan.taken
+                and (instance.id, pool) not in state.rejected_moves
             ),
             lambda i: (
                 i.id in state.protected,
@@ -239,9 +237,8 @@
         self, pool: PoolId, sources: Iterable[CandidateQueue], plan: MovePlan
     ) -> Instance | None:
         """Return an instance for a pool, from the first source that has one."""
-        used = plan.evacuating | {name for name, _ in plan.moves}
         for source in sources:
-            found = source.take(used, lambda i: plan.halls.of(pool, i))
+            found = source.take(plan.taken, lambda i: plan.halls.of(pool, i))
             if found is not None:
                 return found
         return None
@@ -268,7 +265,7 @@
             if now - self.surplus_since.get(pool, now) < SPARE_MOVE_DELAY_S:
                 continue
             for instance in instances:
-                if (instance.id, spare) in state.rejected_moves:
+                if instance.id in plan.taken or (instance.id, spare) in state.rejected_moves:
                     continue
                 if instance.id in state.empty:
                     if len(state.moving) + len(plan.moves) < _max_moving(state):
