--- /dev/null
+++ b/review/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the review's cases: real nodes against stand-ins of the platform."""
