An id stays one job over all pools, also at processes that started after its route moved

Cause: the submission's key held the pool, so that the store's condition guarded an id within one pool; the route's other pools were asked first, but were known only from the changes that the process had seen since it started.

Change: a row of the id, with pool, route and account, is written with the submission in one transaction under the condition that it is not there. Partitions depend on the id alone, so that both rows are in one. Repeats, states and cancellations go by that row; FleetView.earlier_pools and other_pools are gone.

--- a/pumicespur/jobs/_access.py
+++ b/pumicespur/jobs/_access.py
@@ -13,10 +13,12 @@
 
 if TYPE_CHECKING:
     from pumicespur.model import AccountId, Route
-    from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
+    from pumicespur.schema.jobs_pb import JobIdRecord, JobRecord, ProgressRecord
 
 
-def is_visible_to(caller: AccountId, route: Route, job: JobRecord | ProgressRecord) -> bool:
+def is_visible_to(
+    caller: AccountId, route: Route, job: JobIdRecord | JobRecord | ProgressRecord
+) -> bool:
     """Whether a caller on a route can see a job.
 
     A job without an account was submitted while its route required no key; anyone who may call the
--- a/pumicespur/jobs/_keys.py
+++ b/pumicespur/jobs/_keys.py
@@ -2,7 +2,9 @@
 
 The rows that an owner writes are in one partition, so that a commit can have the owner's row as a
 condition. Submissions have a table for each pool, so that an owner follows its own pool only, and
-several partitions, since a slow store applies the writes of one partition in sequence.
+several partitions, since a slow store applies the writes of one partition in sequence. A job's
+partition depends on its id alone: one transaction can then write the submission under the condition
+that no pool has a job of this id.
 """
 
 from __future__ import annotations
@@ -16,11 +18,12 @@
     from pumicespur.model import AccountId, JobId, PoolId
 
 OWNERS_TABLE = "owners"
+JOB_IDS_TABLE = "ids"
 
 SUBMISSION_PARTITIONS = 32
-"""Partitions of a pool's submissions. The store applies the writes of one partition in sequence; at
-a sixtieth of its usual speed that is three a second, so that 32 partitions handle a peak of 30 jobs
-a second with its retries. A new owner reads every partition."""
+"""Partitions of the submissions to all pools. The store applies the writes of one partition in
+sequence; at a sixtieth of its usual speed that is three a second, so that 32 partitions handle a
+peak of 30 jobs a second with its retries. A new owner reads every partition of its pool's table."""
 
 
 def submissions_table(pool: PoolId) -> str:
@@ -28,9 +31,13 @@
     return f"jobs-{pool}"
 
 
-def submission_partitions(pool: PoolId) -> list[str]:
-    """Return the partitions of a pool's submissions."""
-    return [f"{pool}.{number}" for number in range(SUBMISSION_PARTITIONS)]
+def submission_partitions() -> list[str]:
+    """Return the partitions of each pool's submissions."""
+    return [str(number) for number in range(SUBMISSION_PARTITIONS)]
+
+
+def _partition(job: JobId) -> str:
+    return str(zlib.crc32(job.encode()) % SUBMISSION_PARTITIONS)
 
 
 def submission_key(pool: PoolId, job: JobId) -> str:
@@ -38,8 +45,15 @@
 
     The row is compacted when the job has ended.
     """
-    partition = zlib.crc32(job.encode()) % SUBMISSION_PARTITIONS
-    return f"{submissions_table(pool)}/{pool}.{partition}/{job}"
+    return f"{submissions_table(pool)}/{_partition(job)}/{job}"
+
+
+def job_id_key(job: JobId) -> str:
+    """Return the key of the row that tells which pool has the job of an id.
+
+    It is in the partition of the job's submission to any pool.
+    """
+    return f"{JOB_IDS_TABLE}/{_partition(job)}/{job}"
 
 
 def progress_key(pool: PoolId, job: JobId) -> str:
--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/_service.py
@@ -11,23 +11,20 @@
 
 from pumicespur.jobs._access import is_visible_to
 from pumicespur.jobs._job import ENDED_PHASES
-from pumicespur.jobs._keys import progress_key, submission_key
+from pumicespur.jobs._keys import job_id_key, progress_key, submission_key
 from pumicespur.jobs._submission_attempt import (
     MAX_RETRY_DELAY_S,
     RETRY_DELAY_S,
     SubmissionAttempt,
-    resubmission_outcome,
 )
 from pumicespur.jobs._submission_hold import SubmissionHold
-from pumicespur.model import AccountId, CancellationOutcome, JobId, SubmissionOutcome
-from pumicespur.schema.jobs_pb import JobPhase, JobRecord, ProgressRecord
+from pumicespur.model import AccountId, CancellationOutcome, JobId, PoolId, SubmissionOutcome
+from pumicespur.schema.jobs_pb import JobIdRecord, JobPhase, JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, Condition, Row, Transaction, Write
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
-
-    from pumicespur.model import PoolId, Route
+    from pumicespur.model import Route
     from pumicespur.platform import PlatformTable
     from pumicespur.store import Fault
 
@@ -37,13 +34,9 @@
 class JobService:
     """Serves callers' requests from the store, without the pool's owner."""
 
-    def __init__(
-        self, table: PlatformTable, other_pools: Callable[[Route, bool], list[PoolId]]
-    ) -> None:
+    def __init__(self, table: PlatformTable) -> None:
         self.table = table
         self.hold = SubmissionHold(table.outage)
-        self.other_pools = other_pools
-        """Other pools that may have jobs of a route: all, or only its earlier ones if true."""
 
     async def submit(self, route: Route, record: JobRecord, give_up_at: float) -> SubmissionOutcome:
         """Record a job; a job that the caller has submitted before counts as accepted.
@@ -52,25 +45,15 @@
         """
         attempt = SubmissionAttempt(self.table, self.hold, route, record, give_up_at)
         with anyio.CancelScope(deadline=give_up_at):
-            return await self._submit(attempt)
+            return await attempt.record_job()
         return attempt.refuse(AnswerLost("no response in time"))
 
-    async def _submit(self, attempt: SubmissionAttempt) -> SubmissionOutcome:
-        route, record = attempt.route, attempt.record
-        for earlier in self.other_pools(route, True):
-            found = await self._find(earlier, JobId(record.id), attempt.give_up_at)
-            if found.is_error():
-                return attempt.refuse(found.error)
-            if found.ok is not None:
-                return resubmission_outcome(route, record, found.ok)
-        return await attempt.record_job()
-
     async def phase(
         self, route: Route, account: AccountId, job: JobId, give_up_at: float
     ) -> Result[JobPhase | None, Fault]:
         """Read a job's phase; None if the caller has no such job."""
         with anyio.CancelScope(deadline=give_up_at):
-            found = await self.find([route.pool, *self.other_pools(route, False)], job, give_up_at)
+            found = await self.find(job, give_up_at, route.pool)
             return found.map(
                 lambda known: (
                     None
@@ -81,20 +64,40 @@
         return Error(AnswerLost("no response in time"))
 
     async def find(
-        self, pools: Sequence[PoolId], job: JobId, give_up_at: float
+        self, job: JobId, give_up_at: float, likely_pool: PoolId | None = None
     ) -> Result[tuple[PoolId, ProgressRecord] | None, Fault]:
-        """Find a job in some pools; None if it is in none of them."""
-        for pool in pools:
-            found = await self._find(pool, job, give_up_at)
-            match found:
-                case Result(tag="ok", ok=progress):
-                    if progress is not None:
-                        return Ok((pool, progress))
-                case Result(error=error):
-                    return Error(error)
-        return Ok(None)
+        """Find a job and its pool; None if no pool has a job of this id.
+
+        `likely_pool` is searched first. The job's route may have had another one when the job was
+        submitted.
+        """
+        if likely_pool is not None:
+            found = await self._find_in(likely_pool, job, give_up_at)
+            if found.is_error() or found.ok is not None:
+                return found
+        holder = await self._find_holder(job, give_up_at)
+        match holder:
+            case Result(tag="ok", ok=JobIdRecord(pool=pool)):
+                return await self._find_in(PoolId(pool), job, give_up_at)
+            case Result(tag="ok"):
+                return Ok(None)
+            case Result(error=error):
+                return Error(error)
 
-    async def _find(
+    async def _find_in(
+        self, pool: PoolId, job: JobId, give_up_at: float
+    ) -> Result[tuple[PoolId, ProgressRecord] | None, Fault]:
+        found = await self._read_progress(pool, job, give_up_at)
+        return found.map(lambda progress: None if progress is None else (pool, progress))
+
+    async def _find_holder(
+        self, job: JobId, give_up_at: float
+    ) -> Result[JobIdRecord | None, Fault]:
+        """Read which pool has the job of an id; None if none has."""
+        found = await self._read(job_id_key(job), give_up_at)
+        return found.map(lambda row: JobIdRecord.from_binary(row.value) if row.version else None)
+
+    async def _read_progress(
         self, pool: PoolId, job: JobId, give_up_at: float
     ) -> Result[ProgressRecord | None, Fault]:
         """Read a job's progress in a pool; a job without progress is queued."""
@@ -130,11 +133,18 @@
     async def _cancel(
         self, route: Route, account: AccountId, job: JobId, give_up_at: float
     ) -> CancellationOutcome:
-        for pool in (route.pool, *self.other_pools(route, False)):
-            outcome = await self._cancel_in(pool, route, account, job, give_up_at)
-            if outcome is not CancellationOutcome.NO_SUCH_JOB:
-                return outcome
-        return CancellationOutcome.NO_SUCH_JOB
+        outcome = await self._cancel_in(route.pool, route, account, job, give_up_at)
+        if outcome is not CancellationOutcome.NO_SUCH_JOB:
+            return outcome
+        # The route may have had another pool when the job was submitted.
+        holder = await self._find_holder(job, give_up_at)
+        match holder:
+            case Result(tag="ok", ok=JobIdRecord(pool=pool)) if pool != route.pool:
+                return await self._cancel_in(PoolId(pool), route, account, job, give_up_at)
+            case Result(tag="ok"):
+                return CancellationOutcome.NO_SUCH_JOB
+            case _:
+                return CancellationOutcome.UNKNOWN
 
     async def _cancel_in(
         self, pool: PoolId, route: Route, account: AccountId, job: JobId, give_up_at: float
--- a/pumicespur/jobs/_submission_attempt.py
+++ b/pumicespur/jobs/_submission_attempt.py
@@ -10,9 +10,9 @@
 from logbook import Logger
 
 from pumicespur.jobs._access import is_visible_to
-from pumicespur.jobs._keys import submission_key
+from pumicespur.jobs._keys import job_id_key, submission_key
 from pumicespur.model import AccountId, JobId, SubmissionOutcome
-from pumicespur.schema.jobs_pb import JobRecord
+from pumicespur.schema.jobs_pb import JobIdRecord
 from pumicespur.store import AnswerLost, Condition, Conflict, Transaction, Unavailable, Write
 from pumicespur.utils import monotonic
 
@@ -20,7 +20,7 @@
     from pumicespur.jobs._submission_hold import SubmissionHold
     from pumicespur.model import Route
     from pumicespur.platform import PlatformTable
-    from pumicespur.schema.jobs_pb import ProgressRecord
+    from pumicespur.schema.jobs_pb import JobRecord
     from pumicespur.store import Fault
 
 log = Logger(__name__)
@@ -53,12 +53,12 @@
         self.record = record
         self.give_up_at = give_up_at
         """By when the caller needs a response (monotonic seconds)."""
-        self.key = submission_key(route.pool, JobId(record.id))
+        self.id_key = job_id_key(JobId(record.id))
         self.may_be_recorded = False
         """Whether a write without an answer may have been applied, or may be applied later."""
 
     async def record_job(self) -> SubmissionOutcome:
-        """Write the job's row until the store confirms it or the caller's time is up.
+        """Write the job's rows until the store confirms it or the caller's time is up.
 
         Nothing is sent while the store does not answer, so that a refusal can be certain.
         """
@@ -78,7 +78,7 @@
         """Look the job up if an earlier write may have been applied, else write it."""
         if self.may_be_recorded:
             match await self._look_up():
-                case Result(tag="ok", ok=JobRecord() as known):
+                case Result(tag="ok", ok=JobIdRecord() as known):
                     return Ok(resubmission_outcome(self.route, self.record, known))
                 case Result(tag="error", error=error):
                     return Error(error)
@@ -88,8 +88,8 @@
                 return Ok(SubmissionOutcome.ACCEPTED)
             case Result(error=Conflict(rows=rows) as conflict):
                 for row in rows:
-                    if row.key == self.key and row.value:
-                        known = JobRecord.from_binary(row.value)
+                    if row.key == self.id_key and row.value:
+                        known = JobIdRecord.from_binary(row.value)
                         return Ok(resubmission_outcome(self.route, self.record, known))
                 # The row exists, but the response does not show whose it is.
                 self.may_be_recorded = True
@@ -97,19 +97,17 @@
             case Result(error=error):
                 return Error(error)
 
-    async def _look_up(self) -> Result[JobRecord | None, Fault]:
-        """Read the row that a write without an answer may have left.
+    async def _look_up(self) -> Result[JobIdRecord | None, Fault]:
+        """Read the row of the id that a write without an answer may have left.
 
         A slow store queues the writes of a partition but not its reads.
         """
-        found = await self.table.read(self.key)
-        return found.map(lambda row: JobRecord.from_binary(row.value) if row.value else None)
+        found = await self.table.read(self.id_key)
+        return found.map(lambda row: JobIdRecord.from_binary(row.value) if row.value else None)
 
     async def _write(self) -> Result[int, Fault]:
-        """Write the row if it does not exist; repeated writes are applied once at most."""
-        transaction = Transaction(
-            [Condition(self.key, 0)], [Write(self.key, self.record.to_binary())]
-        )
+        """Write the job if no pool has its id; repeated writes are applied once at most."""
+        transaction = self._transaction()
         unconfirmed = self.may_be_recorded
         # The write may be applied even if this call is cancelled.
         self.may_be_recorded = True
@@ -118,6 +116,17 @@
         self.may_be_recorded = unconfirmed or is_lost
         return response
 
+    def _transaction(self) -> Transaction:
+        pool, record = self.route.pool, self.record
+        holder = JobIdRecord(pool=pool, route=self.route.name, account=record.account)
+        return Transaction(
+            [Condition(self.id_key, 0)],
+            [
+                Write(self.id_key, holder.to_binary()),
+                Write(submission_key(pool, JobId(record.id)), record.to_binary()),
+            ],
+        )
+
     def refuse(self, error: Fault) -> SubmissionOutcome:
         """Return and log what is known of a job that was not confirmed."""
         unknown = self.may_be_recorded
@@ -142,9 +151,7 @@
         )
 
 
-def resubmission_outcome(
-    route: Route, record: JobRecord, known: JobRecord | ProgressRecord
-) -> SubmissionOutcome:
+def resubmission_outcome(route: Route, record: JobRecord, known: JobIdRecord) -> SubmissionOutcome:
     """Return the outcome for an id that is recorded already: accepted if it is the caller's."""
     account = AccountId(record.account)
     if not is_visible_to(account, route, known):
--- a/pumicespur/jobs/_submission_cleanup.py
+++ b/pumicespur/jobs/_submission_cleanup.py
@@ -8,7 +8,7 @@
 import anyio
 from logbook import Logger
 
-from pumicespur.jobs._keys import submission_key
+from pumicespur.jobs._keys import job_id_key, submission_key
 from pumicespur.schema.jobs_pb import JobRecord
 from pumicespur.store import Transaction, Write
 from pumicespur.utils import monotonic
@@ -23,8 +23,8 @@
 """Pause between cleanups. Nothing waits for them: a successor reads the ends of jobs from the
 progress rows."""
 
-MAX_ROWS_PER_CALL = 90
-"""Maximum rows in one call; the store accepts 100."""
+MAX_JOBS_PER_CALL = 45
+"""Maximum jobs in one call; the store accepts 100 rows, and each job has up to two."""
 
 MAX_RESPONSE_TIME_S = 0.1
 """Response time of the store above which cleanup is put off. The store serves the writes of one
@@ -38,7 +38,7 @@
     def __init__(self, pool: PoolId, table: PlatformTable) -> None:
         self.pool = pool
         self.table = table
-        self.pending: dict[JobId, Write] = {}
+        self.pending: dict[JobId, tuple[Write, ...]] = {}
         """Writes of the next cleanup."""
         self.removing: set[JobId] = set()
         """Jobs to delete, until the owner deletes their progress rows too."""
@@ -54,16 +54,17 @@
         """
         record = JobRecord(id=job, route=route, account=account, ended=True)
         write = Write(submission_key(self.pool, job), record.to_binary())
-        self.pending.setdefault(job, write)
+        self.pending.setdefault(job, (write,))
 
     def remove(self, job: JobId) -> None:
-        """Delete the submission row of a job past its retention."""
+        """Delete the submission row of a job past its retention, which frees its id."""
         self.removing.add(job)
-        self.pending[job] = Write(submission_key(self.pool, job), None)
+        keys = (submission_key(self.pool, job), job_id_key(job))
+        self.pending[job] = tuple(Write(key, None) for key in keys)
 
     def take_removed(self) -> list[JobId]:
         """Remove and return jobs whose progress rows may be deleted now."""
-        removed, self.removed = self.removed[:MAX_ROWS_PER_CALL], self.removed[MAX_ROWS_PER_CALL:]
+        removed, self.removed = self.removed[:MAX_JOBS_PER_CALL], self.removed[MAX_JOBS_PER_CALL:]
         self.removing.difference_update(removed)
         return removed
 
@@ -76,22 +77,24 @@
 
     async def clean_up(self) -> None:
         """Write the pending rows; unconfirmed ones stay for the next cleanup."""
-        partitions: defaultdict[str, list[tuple[JobId, Write]]] = defaultdict(list)
-        for job, write in self.pending.items():
-            partitions[write.key.rpartition("/")[0]].append((job, write))
-        for partition, entries in partitions.items():
-            chosen = entries[:MAX_ROWS_PER_CALL]
-            response = await self.table.transact(Transaction([], [write for _, write in chosen]))
+        partitions: defaultdict[str, list[JobId]] = defaultdict(list)
+        for job, writes in self.pending.items():
+            partitions[writes[0].key.rpartition("/")[0]].append(job)
+        for partition, jobs in partitions.items():
+            chosen = {job: self.pending[job] for job in jobs[:MAX_JOBS_PER_CALL]}
+            response = await self.table.transact(
+                Transaction([], [write for writes in chosen.values() for write in writes])
+            )
             if response.is_error():
                 log.info(
                     "submissions not cleaned up", partition=partition, reason=str(response.error)
                 )
                 return
-            for job, write in chosen:
-                self._confirm(job, write)
+            for job, writes in chosen.items():
+                self._confirm(job, writes)
 
-    def _confirm(self, job: JobId, write: Write) -> None:
-        if self.pending.get(job) is write:
+    def _confirm(self, job: JobId, writes: tuple[Write, ...]) -> None:
+        if self.pending.get(job) is writes:
             del self.pending[job]
-        if write.value is None:
+        if writes[0].value is None:
             self.removed.append(job)
--- a/pumicespur/jobs/_submission_follower.py
+++ b/pumicespur/jobs/_submission_follower.py
@@ -94,7 +94,7 @@
             pages.append(await self._retry(scan))
 
         async with anyio.create_task_group() as readers:
-            for partition in submission_partitions(pool):
+            for partition in submission_partitions():
                 readers.start_soon(read, partition)
         self.table_progress = TableProgress(min(page.version for page in pages), asked_at)
         return [row for page in pages for row in page.rows]
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -135,7 +135,7 @@
         self.order_client = HttpClient(ORDER_CONNECTIONS)
         self.watch_client = HttpClient(WATCH_CONNECTIONS)
         self.table = PlatformTable(settings.store, self.store_client)
-        self.jobs = JobService(self.table, self.view.other_pools)
+        self.jobs = JobService(self.table)
         self.orders = WorkerOrders(settings.workers, self.order_client, self.watch_client)
         self.fleet_orders = FleetOrders(settings.fleet, settings.process.id, self.store_client)
         self.controller = OwnershipController(
@@ -292,7 +292,7 @@
     async def describe_job(self, name: str) -> Result[dict[str, object] | None, Fault]:
         """Return what is recorded of a job; None if there is no such job."""
         give_up_at = monotonic() + JOB_LOOKUP_TIMEOUT_S
-        found = await self.jobs.find(self.view.pools(), JobId(name), give_up_at)
+        found = await self.jobs.find(JobId(name), give_up_at)
         refused = self.refusals.describe(JobId(name), self.view)
         return found.map(
             lambda job: (
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -7,14 +7,14 @@
 
 from logbook import Logger
 
-from pumicespur.model import Configuration, PoolId, ProcessId, RouteName, WorkerName
+from pumicespur.model import Configuration, PoolId, ProcessId, WorkerName
 from pumicespur.store import TableProgress
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from pumicespur.model import DataHall, HallEvacuation, KeyDigest, Route, Wave, Worker
+    from pumicespur.model import DataHall, HallEvacuation, KeyDigest, Wave, Worker
     from pumicespur.schema.jobs_pb import DutyReport, HeartbeatRecord, OwnerRecord, PoolReport
 
 log = Logger(__name__)
@@ -75,8 +75,6 @@
     reports: dict[ProcessId, SeenReport] = field(default_factory=dict)
     """Followed only while this process owns a pool or is the fleet leader; empty otherwise."""
     owners: dict[PoolId, SeenOwner] = field(default_factory=dict)
-    earlier_pools: dict[RouteName, set[PoolId]] = field(default_factory=dict)
-    """Earlier pools of each route, by the configurations in force since this process started."""
     revoked_keys: dict[KeyDigest, int] = field(default_factory=dict, repr=False)
     """Keys revoked since this process started, with the configuration version that did so."""
     gapless_since: float = field(default_factory=monotonic)
@@ -94,10 +92,6 @@
             accounts=len(configuration.accounts),
             keys=len(configuration.keys),
         )
-        for name, route in configuration.routes.items():
-            before = self.configuration.routes.get(name)
-            if before is not None and before.pool != route.pool:
-                self.earlier_pools.setdefault(name, set()).add(before.pool)
         self._note_revoked_keys(configuration)
         self.configuration = configuration
         self.newer_versions = {
@@ -126,14 +120,6 @@
         """Return for how long this process has known of a newer configuration that it lacks."""
         return now - min(self.newer_versions.values(), default=now)
 
-    def other_pools(self, route: Route, earlier: bool) -> list[PoolId]:
-        """Return pools other than a route's own.
-
-        They are the route's earlier ones if `earlier` is set, else all that need an owner.
-        """
-        known = self.earlier_pools.get(route.name, set()) if earlier else set(self.pools())
-        return sorted(known - {route.pool})
-
     def pools(self) -> list[PoolId]:
         """Return the pools that need an owner."""
         return [pool.id for pool in self.configuration.pools.values() if not pool.spare]
