--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -19,9 +19,9 @@
 from pumicespur.jobs._pool_report import report_pool
 from pumicespur.jobs._pool_sizing import PoolSizer
 from pumicespur.jobs._restarts import Restarts
-from pumicespur.jobs._submission_follower import SubmissionFollower
 from pumicespur.jobs._throttle import choose_speed_changes
 from pumicespur.jobs._worker_session import WorkerSession
+from pumicespur.jobs.submissions import SubmissionFollower
 from pumicespur.model import InstanceId, WorkerId, WorkerState, worker_name
 from pumicespur.store import Write
 from pumicespur.utils import METRICS, monotonic, now_ms
--- a/pumicespur/jobs/_submission_attempt.py
+++ b/pumicespur/jobs/submissions/_attempt.py
@@ -9,15 +9,15 @@
 from expression import Error, Ok, Result
 from logbook import Logger
 
-from pumicespur.jobs._access import is_visible_to
 from pumicespur.jobs._keys import job_id_key, submission_key
+from pumicespur.jobs.submissions._access import is_visible_to
 from pumicespur.model import AccountId, JobId, SubmissionOutcome
 from pumicespur.schema.jobs_pb import JobIdRecord
 from pumicespur.store import AnswerLost, Condition, Conflict, Transaction, Unavailable, Write
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
-    from pumicespur.jobs._submission_hold import SubmissionHold
+    from pumicespur.jobs.submissions._hold import SubmissionHold
     from pumicespur.model import Route
     from pumicespur.platform import PlatformTable
     from pumicespur.schema.jobs_pb import JobRecord
--- a/pumicespur/jobs/_submission_follower.py
+++ b/pumicespur/jobs/submissions/_follower.py
@@ -12,7 +12,7 @@
 from pumicespur.jobs._job import ENDED_PHASES
 from pumicespur.jobs._keys import submission_partitions, submissions_table
 from pumicespur.jobs._known_state import submissions_max_age_s
-from pumicespur.jobs._submission_cleanup import SubmissionCleanup
+from pumicespur.jobs.submissions._cleanup import SubmissionCleanup
 from pumicespur.model import AccountId, JobId, RouteName
 from pumicespur.schema.jobs_pb import JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, HistoryGone, Page, Row, TableProgress
--- a/pumicespur/jobs/_service.py
+++ b/pumicespur/jobs/submissions/_service.py
@@ -9,15 +9,15 @@
 from expression import Error, Ok, Result
 from logbook import Logger
 
-from pumicespur.jobs._access import is_visible_to
 from pumicespur.jobs._job import ENDED_PHASES
 from pumicespur.jobs._keys import job_id_key, progress_key, submission_key
-from pumicespur.jobs._submission_attempt import (
+from pumicespur.jobs.submissions._access import is_visible_to
+from pumicespur.jobs.submissions._attempt import (
     MAX_RETRY_DELAY_S,
     RETRY_DELAY_S,
     SubmissionAttempt,
 )
-from pumicespur.jobs._submission_hold import SubmissionHold
+from pumicespur.jobs.submissions._hold import SubmissionHold
 from pumicespur.model import AccountId, CancellationOutcome, JobId, PoolId, SubmissionOutcome
 from pumicespur.schema.jobs_pb import JobIdRecord, JobPhase, JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, Condition, Row, Transaction, Write
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -20,12 +20,11 @@
     _limits,
     _placement,
     _pool,
-    _service,
-    _submission_attempt,
     _worker_load,
     _worker_session,
     _worker_starts,
 )
+from pumicespur.jobs.submissions import _attempt, _service
 from pumicespur.model import ANONYMOUS_ACCOUNT
 from pumicespur.node import _evacuations, _table_follower
 from pumicespur.platform import _callers, _declarations, _orders, _table
@@ -114,7 +113,7 @@
     return _service.SubmissionOutcome.ACCEPTED if unknown else outcome
 
 
-async def _accept_unrecorded(self: _submission_attempt.SubmissionAttempt) -> Any:
+async def _accept_unrecorded(self: _attempt.SubmissionAttempt) -> Any:
     await self._write()
     return _service.SubmissionOutcome.ACCEPTED
 
@@ -179,7 +178,7 @@
         case Mutant.LOST_ANSWERS_COUNT_AS_ACCEPTED:
             _replace(_service.JobService, "submit", _report_unknown_as_accepted)
         case Mutant.ACCEPTED_UNRECORDED:
-            _replace(_submission_attempt.SubmissionAttempt, "record_job", _accept_unrecorded)
+            _replace(_attempt.SubmissionAttempt, "record_job", _accept_unrecorded)
         case Mutant.LOST_ANSWERS_COUNT_AS_REFUSED:
             _replace(_service.JobService, "submit", _report_unknown_as_refused)
         case Mutant.UNANSWERED_STARTS_FORGOTTEN:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -9,7 +9,7 @@
 
 from expression import Result
 
-from pumicespur.jobs._access import is_visible_to
+from pumicespur.jobs.submissions._access import is_visible_to
 from pumicespur.model import (
     ANONYMOUS_ACCOUNT,
     AccountId,
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -31,10 +31,10 @@
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._pool_sizing import PoolSizer
 from pumicespur.jobs._stops import is_stalled
-from pumicespur.jobs._submission_cleanup import SubmissionCleanup
-from pumicespur.jobs._submission_follower import SubmissionFollower
 from pumicespur.jobs._throttle import choose_speed_changes
 from pumicespur.jobs._worker_load import MIN_EJECT_FAILURES, WorkerLoad
+from pumicespur.jobs.submissions._cleanup import SubmissionCleanup
+from pumicespur.jobs.submissions._follower import SubmissionFollower
 from pumicespur.model import (
     ANONYMOUS_ACCOUNT,
     Capacity,
--- a/tests/test_submission_faults.py
+++ b/tests/test_submission_faults.py
@@ -20,8 +20,8 @@
 
 from pumicespur.jobs import JobService
 from pumicespur.jobs._keys import job_id_key, submission_key
-from pumicespur.jobs._submission_attempt import SEND_RESERVE_S
-from pumicespur.jobs._submission_hold import MAX_HELD
+from pumicespur.jobs.submissions._attempt import SEND_RESERVE_S
+from pumicespur.jobs.submissions._hold import MAX_HELD
 from pumicespur.model import AccountId, JobId, PoolId, SubmissionOutcome
 from pumicespur.platform import StoreProbe, _store_probe
 from pumicespur.schema.jobs_pb import JobIdRecord, JobRecord
