A job keeps the terms of its route at acceptance, whichever configuration its owner has

Cause: make_job copied attempts, priority and objective from the configuration that the owner had at that moment, or the least of each without the route, and kept them.

Change: the process that accepts a job writes its route's terms into the submission; owners go by these, with the route present, gone or back with other values. Whether starts need tickets follows the configuration, as workers do.

--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -19,6 +19,7 @@
 from pumicespur.schema.jobs_pb import (
     FailureRecord,
     JobPhase,
+    JobTerms,
     LeftRun,
     LossRecord,
     ProgressRecord,
@@ -27,12 +28,15 @@
 
 if TYPE_CHECKING:
     from pumicespur.jobs._estimates import DurationEstimates
-    from pumicespur.model import Rack, Route
+    from pumicespur.model import Configuration, Rack
     from pumicespur.schema.jobs_pb import JobRecord, StepRecord
 
 MIN_TICKET_VALIDITY_S = 0.2
 """Remaining validity that a ticket needs to be used: a commit and a call."""
 
+DEFAULT_TERMS = JobTerms(max_attempts=1, stretch=1.0)
+"""Terms of a record that states none: those of a route that declares none."""
+
 ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
 
 
@@ -198,6 +202,7 @@
     route: RouteName
     priority: int
     max_attempts: int
+    """Failed runs of one task after which the job fails."""
     deadline_ms: float
     """Time of day by which the job should be completed, in milliseconds since 1970."""
     critical_paths_ms: list[float] = field(default_factory=list)
@@ -207,7 +212,8 @@
     exceeds_share: bool = False
     """Its account was beyond its fair share when the job was submitted."""
     needs_tickets: bool = False
-    """Whether its tasks need admission tickets of the advice service."""
+    """Whether its tasks need admission tickets of the advice service: by its route's present
+    declaration, or as it was accepted while the configuration lacks the route."""
     phase: JobPhase = JobPhase.QUEUED
     failure: FailureRecord | None = None
     has_started: bool = False
@@ -322,26 +328,22 @@
     )
 
 
-def make_job(record: JobRecord, route: Route | None, estimates: DurationEstimates) -> Job:
-    """Create a job with its groups and tasks.
-
-    Without its route it has priority 0, one attempt, no latency objective and needs no tickets.
-    """
+def make_job(record: JobRecord, estimates: DurationEstimates) -> Job:
+    """Create a job with its groups and tasks, on the terms on which it was accepted."""
     critical_paths_ms = compute_critical_paths_ms(record, estimates)
-    stretch = route.stretch if route else 1.0
-    objective_ms = route.latency_objective_s * 1000 if route else 0.0
+    terms = record.terms or DEFAULT_TERMS
     job = Job(
         id=JobId(record.id),
         record=record,
         route=RouteName(record.route),
-        priority=route.priority if route else 0,
-        max_attempts=route.max_attempts if route else 1,
+        priority=terms.priority,
+        max_attempts=terms.max_attempts,
         deadline_ms=record.accepted_ms
-        + objective_ms
-        + stretch * max(critical_paths_ms, default=0.0),
+        + terms.latency_objective_ms
+        + terms.stretch * max(critical_paths_ms, default=0.0),
         critical_paths_ms=critical_paths_ms,
         account=AccountId(record.account),
-        needs_tickets=route is not None and route.advice is not None,
+        needs_tickets=terms.needs_tickets,
     )
     for repeat in range(max(1, record.repeats)):
         due_ms = record.first_due_ms + repeat * record.interval_ms if record.repeats else 0
@@ -350,6 +352,16 @@
     return job
 
 
+def update_ticket_need(job: Job, configuration: Configuration) -> None:
+    """Follow the configuration on whether a job's starts need tickets, if it has the job's route.
+
+    Workers refuse a start without one from when the operators require it.
+    """
+    route = configuration.routes.get(job.route)
+    if route is not None:
+        job.needs_tickets = route.advice is not None
+
+
 def _add_group(job: Job, group: StepGroup) -> None:
     job.groups.append(group)
     for position in range(group.spec.count):
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -362,7 +362,7 @@
                 self._mark_evacuated_halls()
                 self._evacuate()
                 self._requeue_expired_starts(monotonic())
-                self._update_limits(monotonic())
+                self._apply_configuration(monotonic())
                 self.allotments.apply_reports(monotonic())
                 if self._may_start(monotonic()):
                     self.pool.place(monotonic(), now_ms())
@@ -378,8 +378,9 @@
                 await self.journal.release(self.settings.process.id)
                 return
 
-    def _update_limits(self, now: float) -> None:
-        """Apply the newest account limits; mark them stale once newer ones must be in force."""
+    def _apply_configuration(self, now: float) -> None:
+        """Apply the configuration in force; mark limits stale once newer ones must be in force."""
+        self.pool.apply_configuration(self.view.configuration)
         limits = self.pool.limits
         limits.set_accounts(self.view.configuration.accounts)
         settings = self.settings
@@ -500,7 +501,7 @@
         # The commit may have taken long: apply what was received meanwhile before sending orders.
         self._mark_evacuated_halls()
         self._update_worker_evacuations()
-        self._update_limits(monotonic())
+        self._apply_configuration(monotonic())
         self.allotments.note_recorded(batch.allotments)
         for job in batch.ended:
             self.submissions.ended[job.id] = now
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -19,7 +19,7 @@
 from pumicespur.jobs._describe import explain_failure
 from pumicespur.jobs._estimates import ColdSlowdown, DurationEstimates
 from pumicespur.jobs._fair_share import FairShareMeter
-from pumicespur.jobs._job import TaskState, make_job
+from pumicespur.jobs._job import TaskState, make_job, update_ticket_need
 from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._placement import order_groups, place_groups, release_evacuated_racks
 from pumicespur.jobs._worker_load import WorkerLoad
@@ -100,6 +100,8 @@
     cold_slowdown: ColdSlowdown = field(default_factory=ColdSlowdown)
     capacities: set[Capacity] | None = None
     """Cached set of the workers' distinct capacities; None if it must be recomputed."""
+    configuration_version: int = -1
+    """Version of the configuration that was last applied to the known jobs."""
     spread_halls: bool = False
     """Whether long-running tasks are spread over data halls, because a hall may be lost."""
 
@@ -114,7 +116,8 @@
         known = self.jobs.get(JobId(record.id))
         if known is not None:
             return None
-        job = make_job(record, configuration.routes.get(RouteName(record.route)), self.estimates)
+        job = make_job(record, self.estimates)
+        update_ticket_need(job, configuration)
         if progress is not None:
             job.restore(progress)
             for run in job.outstanding_runs():
@@ -150,6 +153,14 @@
         if remaining:
             self.inherited[worker] = remaining
 
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Apply a configuration that is in force to the jobs that are known."""
+        if configuration.version == self.configuration_version:
+            return
+        self.configuration_version = configuration.version
+        for job in self.jobs.values():
+            update_ticket_need(job, configuration)
+
     def cancel(self, job: Job) -> None:
         """Cancel a job at its caller's request."""
         if not job.ended:
--- a/pumicespur/jobs/submissions/_service.py
+++ b/pumicespur/jobs/submissions/_service.py
@@ -18,6 +18,7 @@
     SubmissionAttempt,
 )
 from pumicespur.jobs.submissions._hold import SubmissionHold
+from pumicespur.jobs.submissions._terms import terms_of
 from pumicespur.model import AccountId, CancellationOutcome, JobId, PoolId, SubmissionOutcome
 from pumicespur.schema.jobs_pb import JobIdRecord, JobPhase, JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, Condition, Row, Transaction, Write
@@ -43,6 +44,7 @@
 
         `give_up_at` is the monotonic time by which the caller needs a response.
         """
+        record.terms = terms_of(route)
         attempt = SubmissionAttempt(self.table, self.hold, route, record, give_up_at)
         with anyio.CancelScope(deadline=give_up_at):
             return await attempt.record_job()
--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -9,11 +9,18 @@
 from standins.hosted._links import Link, Passage
 from standins.hosted._nodes import NODE_MODULE, SUSPENDABLE_MODULE, Node, Nodes
 from standins.hosted._store import HostedStore, StoredRow
-from standins.hosted._workers import CRASHING_PAYLOAD, WORKER_CPU, HostedWorker, Run
+from standins.hosted._workers import (
+    CRASHING_PAYLOAD,
+    FAILS_TWICE_PAYLOAD,
+    WORKER_CPU,
+    HostedWorker,
+    Run,
+)
 from standins.hosted._world import HOST, MAX_ATTEMPTS, World
 
 __all__ = [
     "CRASHING_PAYLOAD",
+    "FAILS_TWICE_PAYLOAD",
     "DEFAULT_HALL",
     "FOREIGN_ENTRIES",
     "HOST",
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -28,6 +28,9 @@
 """Capacity of a new worker, in thousandths of a core."""
 
 CRASHING_PAYLOAD = "crashes"
+
+FAILS_TWICE_PAYLOAD = "fails twice"
+"""The first two runs of each task end as failed."""
 """The first task of each step of a job with this payload crashes the worker that starts it."""
 
 INITIAL_CLOCK_MS = 10_000_000.0
@@ -303,7 +306,7 @@
         slowdown = COLD_SLOWDOWN if monotonic() < self.cold_until else 1.0
         duration_s = ENDLESS_S if run.payload == "lasts" else self.task_s * slowdown
         if duration_s < ENDLESS_S:
-            how = "failed" if self.faults.fail_all or run.payload == "fails" else "done"
+            how = "failed" if self.faults.fail_all or _fails(run) else "done"
             loop.call_later(duration_s, self._end, run, how)
         loop.call_later(0.05, self._check_lease)
 
@@ -367,3 +370,8 @@
                 "born": self.born,
             }
         )
+
+
+def _fails(run: Run) -> bool:
+    """Return whether a run fails through its task's own fault."""
+    return run.payload == "fails" or (run.payload == FAILS_TWICE_PAYLOAD and run.number <= 2)
--- a/tests/pool_play.py
+++ b/tests/pool_play.py
@@ -9,6 +9,7 @@
 
 from pumicespur.jobs._feasibility import latest_start_ms
 from pumicespur.jobs._job import TaskState
+from pumicespur.jobs.submissions import terms_of
 from pumicespur.model import (
     AccountId,
     Capacity,
@@ -210,6 +211,7 @@
             steps=_make_steps(kind),
             account=account,
             accepted_ms=self.now_ms,
+            terms=terms_of(kind.route),
         )
         job = self.pool.add_job(record, self.configuration, None)
         assert job is not None
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -36,7 +36,7 @@
 from pumicespur.schema.jobs_pb import JobPhase, ProgressRecord, StepRecord
 from standins.hosted import CRASHING_PAYLOAD, Run
 from tests.test_commands import run
-from tests.test_jobs import ROUTE, make_pool, make_record, make_worker, run_all, submit
+from tests.test_jobs import make_pool, make_record, make_worker, run_all, submit
 from tests.test_node import STEP, NodeCase, job_id
 
 if TYPE_CHECKING:
@@ -282,7 +282,7 @@
 
     def test_losses_survive_a_round_trip_through_the_store(self) -> None:
         lose(self.pool, self.worker)
-        again = make_job(self.job.record, ROUTE, self.pool.estimates)
+        again = make_job(self.job.record, self.pool.estimates)
         again.restore(ProgressRecord.from_binary(self.job.progress(7).to_binary()))
         self.assertEqual(self.job.tasks[0].losses, again.tasks[0].losses)
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -33,6 +33,7 @@
 from pumicespur.jobs._stops import is_stalled
 from pumicespur.jobs._throttle import choose_speed_changes
 from pumicespur.jobs._worker_load import MIN_EJECT_FAILURES, WorkerLoad
+from pumicespur.jobs.submissions import terms_of
 from pumicespur.jobs.submissions._cleanup import SubmissionCleanup
 from pumicespur.jobs.submissions._follower import SubmissionFollower
 from pumicespur.model import (
@@ -85,7 +86,13 @@
 
 def make_record(*steps: StepRecord, job: str = "0" * 16, accepted_ms: int = 0) -> JobRecord:
     """Make a submitted job."""
-    return JobRecord(id=job, route=ROUTE.name, steps=list(steps), accepted_ms=accepted_ms)
+    return JobRecord(
+        id=job,
+        route=ROUTE.name,
+        steps=list(steps),
+        accepted_ms=accepted_ms,
+        terms=terms_of(ROUTE),
+    )
 
 
 def make_pool(*workers: Worker) -> PoolState:
@@ -159,14 +166,14 @@
         self, done: set[int], runs: dict[int, int]
     ) -> None:
         record = make_record(StepRecord(count=12, cpu_millis=1), StepRecord(count=1))
-        job = make_job(record, ROUTE, DurationEstimates())
+        job = make_job(record, DurationEstimates())
         for index, run in runs.items():
             job.tasks[index].run = run
             job.tasks[index].worker = WorkerId("w-1")
             job.tasks[index].state = TaskState.RUNNING
         for index in done:
             job.finish_task(job.tasks[index])
-        again = make_job(record, ROUTE, DurationEstimates())
+        again = make_job(record, DurationEstimates())
         again.restore(ProgressRecord.from_binary(job.progress(7).to_binary()))
         for task in again.tasks:
             self.assertEqual(task.index in done, task.state is TaskState.DONE)
@@ -570,7 +577,7 @@
         step = StepRecord(count=2, cpu_millis=4000, estimated_ms=1000)
         for number in range(30):
             record = make_record(step, job=f"{number:016x}", accepted_ms=100 * number)
-            size.note_arrival(make_job(record, ROUTE, pool.estimates))
+            size.note_arrival(make_job(record, pool.estimates))
         report = PoolReport()
         size.demand.add_sample(0.0, Demand(80_000, 0))
         with patch("pumicespur.jobs._pool_sizing.now_ms", return_value=3000):
@@ -700,7 +707,7 @@
         """Submit a job that keeps two cores busy for a second."""
         step = StepRecord(count=2, cpu_millis=1000, estimated_ms=1000, **fields)
         record = JobRecord(id=f"job-{at_ms}", route="quick", accepted_ms=at_ms, steps=[step])
-        self.arrivals.add_job(make_job(record, ROUTE, DurationEstimates()), DurationEstimates())
+        self.arrivals.add_job(make_job(record, DurationEstimates()), DurationEstimates())
 
     def test_work_of_the_last_seconds_is_averaged(self) -> None:
         for at_ms in range(0, 1500, 100):
@@ -719,7 +726,7 @@
             StepRecord(count=32, cpu_millis=4000, estimated_ms=4000, depends_on=[0]),
         ]
         record = JobRecord(id="wide", route="quick", steps=steps)
-        self.arrivals.add_job(make_job(record, ROUTE, DurationEstimates()), DurationEstimates())
+        self.arrivals.add_job(make_job(record, DurationEstimates()), DurationEstimates())
         self.assertAlmostEqual(32 * 4000, self.arrivals.cpu_millis(100), delta=2)
         self.assertAlmostEqual(32 * 4000, self.arrivals.cpu_millis(7900), delta=2)
         self.assertEqual(0, self.arrivals.cpu_millis(8100))
