A takeover rests on the owner's record that was judged, not on a look-up after a call

Cause: the view's record was looked up again after reading the presence table. After a 410 the owners' table is scanned; the scan returns no rows and cleared the view within that read.

Change: the judged record is handed on; the store's condition on its version decides whether it still stands. A scan takes nothing out of the view but marks rows to be read, also when it falls into such a read. An error in the check of one pool is logged (`pool not checked`) and ends neither the process nor the other checks.

Calls to the store are as before.

--- a/pumicespur/jobs/submissions/_cleanup.py
+++ b/pumicespur/jobs/submissions/_cleanup.py
@@ -77,20 +77,20 @@
 
     async def clean_up(self) -> None:
         """Write the pending rows; unconfirmed ones stay for the next cleanup."""
-        partitions: defaultdict[str, list[JobId]] = defaultdict(list)
+        partitions: defaultdict[str, list[tuple[JobId, tuple[Write, ...]]]] = defaultdict(list)
         for job, writes in self.pending.items():
-            partitions[writes[0].key.rpartition("/")[0]].append(job)
-        for partition, jobs in partitions.items():
-            chosen = {job: self.pending[job] for job in jobs[:MAX_JOBS_PER_CALL]}
+            partitions[writes[0].key.rpartition("/")[0]].append((job, writes))
+        for partition, entries in partitions.items():
+            chosen = entries[:MAX_JOBS_PER_CALL]
             response = await self.table.transact(
-                Transaction([], [write for writes in chosen.values() for write in writes])
+                Transaction([], [write for _, writes in chosen for write in writes])
             )
             if response.is_error():
                 log.info(
                     "submissions not cleaned up", partition=partition, reason=str(response.error)
                 )
                 return
-            for job, writes in chosen.items():
+            for job, writes in chosen:
                 self._confirm(job, writes)
 
     def _confirm(self, job: JobId, writes: tuple[Write, ...]) -> None:
--- a/pumicespur/node/_ownership_controller.py
+++ b/pumicespur/node/_ownership_controller.py
@@ -142,38 +142,65 @@
             self.roles.fleet_leader.wake()
 
     async def _check_pools(self) -> None:
+        """Check the pools one after the other while the store answers.
+
+        An error in one pool affects no other.
+        """
         if self.roles.stopping:
             return
         for pool in self._required_roles():
             if pool in self.roles.owned:
                 continue
-            if pool not in self.view.owners:
-                response = await self.table.read(owner_key(pool))
-                if not response.is_ok():
+            try:
+                if not await self._check_pool(pool):
                     return
-                self.tracker.apply_owner(response.ok)
-            if await self._should_take_over(pool):
-                await self._take_over(pool, self.view.owners[pool])
+            except Exception:
+                log.exception("pool not checked", pool=pool)
+
+    async def _check_pool(self, pool: PoolId) -> bool:
+        """Take a pool if this process should; return whether its owner could be read."""
+        owner = await self._read_owner(pool)
+        if owner is None:
+            return False
+        replaced = await self._owner_to_replace(pool, owner)
+        if replaced is not None:
+            await self._take_over(pool, replaced)
+        return True
 
-    async def _should_take_over(self, pool: PoolId) -> bool:
-        """Return whether this process takes a pool now."""
-        owner = self.view.owners[pool]
+    async def _owner_to_replace(self, pool: PoolId, owner: SeenOwner) -> SeenOwner | None:
+        """Return the owner that this process replaces now; None if it doesn't take the pool.
+
+        It is the newest record at the decision, on which the takeover then rests whatever the view
+        has by that time.
+        """
         now = monotonic()
         if self.takeover_policy.is_own_record(owner):
-            return True
+            return owner
         if now - self.started_at < self.heartbeats.idle_interval_s() + STARTUP_DELAY_S:
-            return False
+            return None
         if not self.tracker.is_receiving(now):
-            return False
+            return None
         if self.takeover_policy.is_owner_alive(owner, self.tracker.heartbeats_received_at):
             self.takeover_policy.note_owned(pool)
-            return False
+            return None
         await self.tracker.read_presence()
         # Another process may have taken the pool during that read.
         owner = self.view.owners.get(pool, owner)
         if self.takeover_policy.is_owner_alive(owner, self.tracker.heartbeats_received_at):
-            return False
-        return self.takeover_policy.is_turn(pool, monotonic())
+            return None
+        return owner if self.takeover_policy.is_turn(pool, monotonic()) else None
+
+    async def _read_owner(self, pool: PoolId) -> SeenOwner | None:
+        """Return a pool's owner, read from the store if it may have changed; None if that fails."""
+        if pool not in self.view.owners or pool in self.view.owners_to_read:
+            # A scan during this call asks for another read.
+            self.view.owners_to_read.discard(pool)
+            response = await self.table.read(owner_key(pool))
+            if not response.is_ok():
+                self.view.owners_to_read.add(pool)
+                return None
+            self.tracker.apply_owner(response.ok)
+        return self.view.owners[pool]
 
     def _required_roles(self) -> list[PoolId]:
         pools = self.view.pools()
@@ -200,7 +227,7 @@
                 # If the store applied the takeover nevertheless, the row names this process, and
                 # the pool is taken again at the next check.
                 log.info("pool not taken", pool=pool, reason=str(error))
-                self.view.owners.pop(pool, None)
+                self.view.owners_to_read.add(pool)
 
     def _start_owner(self, pool: PoolId, previous: SeenOwner, token: int, now: float) -> None:
         ownership = Ownership(pool, token, self.incarnation, now)
--- a/pumicespur/node/_process_tracker.py
+++ b/pumicespur/node/_process_tracker.py
@@ -263,10 +263,12 @@
     def _apply_owners(self, rows: Sequence[Row], whole: bool) -> None:
         """Apply takeovers and releases.
 
-        A scan returns no rows of this table; after one, each owner is read by itself.
+        A scan returns no rows of this table; after one, each owner is read by itself. The known
+        ones stay until then, since they are used across calls to the store.
         """
         if whole:
-            self.view.owners.clear()
+            self.view.owners_to_read.update(self.view.owners)
+            self.request_check()
         for row in rows:
             self.apply_owner(row)
 
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -75,6 +75,9 @@
     reports: dict[ProcessId, SeenReport] = field(default_factory=dict)
     """Followed only while this process owns a pool or is the fleet leader; empty otherwise."""
     owners: dict[PoolId, SeenOwner] = field(default_factory=dict)
+    """The owner of each pool as last read; entries are replaced, never removed."""
+    owners_to_read: set[PoolId] = field(default_factory=set)
+    """Pools whose owner may have changed without being noticed, so that its row is to be read."""
     revoked_keys: dict[KeyDigest, int] = field(default_factory=dict, repr=False)
     """Keys revoked since this process started, with the configuration version that did so."""
     gapless_since: float = field(default_factory=monotonic)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,16 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
 from collections import Counter
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
+from unittest.mock import patch
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from pumicespur.config import NodeSettings
-from pumicespur.model import PoolId, ProcessId, Route, RouteName
+from pumicespur.model import (
+    Configuration,
+    PoolId,
+    PoolSettings,
+    ProcessId,
+    Route,
+    RouteName,
+)
+from pumicespur.node import _ownership_controller
 from pumicespur.node._heartbeats import HeartbeatWriter
 from pumicespur.node._owned_roles import OwnedRoles
 from pumicespur.node._ownership_controller import STARTUP_DELAY_S, OwnershipController
@@ -29,11 +39,13 @@
     WaitingCount,
 )
 from pumicespur.schema.node_pb import NodeProcessSettings, StoreSettings, WorkerSettings
-from pumicespur.store import ResponseTimes, Row, StoreClock
+from pumicespur.store import Conflict, ResponseTimes, Row, StoreClock
 from pumicespur.utils import monotonic
 from pumicespur.view import FleetView, SeenOwner, SeenProcess
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pumicespur.jobs import EarlierLeases
     from pumicespur.store import Fault, Transaction
 
@@ -98,8 +110,10 @@
         now = monotonic()
         self.controller.started_at = now - started_s
         self.tracker.heartbeats_received_at = now
-        self.controller.view.owners[PoolId("main")] = SeenOwner(OwnerRecord(), 0, now)
-        return asyncio.run(self.controller._should_take_over(PoolId("main")))
+        owner = SeenOwner(OwnerRecord(), 0, now)
+        self.controller.view.owners[PoolId("main")] = owner
+        replaced = asyncio.run(self.controller._owner_to_replace(PoolId("main"), owner))
+        return replaced is not None
 
     def test_no_pool_is_taken_before_all_candidates_can_be_known(self) -> None:
         self.assertFalse(self.should_take_over(self.controller.heartbeats.idle_interval_s()))
@@ -343,7 +357,8 @@
 
     def should_take_over(self, pool: PoolId) -> bool:
         """Return whether the pool is taken now, right after the start."""
-        return asyncio.run(self.controller._should_take_over(pool))
+        owner = self.controller.view.owners[pool]
+        return asyncio.run(self.controller._owner_to_replace(pool, owner)) is not None
 
     def test_own_pool_is_taken_back_before_any_heartbeat_arrives(self) -> None:
         # Nothing was placed for 1.75 s after all processes had been lost.
@@ -402,7 +417,9 @@
     def test_silence_while_no_poll_succeeds_does_not_count(self) -> None:
         pool = self.make_silent_owner(2.1)
         self.tracker.heartbeats_received_at = self.now - 1.6
-        self.assertFalse(asyncio.run(self.controller._should_take_over(pool)))
+        owner = self.controller.view.owners[pool]
+        replaced = asyncio.run(self.controller._owner_to_replace(pool, owner))
+        self.assertIsNone(replaced)
 
     def test_response_after_a_gap_does_not_count_the_silence_before_it(self) -> None:
         pool = self.make_silent_owner(2.2)
@@ -528,3 +545,89 @@
 
     def test_old_report_is_ignored(self) -> None:
         self.assertIsNone(self.count(3_000))
+
+
+class OwnersTable(CountingTable):
+    """A table of owners' rows on which something may happen during each call."""
+
+    def __init__(self, happens: Callable[[], None]) -> None:
+        super().__init__()
+        self.happens = happens
+        self.rows: dict[str, Row] = {}
+        self.version = 100
+
+    def put(self, key: str, record: OwnerRecord) -> Row:
+        self.version += 1
+        self.rows[key] = Row(key, record.to_binary(), self.version)
+        return self.rows[key]
+
+    async def read(self, key: str) -> Result[Row, Fault]:
+        self.happens()
+        row = self.rows.get(key, Row(key, b"", 0))
+        self.happens()
+        return Ok(row)
+
+    async def transact(self, transaction: Transaction) -> Result[int, Fault]:
+        self.happens()
+        (condition,), (write,) = transaction.conditions, transaction.writes
+        if self.rows[condition.key].version != condition.version:
+            return Error(Conflict((condition.key,)))
+        assert write.value is not None
+        row = self.put(write.key, OwnerRecord.from_binary(write.value))
+        self.happens()
+        return Ok(row.version)
+
+
+class ScanDuringCheckTest(ControllerCase):
+    """The owners' table is scanned again, or a pool taken, while this process checks its pools."""
+
+    POOLS = ("main", "second", "third")
+    SEEDS = range(60)
+    MAX_EVENTS = 6
+
+    def test_pools_without_an_owner_are_taken_whatever_happens_during_the_calls(self) -> None:
+        # Processes ended with a KeyError when the store forgot its history at a takeover.
+        for seed in self.SEEDS:
+            self.setUp()
+            self.play(random.Random(seed))
+
+    def play(self, source: random.Random) -> None:
+        self.source, self.events = source, 0
+        self.owners_table = OwnersTable(self.happens)
+        self.controller.table = cast("Any", self.owners_table)
+        pools = {PoolId(p): PoolSettings(PoolId(p), True, False) for p in self.POOLS}
+        self.controller.view.apply_configuration(Configuration(1, {}, pools))
+        for pool in self.POOLS:
+            released = OwnerRecord(process="other", incarnation="life", released=True)
+            self.tracker.apply_owner(self.owners_table.put(f"owners/{pool}/owner", released))
+        self.controller.started_at = monotonic() - 100.0
+        taken: list[PoolId] = []
+        with (
+            patch.object(self.tracker, "read_presence", self.read_presence),
+            patch.object(self.tracker, "is_receiving", lambda now: True),
+            patch.object(self.controller, "_start_owner", lambda pool, *_: taken.append(pool)),
+            patch.object(_ownership_controller.log, "exception") as logged,
+        ):
+            for _ in range(2 * self.MAX_EVENTS):
+                asyncio.run(self.controller._check_pools())
+        logged.assert_not_called()
+        for pool in self.POOLS:
+            row = self.owners_table.rows[f"owners/{pool}/owner"]
+            self.assertEqual("small", OwnerRecord.from_binary(row.value).process)
+            self.assertIn(PoolId(pool), taken)
+
+    async def read_presence(self) -> None:
+        self.happens()
+
+    def happens(self) -> None:
+        """Let a scan, or a takeover and release by another process, happen now and then."""
+        if self.events == self.MAX_EVENTS or self.source.random() < 0.6:
+            return
+        self.events += 1
+        if self.source.random() < 0.5:
+            self.tracker._apply_owners([], True)
+            return
+        record = OwnerRecord(process="far", incarnation="life", released=True)
+        row = self.owners_table.put(f"owners/{self.source.choice(self.POOLS)}/owner", record)
+        if self.source.random() < 0.5:
+            self.tracker._apply_owners([row], False)
