--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -133,6 +133,17 @@
     Mutant.AGES_IGNORED: (FaultKind.WORKERS_SCALED_IN, FaultKind.LIST_UNREAD),
     Mutant.LEAVING_NOT_ASKED_AGAIN: (FaultKind.WORKERS_RELEASED, FaultKind.COMMITS_REFUSED),
     Mutant.LIMITS_IGNORED: (FaultKind.HOT_ACCOUNT, FaultKind.LIMIT_FALLS),
+    Mutant.IDS_GUARDED_BY_POOL: (
+        FaultKind.ROUTE_MOVES,
+        FaultKind.IDS_SENT_AGAIN,
+        FaultKind.KILL_NODE,
+    ),
+    Mutant.TERMS_OF_THE_OWNER: (
+        FaultKind.ROUTE_AWAY,
+        FaultKind.KILL_ALL_NODES,
+        FaultKind.WORKER_FAILS_TASKS,
+    ),
+    Mutant.OWNERS_FORGOTTEN: (FaultKind.STORE_FORGETS_AT_STOP,),
     Mutant.EVACUATION_AGES_IGNORED: (FaultKind.EVACUATE_HALL, FaultKind.EVACUATIONS_UNREAD),
     Mutant.EVACUATED_HALLS_IGNORED: (FaultKind.EVACUATE_HALL,),
     Mutant.HALLS_EVACUATED_FOR_GOOD: (FaultKind.EVACUATE_HALL,),
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from dataclasses import dataclass, field
 from enum import Enum
@@ -12,7 +13,7 @@
 
 from pumicespur.utils import monotonic
 from soak._accounts import ACCOUNT_NAMES, KEYED_ROUTE, KeyProbe
-from standins.hosted import CRASHING_PAYLOAD, HOST
+from standins.hosted import CRASHING_PAYLOAD, FAILS_TWICE_PAYLOAD, HOST
 
 if TYPE_CHECKING:
     from soak._plan import Plan
@@ -56,6 +57,9 @@
 TASK_CPU_MILLIS = 500
 """CPU capacity that each task requests."""
 
+MAX_REPEATED_JOBS = 8
+"""Newest accepted jobs of a caller whose ids it sends again."""
+
 MAX_LONG_RUNNING_JOBS = 3
 """Long-running jobs that one caller has at the same time; each occupies several workers."""
 
@@ -65,6 +69,8 @@
 
     SHORT = "short"
     LONG_RUNNING = "lasts"
+    FAILING = FAILS_TWICE_PAYLOAD
+    """The first two runs of each task fail, fewer than callers are promised attempts."""
     CRASHING = CRASHING_PAYLOAD
     """The first task crashes each worker that starts it."""
 
@@ -149,7 +155,10 @@
         self.account_random = random.Random(plan.seed * 1000 + number + 500)
         """Separate generator, so that plans saved before there were accounts still cause the same
         actions."""
+        self.repeat_random = random.Random(plan.seed * 1000 + number + 700)
+        """Separate for the same reason."""
         self.node_names = sorted(world.links)
+        self.repeat_nodes = itertools.cycle(self.node_names)
         self.preferred_index = number % len(self.node_names)
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=RESPONSE_TIMEOUT_S),
@@ -211,6 +220,10 @@
                 return
             await asyncio.sleep(PROBE_INTERVAL_S)
 
+    async def submit_failing_job(self) -> None:
+        """Submit a job without a key whose tasks fail at first."""
+        await self._submit(JobKind.FAILING, [_burst_step()], "")
+
     async def query(self, job: SentJob) -> Exchange:
         """Query the state of a job."""
         exchange = await self._send("GET", job.path, None, key=self._api_key(job.account))
@@ -222,6 +235,16 @@
         exchange = await self._send("DELETE", job.path, None, key=self._api_key(job.account))
         job.exchanges.append(exchange)
 
+    async def resubmit(self) -> None:
+        """Send an accepted job again, at the next node; newer jobs are more likely."""
+        accepted = [job for job in self.jobs if job.accepted_at is not None and not job.account]
+        if not accepted:
+            return
+        job = accepted[-self.repeat_random.randint(1, min(MAX_REPEATED_JOBS, len(accepted)))]
+        node = next(self.repeat_nodes)
+        body = {"taskSpec": job.kind.value, "steps": job.steps}
+        job.exchanges.append(await self._send("POST", job.path, body, node))
+
     def _api_key(self, account: str) -> str:
         return self.world.account_history.current_key(account) if account else ""
 
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -404,7 +404,8 @@
         for job in self.jobs.values():
             if job.accepted_at is None or job.cancel_sent_at is not None:
                 continue
-            if job.kind is JobKind.SHORT and job.exchanges[-1].state not in ("completed", "failed"):
+            ends = job.kind in (JobKind.SHORT, JobKind.FAILING)
+            if ends and job.exchanges[-1].state not in ("completed", "failed"):
                 yield Finding("accepted jobs complete", f"{job.id} {job.exchanges[-1]}")
             if job.kind is JobKind.CRASHING and job.exchanges[-1].state != "failed":
                 yield Finding("a job that brings workers down is given up", str(job.exchanges[-1]))
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,6 +15,7 @@
 from soak._leaving import DEPARTURE_KINDS, RECORD_KINDS, block_records, make_workers_leave
 from soak._plan import FaultKind
 from soak._restarts import RESTART_KINDS, restart_workers
+from soak._routes import ROUTE_KINDS, disrupt_route
 from soak._world import FOREIGN_PREFIX
 from standins.hosted import FOREIGN_ENTRIES, WORKER_CPU, Passage
 
@@ -55,6 +56,9 @@
     {
         FaultKind.STOP_NODE,
         FaultKind.RELOAD_NODE,
+        FaultKind.ROUTE_MOVES,
+        FaultKind.ROUTE_AWAY,
+        FaultKind.IDS_SENT_AGAIN,
         FaultKind.CONFIGURE,
         FaultKind.CONFIGURE_OFTEN,
         FaultKind.STORE_LINK_THIN,
@@ -136,6 +140,8 @@
                 await self.callers[fault.target % len(self.callers)].submit_burst(
                     _account_name(fault)
                 )
+            case kind if kind in ROUTE_KINDS:
+                await disrupt_route(self.world, self.callers, fault)
             case kind if kind in DEPARTURE_KINDS:
                 await make_workers_leave(self.world, fault)
             case kind if kind in RECORD_KINDS:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -11,7 +11,8 @@
 from soak._callers import Caller, JobKind
 from soak._checker import CONFIGURE_TIMEOUT_S, Checker, Finding
 from soak._faults import Injector
-from soak._plan import save_plan
+from soak._plan import FaultKind, save_plan
+from soak._routes import SECOND_POOL, SECOND_POOL_WORKERS
 from soak._world import COLD_S, HALLS, INSTANCES_PER_RACK, SoakWorld
 from standins.hosted import SUSPENDABLE_MODULE
 
@@ -85,6 +86,9 @@
         name = f"m-{number:02}"
         world.fleet.pools[name] = "idle"
         world.fleet.racks[name] = f"r1-{number // INSTANCES_PER_RACK}"
+    if any(fault.kind is FaultKind.ROUTE_MOVES for fault in plan.faults):
+        for number in range(SECOND_POOL_WORKERS):
+            await world.add_worker(f"s-{number:02}", f"r2-{number}", SECOND_POOL)
     for number in range(plan.deployment.nodes):
         await world.add_node(f"node-{number}")
     for node in list(world.started_nodes):
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -61,6 +61,10 @@
         self.expected_ends: set[int] = set()
         """Ids of the processes that the soak ended on purpose."""
         self.account_history = AccountHistory()
+        self.quick_pool = "main"
+        """The pool of the route `quick`."""
+        self.absent_routes: set[str] = set()
+        """Routes that are left out of the next configurations."""
         self.added_routes: dict[str, float] = {}
         """Permanent routes, with the monotonic time of the first configuration that had them."""
 
@@ -75,7 +79,9 @@
         """Write a configuration with the given public routes and one that requires an API key."""
         self.accounts = self.account_history.declarations()
         self.public_routes = frozenset(routes)
-        super().configure(version, (*routes, KEYED_ROUTE), **fields)
+        present = tuple(r for r in (*routes, KEYED_ROUTE) if r not in self.absent_routes)
+        self.route_pools = {"quick": self.quick_pool}
+        super().configure(version, present, **fields)
 
     async def close(self) -> None:
         """Close the links and everything else that was started."""
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -24,9 +24,14 @@
     _worker_session,
     _worker_starts,
 )
-from pumicespur.jobs.submissions import _attempt, _service
+from pumicespur.jobs.submissions import _attempt, _service, terms_of
 from pumicespur.model import ANONYMOUS_ACCOUNT
-from pumicespur.node import _evacuations, _table_follower
+from pumicespur.node import (
+    _evacuations,
+    _ownership_controller,
+    _process_tracker,
+    _table_follower,
+)
 from pumicespur.platform import _callers, _declarations, _orders, _table
 from pumicespur.store import Transaction
 
@@ -72,6 +77,12 @@
     """Starts are ordered however stale the known state is."""
     LEAVING_NOT_ASKED_AGAIN = "leaving-not-asked-again"
     """Nothing is checked again between the record of a placement and its start order."""
+    IDS_GUARDED_BY_POOL = "ids-guarded-by-pool"
+    """An id is taken in one pool only."""
+    TERMS_OF_THE_OWNER = "terms-of-the-owner"
+    """A job gets the terms that its owner's configuration has when it takes the job in."""
+    OWNERS_FORGOTTEN = "owners-forgotten"
+    """A scan of the owners' table empties the view, in which a takeover looks its owner up."""
     LATE_WORK_STARVES = "late-work-starves"
     """Late work never goes first. The soak does not judge latency, so `tests/test_feasibility.py`
     detects it."""
@@ -88,6 +99,8 @@
 TRANSACTION = _journal.Journal._transaction
 APPLY_STATUS = _worker_session.WorkerSession._apply_status
 ADD_WORKER = _pool.PoolState.add_worker
+ADD_JOB = _pool.PoolState.add_job
+INIT_ATTEMPT = _attempt.SubmissionAttempt.__init__
 FIRST_CAPACITIES: dict[Any, Any] = {}
 SUBMIT = _service.JobService.submit
 DROP_WORKER = _pool.PoolState.drop_worker
@@ -166,6 +179,35 @@
     return DECODE_EVACUATIONS(self, [row for row in rows if row.version > shown_to])
 
 
+def _guard_id_by_pool(self: _attempt.SubmissionAttempt, *arguments: Any) -> None:
+    INIT_ATTEMPT(self, *arguments)
+    self.id_key += f"/{self.route.pool}"
+
+
+def _add_job_on_present_terms(
+    self: _pool.PoolState, record: Any, configuration: Any, progress: Any
+) -> Any:
+    route = configuration.routes.get(record.route)
+    record.terms = route and terms_of(route)
+    return ADD_JOB(self, record, configuration, progress)
+
+
+def _clear_owners(self: _process_tracker.ProcessTracker, rows: Any, whole: bool) -> None:
+    if whole:
+        self.view.owners.clear()
+    for row in rows:
+        self.apply_owner(row)
+
+
+async def _check_pool_by_the_view(
+    self: _ownership_controller.OwnershipController, pool: Any
+) -> bool:
+    owner = await self._read_owner(pool)
+    if owner is not None and await self._owner_to_replace(pool, owner) is not None:
+        await self._take_over(pool, self.view.owners[pool])
+    return owner is not None
+
+
 def apply_mutant(mutant: Mutant) -> None:
     """Disable one safeguard of the product in this process."""
     match mutant:
@@ -220,6 +262,14 @@
             _replace(_pool.PoolState, "add_worker", _keep_first_capacity)
         case Mutant.LATE_WORK_STARVES:
             _replace(_placement, "is_long_overdue", lambda *arguments: False)
+        case Mutant.IDS_GUARDED_BY_POOL:
+            _replace(_attempt.SubmissionAttempt, "__init__", _guard_id_by_pool)
+        case Mutant.TERMS_OF_THE_OWNER:
+            _replace(_pool.PoolState, "add_job", _add_job_on_present_terms)
+        case Mutant.OWNERS_FORGOTTEN:
+            _replace(_process_tracker.ProcessTracker, "_apply_owners", _clear_owners)
+            controller = _ownership_controller.OwnershipController
+            _replace(controller, "_check_pool", _check_pool_by_the_view)
         case Mutant.CHANGES_REPLAYED:
             _replace(_table_follower.TableFollower, "_should_rescan", lambda *arguments: False)
 
--- a/standins/hosted/_store.py
+++ b/standins/hosted/_store.py
@@ -121,14 +121,18 @@
         self.oldest = self.version
         self.history.clear()
 
+    def wake_feeds(self) -> None:
+        """Let all open feeds look at the history again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _apply(self, rows: list[StoredRow]) -> int:
         self.version += 1
         for row in rows:
             row.version = self.version
             self.rows[row.place] = row
             self.history.append(row)
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self.wake_feeds()
         return self.version
 
     async def _apply_faults(self, request: web.Request) -> web.Response | None:
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -56,6 +56,8 @@
         """Version of the latest configuration."""
         self.accounts: list[dict[str, Any]] = []
         """The client accounts of the next configuration, as the configuration writes them."""
+        self.route_pools: dict[str, str] = {}
+        """Pools of routes in the next configuration; `main` for those that are not named."""
         self.public_routes: frozenset[str] = frozenset()
         """Routes that need no key even if there are accounts."""
         self.worker_numbers = itertools.count(1)
@@ -113,7 +115,7 @@
                 "name": name,
                 "host": HOST,
                 "pathPrefix": f"/{name}/",
-                "backend": "main",
+                "backend": self.route_pools.get(name, "main"),
                 "timeoutMs": 3000,
                 "targetLatencyMs": 500,
                 "maxAttempts": MAX_ATTEMPTS,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
     FaultKind,
     Plan,
     draw_evacuation_plan,
+    draw_overlapping_plan,
     draw_plan,
     load_plan,
     save_plan,
@@ -42,6 +43,13 @@
 CI_LENGTH_S = 4.0
 CI_EVACUATION_LENGTH_S = 8.0
 """Long enough for submissions after the bound of an evacuation, 1.5 s."""
+CI_ROUTE_LENGTH_S = 6.0
+CI_ROUTE_KINDS = {
+    1: (FaultKind.ROUTE_MOVES, FaultKind.IDS_SENT_AGAIN, FaultKind.KILL_NODE),
+    2: (FaultKind.ROUTE_AWAY, FaultKind.KILL_ALL_NODES),
+    4: (FaultKind.STORE_FORGETS_AT_STOP,),
+}
+"""Kinds of overlapping faults by seed."""
 JOB = "0" * 16
 TASK = f"{JOB}.0.0.0"
 
@@ -331,3 +339,12 @@
                 for seed in CI_EVACUATION_SEEDS
             ]
         )
+
+    async def test_short_runs_with_a_route_that_moves_goes_and_comes_back(self) -> None:
+        """Guards against what a process can't know that starts or takes a pool meanwhile."""
+        await self.assert_promises_hold(
+            [
+                draw_overlapping_plan(seed, CI_ROUTE_LENGTH_S, Deployment(), kinds)
+                for seed, kinds in CI_ROUTE_KINDS.items()
+            ]
+        )
