The limit of an account that the configuration lacks is known to every owner

Operators saw: the limit of a removed account goes on counting for its jobs, until the owner of their pool changed; then all that waited started at once.

Cause: removed limits were kept by the processes that had seen the removal (PoolLimits.removed_limits). One that started later, or that did not know an added account yet, took the account for one without a limit.

Change: the limit at acceptance is part of a job's terms; it counts while the configuration lacks the account.

--- a/pumicespur/jobs/_limits.py
+++ b/pumicespur/jobs/_limits.py
@@ -25,7 +25,7 @@
     from collections.abc import Iterable, Mapping, Sequence
 
     from pumicespur.model import ClientAccount
-    from pumicespur.schema.jobs_pb import PartRecord, StepRecord
+    from pumicespur.schema.jobs_pb import LimitRecord, PartRecord, StepRecord
 
 MIN_TRANSFER = WHOLE_LIMIT // 100
 """Smallest transfer, unless it covers the whole request or lets a task start; each one costs two
@@ -47,7 +47,9 @@
     founders: Sequence[PoolId] = ()
     allotments: dict[AccountId, Allotment] = field(default_factory=dict)
     removed_limits: dict[AccountId, Capacity] = field(default_factory=dict)
-    """Last limits of accounts that were removed from the configuration."""
+    """Last limits of accounts whose removal from the configuration this process has seen."""
+    accepted_limits: dict[AccountId, Capacity] = field(default_factory=dict)
+    """Limits that accounts had when the newest of their known jobs was accepted."""
     changed: dict[AccountId, None] = field(default_factory=dict)
     """Accounts whose ledger has to be recorded, oldest first."""
     stale: bool = False
@@ -85,9 +87,25 @@
             self._update_unconfirmed(account, allotment)
 
     def limit_of(self, account: AccountId) -> Capacity:
-        """Return an account's limit; a removed account keeps its last one."""
+        """Return an account's limit.
+
+        One that the configuration lacks, since it was removed or is not known here yet, has its
+        last known limit.
+        """
         declared = self.accounts.get(account)
-        return declared.limit if declared else self.removed_limits.get(account, UNLIMITED)
+        if declared is not None:
+            return declared.limit
+        accepted = self.accepted_limits.get(account, UNLIMITED)
+        return self.removed_limits.get(account, accepted)
+
+    def note_accepted(self, account: AccountId, limit: LimitRecord | None) -> None:
+        """Note the limit that an account had when a job was accepted; the newest job comes last."""
+        if limit is None:
+            self.accepted_limits.pop(account, None)
+            return
+        self.accepted_limits[account] = Capacity(
+            limit.cpu_millis, limit.memory_mb, limit.accelerators
+        )
 
     def allotment_of(self, account: AccountId) -> Allotment:
         """Return an account's allotment in this pool."""
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -127,6 +127,8 @@
             job.exceeds_share = self.fair_share.note_job(
                 job.account, account.weight, record.accepted_ms
             )
+        if job.account and record.terms is not None:
+            self.limits.note_accepted(job.account, record.terms.account_limit)
         self.jobs[job.id] = job
         return job
 
--- a/pumicespur/jobs/submissions/_service.py
+++ b/pumicespur/jobs/submissions/_service.py
@@ -28,6 +28,7 @@
     from pumicespur.model import Route
     from pumicespur.platform import PlatformTable
     from pumicespur.store import Fault
+    from pumicespur.view import FleetView
 
 log = Logger(__name__)
 
@@ -35,8 +36,9 @@
 class JobService:
     """Serves callers' requests from the store, without the pool's owner."""
 
-    def __init__(self, table: PlatformTable) -> None:
+    def __init__(self, table: PlatformTable, view: FleetView) -> None:
         self.table = table
+        self.view = view
         self.hold = SubmissionHold(table.outage)
 
     async def submit(self, route: Route, record: JobRecord, give_up_at: float) -> SubmissionOutcome:
@@ -44,7 +46,8 @@
 
         `give_up_at` is the monotonic time by which the caller needs a response.
         """
-        record.terms = terms_of(route)
+        account = self.view.configuration.accounts.get(AccountId(record.account))
+        record.terms = terms_of(route, account)
         attempt = SubmissionAttempt(self.table, self.hold, route, record, give_up_at)
         with anyio.CancelScope(deadline=give_up_at):
             return await attempt.record_job()
--- a/tests/test_limit_model.py
+++ b/tests/test_limit_model.py
@@ -21,6 +21,7 @@
 from pumicespur.jobs._limit_transfers import PeerAllotment
 from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._pool import PoolState
+from pumicespur.jobs.submissions import terms_of
 from pumicespur.model import (
     AccountId,
     Capacity,
@@ -40,7 +41,7 @@
     ProgressRecord,
     StepRecord,
 )
-from tests.test_jobs import CONFIGURATION, make_worker
+from tests.test_jobs import CONFIGURATION, ROUTE, make_worker
 
 if TYPE_CHECKING:
     from pumicespur.jobs._worker_load import WorkerLoad
@@ -290,7 +291,13 @@
         self.jobs += 1
         account = self.rng.choice(ACCOUNTS)
         step = StepRecord(count=count, cpu_millis=cpu)
-        record = JobRecord(id=f"{self.jobs:016x}", route="quick", steps=[step], account=account)
+        record = JobRecord(
+            id=f"{self.jobs:016x}",
+            route=ROUTE.name,
+            steps=[step],
+            account=account,
+            terms=terms_of(ROUTE),
+        )
         self.stores[pool].submissions[record.id] = record.to_binary()
 
     def step(self) -> None:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -15,6 +15,7 @@
 from pumicespur.jobs._ledger import WHOLE_LIMIT, Ledger, compute_founding_allotment
 from pumicespur.jobs._limit_transfers import UNUSED_RETENTION_S, PeerAllotment
 from pumicespur.jobs._limits import MAX_REPORTED_ACCOUNTS, PoolLimits
+from pumicespur.jobs.submissions import terms_of
 from pumicespur.model import (
     AccountId,
     Capacity,
@@ -31,7 +32,7 @@
     ProgressRecord,
     StepRecord,
 )
-from tests.test_jobs import CONFIGURATION, make_end, make_pool, make_worker, run_all, submit
+from tests.test_jobs import CONFIGURATION, ROUTE, make_end, make_pool, make_worker, run_all, submit
 
 if TYPE_CHECKING:
     from pumicespur.jobs._pool import PoolState
@@ -294,6 +295,16 @@
     def used(self, pool: PoolState) -> int:
         return pool.limits.usage.of(SMALL).cpu_millis
 
+    def test_limit_at_acceptance_counts_while_the_configuration_lacks_the_account(self) -> None:
+        # An owner that had not seen the account's removal, or had not yet its addition, knew none.
+        pool = make_pool(make_worker("w-1", cpu=20_000))
+        record = self.record("1")
+        record.terms = terms_of(ROUTE, accounts(3_000)[SMALL])
+        submit(pool, record)
+        self.assertEqual(3, len(run_all(pool)))
+        pool.limits.set_accounts(accounts(4_000))
+        self.assertEqual(1, len(run_all(pool)))
+
     def test_placement_stops_at_the_limit_and_others_go_on(self) -> None:
         submit(self.pool, self.record("1"))
         free = self.record("2")
--- a/tests/test_route_terms.py
+++ b/tests/test_route_terms.py
@@ -21,17 +21,21 @@
 from pumicespur.schema.jobs_pb import JobPhase, ProgressRecord, StepRecord
 from standins.hosted import FAILS_TWICE_PAYLOAD, MAX_ATTEMPTS
 from tests.test_jobs import POOL, ROUTE, make_pool, make_record, make_worker
-from tests.test_node import STEP, NodeCase, job_id
+from tests.test_node import LONG_RUNNING, STEP, NodeCase, job_id
 
 if TYPE_CHECKING:
     from pumicespur.jobs._job import Job
     from pumicespur.jobs._pool import PoolState
 
+KEY = "key-of-a"
 SEEDS = (1, 2, 3)
 MAX_PAUSE_S = 0.6
 TASK_S = 0.4
 """Longer than a process takes to notice a configuration, so that runs end under the next owner."""
 
+OBSERVED_S = 2.5
+"""Time for a takeover and the rounds that follow."""
+
 
 def make_configuration(*routes: Route) -> Configuration:
     """Make a configuration with the given routes."""
@@ -124,3 +128,28 @@
         await self.world.wait_state(self.node, job, "completed")
         failed = [r for r in self.world.history if r.task.startswith(job) and r.how == "failed"]
         self.assertGreaterEqual(len(failed), STEP["count"], f"seed {seed}")
+
+
+class AccountRemovedTest(NodeCase):
+    """An account with open jobs is removed from the configuration, then the owner changes."""
+
+    async def test_its_last_limit_holds_at_a_process_that_never_saw_it(self) -> None:
+        # All waiting tasks of the account started at once.
+        self.world.set_account("a", KEY, cpu=2 * LONG_RUNNING["cpu"])
+        self.world.set_account("b", f"{KEY}-of-b")
+        self.world.configure(2)
+        job = {"taskSpec": "lasts", "steps": [{**LONG_RUNNING, "count": 6}]}
+        status = 0
+        while status != 200:
+            status, _ = await self.world.call(self.node, "POST", f"/quick/{job_id(1)}", job, KEY)
+        await self.world.wait_for(lambda: len(self.world.history) == 2, "two tasks run")
+        self.world.accounts = [a for a in self.world.accounts if a["name"] != "a"]
+        self.world.configure(3)
+        self.node.process.kill()
+        self.node.process.wait()
+        self.node = self.world.start_node("fresh")
+        self.started.append(self.node)
+        await self.world.wait_ready(self.node)
+        await asyncio.sleep(OBSERVED_S)
+        running = [run for run in self.world.history if run.ended_at is None]
+        self.assertEqual(2, len(running))
--- a/tests/test_submission_faults.py
+++ b/tests/test_submission_faults.py
@@ -36,6 +36,7 @@
     Unavailable,
 )
 from pumicespur.utils import monotonic
+from pumicespur.view import FleetView
 from tests.test_jobs import POOL, ROUTE
 
 JOB = "0" * 16
@@ -145,7 +146,8 @@
     ) -> SubmissionOutcome:
         record = JobRecord(id=JOB, route=ROUTE.name, account=OWN)
         route = replace(ROUTE, pool=pool)
-        return await JobService(cast("Any", store)).submit(route, record, monotonic() + time_s)
+        service = JobService(cast("Any", store), FleetView())
+        return await service.submit(route, record, monotonic() + time_s)
 
 
 class LostAnswerTest(SubmissionCase):
@@ -243,7 +245,7 @@
     def setUp(self) -> None:
         self.store = FakeStore()
         self.store.outage.note_failure(monotonic())
-        self.service = JobService(cast("Any", self.store))
+        self.service = JobService(cast("Any", self.store), FleetView())
 
     async def submit(self, time_s: float = LONG_S) -> SubmissionOutcome:
         record = JobRecord(id=JOB, route=ROUTE.name, account=OWN)
