A takeover doesn't hide a newer owner that became known during its call

A process whose pool had been taken meanwhile believed that it owned it, under its older token, and tried to take it again with a condition that could not hold.

Change: the own record is applied like any other row, the newest counts.

--- a/pumicespur/node/_ownership_controller.py
+++ b/pumicespur/node/_ownership_controller.py
@@ -22,16 +22,15 @@
 from pumicespur.node._process_tracker import ProcessTracker
 from pumicespur.node._takeover_policy import TakeoverPolicy
 from pumicespur.schema.jobs_pb import OwnerRecord
-from pumicespur.store import Condition, Transaction, Write
+from pumicespur.store import Condition, Row, Transaction, Write
 from pumicespur.utils import monotonic
-from pumicespur.view import SeenOwner
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
     from pumicespur.config import NodeSettings
     from pumicespur.platform import FleetOrders, PlatformTable, WorkerOrders
-    from pumicespur.view import FleetView
+    from pumicespur.view import FleetView, SeenOwner
 
 log = Logger(__name__)
 
@@ -220,7 +219,8 @@
         now = monotonic()
         match response:
             case Result(tag="ok", ok=token):
-                self.view.owners[pool] = SeenOwner(record, token, now)
+                # The view may show a still newer owner by now.
+                self.tracker.apply_owner(Row(owner_key(pool), record.to_binary(), token))
                 self.takeover_policy.note_owned(pool)
                 self._start_owner(pool, owner, token, now)
             case Result(error=error):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -593,6 +593,7 @@
 
     def play(self, source: random.Random) -> None:
         self.source, self.events = source, 0
+        self.told: dict[PoolId, int] = {}
         self.owners_table = OwnersTable(self.happens)
         self.controller.table = cast("Any", self.owners_table)
         pools = {PoolId(p): PoolSettings(PoolId(p), True, False) for p in self.POOLS}
@@ -610,12 +611,18 @@
         ):
             for _ in range(2 * self.MAX_EVENTS):
                 asyncio.run(self.controller._check_pools())
+                self.assert_newest_known()
         logged.assert_not_called()
         for pool in self.POOLS:
             row = self.owners_table.rows[f"owners/{pool}/owner"]
             self.assertEqual("small", OwnerRecord.from_binary(row.value).process)
             self.assertIn(PoolId(pool), taken)
 
+    def assert_newest_known(self) -> None:
+        """Assert that no takeover has hidden a newer owner, which became known during its call."""
+        for pool, version in self.told.items():
+            self.assertGreaterEqual(self.controller.view.owners[pool].token, version)
+
     async def read_presence(self) -> None:
         self.happens()
 
@@ -628,6 +635,8 @@
             self.tracker._apply_owners([], True)
             return
         record = OwnerRecord(process="far", incarnation="life", released=True)
-        row = self.owners_table.put(f"owners/{self.source.choice(self.POOLS)}/owner", record)
+        pool = PoolId(self.source.choice(self.POOLS))
+        row = self.owners_table.put(f"owners/{pool}/owner", record)
         if self.source.random() < 0.5:
             self.tracker._apply_owners([row], False)
+            self.told[pool] = row.version
