Model check of submissions over the store's rows

The real service, follower and pool, with rows in memory and no network: processes with configurations of different age, answers lost or late, a route that moves, goes and comes back, owners that have seen nothing. Asserted: at most one run of a task at a time and none after its end, an accepted job is known, it fails only after the attempts that it was offered.

--- /dev/null
+++ b/tests/test_submission_model.py
@@ -0,0 +1,334 @@
+"""A model check of submissions: the real service, follower and pool over rows in memory.
+
+Processes with configurations of different age accept jobs; answers of the store are lost or late;
+the route moves to another pool, goes, and comes back with other values; pools get owners that have
+seen nothing. No task may run twice at once or again after its end, an accepted job is known, and
+it fails only after the attempts that it was promised. Each mutant removes one safeguard, and the
+check must detect it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections import Counter
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import TYPE_CHECKING, Any, cast
+from unittest.mock import patch
+
+from expression import Error, Ok, Result
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from pumicespur.jobs import JobService
+from pumicespur.jobs._keys import progress_key, submissions_table
+from pumicespur.jobs._pool import PoolState
+from pumicespur.jobs.submissions import SubmissionFollower, _attempt
+from pumicespur.model import (
+    AccountId,
+    Configuration,
+    EndedRun,
+    JobId,
+    PoolId,
+    PoolSettings,
+    RunEnd,
+    SubmissionOutcome,
+    TaskName,
+    WorkerId,
+)
+from pumicespur.schema.jobs_pb import JobPhase, JobRecord, StepRecord
+from pumicespur.store import (
+    AnswerLost,
+    Conflict,
+    OutageTracker,
+    Page,
+    Row,
+    Transaction,
+    Unavailable,
+    Write,
+)
+from pumicespur.utils import monotonic
+from pumicespur.view import FleetView
+from soak import mutant
+from tests.base import default_settings
+from tests.test_jobs import ROUTE, make_worker
+
+if TYPE_CHECKING:
+    from pumicespur.store import Fault
+
+POOLS = (PoolId("main"), PoolId("second"))
+JOBS = ("a" * 16, "b" * 16)
+PROCESSES = 2
+MAX_ATTEMPTS = (2, 3)
+MAX_AGE = 2
+"""Versions by which the configuration of a new owner is out of date at most."""
+
+STEPS = 25
+EXAMPLES = 100
+MUTANT_EXAMPLES = 1000
+
+ONE_TRY_S = 0.02
+"""Time of a call in which the service tries once; shorter than its first pause."""
+
+ROUND_S = 20.0
+"""Time between rounds, after which workers with failures take tasks again."""
+
+
+class Fate(Enum):
+    """What becomes of a write."""
+
+    ANSWERED = "answered"
+    LOST = "applied without an answer"
+    LATE = "applied later without an answer"
+    REFUSED = "refused"
+
+
+class ModelStore:
+    """Rows in memory; the next write meets the given fate."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.version = 0
+        self.fate = Fate.ANSWERED
+        self.late: list[Transaction] = []
+        self.outage = OutageTracker()
+
+    def apply(self, transaction: Transaction) -> Result[int, Fault]:
+        found = [self.row(condition.key) for condition in transaction.conditions]
+        conditions = zip(found, transaction.conditions, strict=True)
+        if any(row.version != condition.version for row, condition in conditions):
+            return Error(Conflict(tuple(row.key for row in found), tuple(found)))
+        self.version += 1
+        for write in transaction.writes:
+            assert write.value is not None
+            self.rows[write.key] = Row(write.key, write.value, self.version)
+        return Ok(self.version)
+
+    def row(self, key: str) -> Row:
+        return self.rows.get(key, Row(key, b"", 0))
+
+    async def transact(self, transaction: Transaction) -> Result[int, Fault]:
+        match self.fate:
+            case Fate.ANSWERED:
+                return self.apply(transaction)
+            case Fate.LOST:
+                self.apply(transaction)
+            case Fate.LATE:
+                self.late.append(transaction)
+            case Fate.REFUSED:
+                return Error(Unavailable("refused"))
+        return Error(AnswerLost("nothing came"))
+
+    async def read(self, key: str) -> Result[Row, Fault]:
+        return Ok(self.row(key))
+
+    async def scan(self, table: str, part: str, timeout_s: float = 0.0) -> Result[Page, Fault]:
+        prefix = f"{table}/{part}/"
+        rows = [row for key, row in self.rows.items() if key.startswith(prefix)]
+        return Ok(Page(rows, self.version))
+
+
+@dataclass(frozen=True)
+class ModelRun:
+    """A run that a worker has begun."""
+
+    pool: PoolId
+    number: int
+
+
+class PoolOwnerModel:
+    """An owner of a pool that has seen nothing before, with one large worker."""
+
+    def __init__(self, pool: PoolId, store: ModelStore, view: FleetView) -> None:
+        self.store = store
+        self.pool = PoolState(pool)
+        self.worker = make_worker(f"w-{pool}", cpu=1_000_000)
+        self.pool.add_worker(self.worker).reachable = True
+        table = cast("Any", store)
+        self.follower = SubmissionFollower(
+            self.pool, table, view, default_settings(), lambda: None, lambda job: None
+        )
+
+    def read_new_submissions(self) -> None:
+        prefix = f"{submissions_table(self.pool.pool)}/"
+        known = self.follower.table_progress.version
+        rows = [r for r in self.store.rows.values() if r.key.startswith(prefix)]
+        for record, version in self.follower._parse_submissions(rows):
+            if version > known:
+                self.follower._apply(record, version, {})
+
+    def commit(self) -> None:
+        writes = [
+            Write(progress_key(self.pool.pool, job.id), job.progress(0).to_binary())
+            for job in self.pool.dirty
+        ]
+        self.pool.dirty.clear()
+        self.store.apply(Transaction([], writes))
+
+
+class SubmissionMachine(RuleBasedStateMachine):
+    """Draws what happens; its assertions are the promises."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.store = ModelStore()
+        self.configurations: list[Configuration] = []
+        """Every version, the newest last; the first one lacks the route."""
+        self.publish_configuration(None, 1)
+        self.publish_configuration(POOLS[0], MAX_ATTEMPTS[0])
+        self.now = 0.0
+        self.accepted: set[str] = set()
+        self.offered: dict[str, list[int]] = {job: [] for job in JOBS}
+        """The attempts that processes offered when the job was submitted."""
+        self.running: dict[TaskName, ModelRun] = {}
+        self.done: set[TaskName] = set()
+        self.failed: Counter[TaskName] = Counter()
+
+    def publish_configuration(self, pool: PoolId | None, attempts: int) -> None:
+        """Store a version, with the route in a pool or without it."""
+        route = None if pool is None else replace(ROUTE, pool=pool, max_attempts=attempts)
+        routes = {} if route is None else {route.name: route}
+        pools = {p: PoolSettings(p, has_admission_check=True, spare=False) for p in POOLS}
+        self.configurations.append(Configuration(len(self.configurations) + 1, routes, pools))
+
+    @initialize()
+    def start(self) -> None:
+        self.views = [self.make_view(0) for _ in range(PROCESSES)]
+        self.owners = {pool: self.make_owner(pool, self.make_view(0)) for pool in POOLS}
+
+    def make_view(self, age: int) -> FleetView:
+        """Make the view of a process that has only read a configuration, so many versions old."""
+        view = FleetView()
+        view.apply_configuration(self.configurations[max(0, len(self.configurations) - 1 - age)])
+        return view
+
+    def make_owner(self, pool: PoolId, view: FleetView) -> PoolOwnerModel:
+        owner = PoolOwnerModel(pool, self.store, view)
+        self.runner.run(owner.follower.load())
+        return owner
+
+    def teardown(self) -> None:
+        self.runner.close()
+
+    @rule(
+        job=st.sampled_from(JOBS), process=st.integers(0, PROCESSES - 1), fate=st.sampled_from(Fate)
+    )
+    def submit(self, job: str, process: int, fate: Fate) -> None:
+        view = self.views[process]
+        route = view.configuration.routes.get(ROUTE.name)
+        if route is None:
+            return
+        record = JobRecord(id=job, route=ROUTE.name, steps=[StepRecord(count=1, cpu_millis=1)])
+        self.store.fate = fate
+        service = JobService(cast("Any", self.store), view)
+        outcome = self.runner.run(service.submit(route, record, monotonic() + ONE_TRY_S))
+        self.store.fate = Fate.ANSWERED
+        self.offered[job].append(route.max_attempts)
+        if outcome is SubmissionOutcome.ACCEPTED:
+            self.accepted.add(job)
+
+    @rule(pool=st.sampled_from((*POOLS, None)), attempts=st.sampled_from(MAX_ATTEMPTS))
+    def publish(self, pool: PoolId | None, attempts: int) -> None:
+        self.publish_configuration(pool, attempts)
+
+    @rule(process=st.integers(0, PROCESSES - 1))
+    def follow_configuration(self, process: int) -> None:
+        self.views[process].apply_configuration(self.configurations[-1])
+
+    @rule(process=st.integers(0, PROCESSES - 1))
+    def start_process(self, process: int) -> None:
+        self.views[process] = self.make_view(0)
+
+    @rule(pool=st.sampled_from(POOLS), age=st.integers(0, MAX_AGE))
+    def change_owner(self, pool: PoolId, age: int) -> None:
+        self.owners[pool] = self.make_owner(pool, self.make_view(age))
+
+    @rule()
+    def apply_late_writes(self) -> None:
+        late, self.store.late = self.store.late, []
+        for transaction in late:
+            self.store.apply(transaction)
+
+    @rule(pool=st.sampled_from(POOLS))
+    def start_tasks(self, pool: PoolId) -> None:
+        owner = self.owners[pool]
+        owner.read_new_submissions()
+        self.now += ROUND_S
+        for task in owner.pool.place(self.now, self.now * 1000):
+            assert task.name not in self.running, f"{task.name} runs twice at once"
+            assert task.name not in self.done, f"{task.name} runs again after its end"
+            self.running[task.name] = ModelRun(pool, task.run)
+        owner.commit()
+
+    @rule(pool=st.sampled_from(POOLS), outcome=st.sampled_from((RunEnd.DONE, RunEnd.FAILED)))
+    def end_runs(self, pool: PoolId, outcome: RunEnd) -> None:
+        owner = self.owners[pool]
+        for name, run in list(self.running.items()):
+            if run.pool != pool:
+                continue
+            del self.running[name]
+            end = EndedRun(1, name, run.number, outcome, "")
+            owner.pool.note_end(WorkerId(owner.worker.id), end, self.now)
+            if outcome is RunEnd.DONE:
+                self.done.add(name)
+            else:
+                self.failed[name] += 1
+        owner.commit()
+
+    @rule(job=st.sampled_from(JOBS), process=st.integers(0, PROCESSES - 1))
+    def ask(self, job: str, process: int) -> None:
+        view = self.views[process]
+        route = view.configuration.routes.get(ROUTE.name)
+        if route is None or job not in self.accepted:
+            return
+        service = JobService(cast("Any", self.store), view)
+        found = self.runner.run(
+            service.phase(route, AccountId(""), JobId(job), monotonic() + ONE_TRY_S)
+        )
+        assert found.is_ok() and found.ok is not None, f"{job} is not known"
+        if found.ok is JobPhase.FAILED:
+            failures = max(n for name, n in self.failed.items() if name.startswith(job))
+            assert failures >= min(self.offered[job]), f"{job} failed after {failures} attempts"
+
+
+def check(examples: int) -> None:
+    """Run the machine; the examples are the same each time."""
+    run_state_machine_as_test(
+        SubmissionMachine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=STEPS,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            phases=(Phase.generate,),
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class SubmissionModelTest(unittest.TestCase):
+    """The product keeps the promises, and each mutant breaks one."""
+
+    def test_promises_hold(self) -> None:
+        check(EXAMPLES)
+
+    def assert_found(self, owner: type, name: str, replacement: Any, promise: str) -> None:
+        with patch.object(owner, name, replacement), self.assertRaisesRegex(Exception, promise):
+            check(MUTANT_EXAMPLES)
+
+    def test_finds_ids_that_are_guarded_by_pool(self) -> None:
+        self.assert_found(
+            _attempt.SubmissionAttempt, "__init__", mutant._guard_id_by_pool, "runs|not known"
+        )
+
+    def test_finds_terms_that_are_read_by_the_owner(self) -> None:
+        self.assert_found(PoolState, "add_job", mutant._add_job_on_present_terms, "attempts")
