--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,7 +15,7 @@
 from soak._leaving import DEPARTURE_KINDS, RECORD_KINDS, block_records, make_workers_leave
 from soak._plan import FaultKind
 from soak._restarts import RESTART_KINDS, restart_workers
-from soak._routes import ROUTE_KINDS, disrupt_route
+from soak._routes import ROUTE_KINDS, disrupt_route, stop_owner_of_forgetful_store
 from soak._world import FOREIGN_PREFIX
 from standins.hosted import FOREIGN_ENTRIES, WORKER_CPU, Passage
 
@@ -142,6 +142,8 @@
                 )
             case kind if kind in ROUTE_KINDS:
                 await disrupt_route(self.world, self.callers, fault)
+            case FaultKind.STORE_FORGETS_AT_STOP:
+                await stop_owner_of_forgetful_store(self.world, fault)
             case kind if kind in DEPARTURE_KINDS:
                 await make_workers_leave(self.world, fault)
             case kind if kind in RECORD_KINDS:
--- a/soak/_routes.py
+++ b/soak/_routes.py
@@ -1,4 +1,4 @@
-"""Faults of the route that callers use: it moves to another pool, goes and comes back."""
+"""Faults that show what a process cannot know: of the callers' route, and of a planned stop."""
 
 from __future__ import annotations
 
@@ -37,7 +37,6 @@
         FaultKind.ROUTE_MOVES,
         FaultKind.ROUTE_AWAY,
         FaultKind.IDS_SENT_AGAIN,
-        FaultKind.STORE_FORGETS_AT_STOP,
     }
 )
 
@@ -59,10 +58,8 @@
             await asyncio.sleep(TAKEOVER_S + fault.for_s)
             world.absent_routes.discard("quick")
             world.reconfigure()
-        case FaultKind.IDS_SENT_AGAIN:
-            await _send_ids_again(callers, fault)
         case _:
-            await _stop_owner_of_forgetful_store(world, fault)
+            await _send_ids_again(callers, fault)
 
 
 async def _send_ids_again(callers: Sequence[Caller], fault: Fault) -> None:
@@ -74,7 +71,7 @@
         await asyncio.sleep(REPEAT_INTERVAL_S)
 
 
-async def _stop_owner_of_forgetful_store(world: SoakWorld, fault: Fault) -> None:
+async def stop_owner_of_forgetful_store(world: SoakWorld, fault: Fault) -> None:
     """Stop the owner of the pool as planned; the slow store forgets its history meanwhile."""
     node = world.nodes.nodes.get(world.owner())
     if node is None or node.process.poll() is not None:
