The pool no longer imports the descriptions that describe it

explain_failure stands with the job whose failure it words; _describe and _pool were a circle. Moves only: tests of jobs, crashes and evacuation reports pass.

--- a/pumicespur/jobs/_describe.py
+++ b/pumicespur/jobs/_describe.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from pumicespur.jobs._job import explain_failure
 from pumicespur.model import WorkerId, worker_name
 from pumicespur.utils import METRICS
 
@@ -14,14 +15,7 @@
     from pumicespur.jobs._pool import PoolState
     from pumicespur.jobs._worker_load import WorkerLoad
     from pumicespur.model import DataHall, PoolId, WorkerName
-    from pumicespur.schema.jobs_pb import FailureRecord, ProgressRecord
-
-
-def explain_failure(failure: FailureRecord) -> str:
-    """Return in words why a job failed."""
-    if failure.lost_workers:
-        return f"task {failure.task} brought down {len(failure.lost_workers)} workers"
-    return f"task {failure.task} failed {failure.attempts} times"
+    from pumicespur.schema.jobs_pb import ProgressRecord
 
 
 def _names(workers: Iterable[str]) -> list[WorkerName]:
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -314,6 +314,13 @@
         self.has_started = bool(done or progress.tasks)
 
 
+def explain_failure(failure: FailureRecord) -> str:
+    """Return in words why a job failed."""
+    if failure.lost_workers:
+        return f"task {failure.task} brought down {len(failure.lost_workers)} workers"
+    return f"task {failure.task} failed {failure.attempts} times"
+
+
 def _task_record(task: Task) -> TaskRecord:
     return TaskRecord(
         index=task.index,
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -16,10 +16,9 @@
     reserve_quarantine_workers,
     retract_worker_loss,
 )
-from pumicespur.jobs._describe import explain_failure
 from pumicespur.jobs._estimates import ColdSlowdown, DurationEstimates
 from pumicespur.jobs._fair_share import FairShareMeter
-from pumicespur.jobs._job import TaskState, make_job, update_ticket_need
+from pumicespur.jobs._job import TaskState, explain_failure, make_job, update_ticket_need
 from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._placement import order_groups, place_groups, release_evacuated_racks
 from pumicespur.jobs._worker_load import WorkerLoad
