--- a/standins/hosted/__init__.py
+++ b/standins/hosted/__init__.py
@@ -20,8 +20,8 @@
 
 __all__ = [
     "CRASHING_PAYLOAD",
-    "FAILS_TWICE_PAYLOAD",
     "DEFAULT_HALL",
+    "FAILS_TWICE_PAYLOAD",
     "FOREIGN_ENTRIES",
     "HOST",
     "MAX_ATTEMPTS",
--- a/standins/hosted/_workers.py
+++ b/standins/hosted/_workers.py
@@ -28,10 +28,10 @@
 """Capacity of a new worker, in thousandths of a core."""
 
 CRASHING_PAYLOAD = "crashes"
+"""The first task of each step of a job with this payload crashes the worker that starts it."""
 
 FAILS_TWICE_PAYLOAD = "fails twice"
-"""The first two runs of each task end as failed."""
-"""The first task of each step of a job with this payload crashes the worker that starts it."""
+"""The first two runs of each task of a job with this payload end as failed."""
 
 INITIAL_CLOCK_MS = 10_000_000.0
 """Clock of a worker's first incarnation at its start; later incarnations start at a lower time."""
