A known failure is that of one seed, and a soak plan that fails in a test keeps its logs

Its assertions are as they were. Plans that fail leave their logs below target/soak-tests; they were deleted with a temporary folder.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,6 +12,7 @@
 def known_failures(path: Path = KNOWN_RED) -> set[str]:
     """Return the ids of tests that are known to fail because of a fault not fixed yet.
 
+    An id with parameters, as in `test_plans (seed=3)`, is that of one subtest; others still count.
     Entries of other checks than tests are allowed; no test has their names.
     """
     if not path.exists():
@@ -33,8 +34,9 @@
     for name in sorted(failed & listed):
         print(f"known red: {name}")
     unexpected = failed - listed
-    count = result.testsRun - len(failed) - len(result.skipped)
-    print(f"{count} passed, {len(failed)} failed")
+    failed_tests = {name.partition(" (")[0] for name in failed}
+    count = result.testsRun - len(failed_tests) - len(result.skipped)
+    print(f"{count} passed, {len(failed_tests)} failed")
     return 1 if unexpected or not result.testsRun else 0
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,6 +36,7 @@
 from tests.base import quiet_loop
 
 REGRESSIONS = Path(__file__).parent.parent / "soak" / "regressions"
+ARTIFACTS = REGRESSIONS.parent.parent / "target" / "soak-tests"
 CI_SEEDS = (2, 3)
 CI_EVACUATION_SEEDS = (15, 52)
 """All halls are evacuated; in the first plan a node is killed, in the second one the store forgets
@@ -314,11 +315,12 @@
         quiet_loop()
 
     async def assert_promises_hold(self, plans: list[Plan]) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            outcomes = await asyncio.gather(*(run_plan(plan, Path(folder)) for plan in plans))
+        """Run plans at once; each fails by itself and leaves its logs in `ARTIFACTS`."""
+        outcomes = await asyncio.gather(*(run_plan(plan, ARTIFACTS) for plan in plans))
         for outcome in outcomes:
-            self.assertEqual([], outcome.findings, f"seed {outcome.plan.seed}")
-            self.assertGreater(outcome.runs, 0)
+            with self.subTest(seed=outcome.plan.seed):
+                self.assertEqual([], outcome.findings, f"seed {outcome.plan.seed}")
+                self.assertGreater(outcome.runs, 0)
 
     async def test_regression_plans(self) -> None:
         """Each of these plans once broke a promise."""
