Soak: the planned stop beside a forgetful store is the one that the soak already had

It ended and restarted the owner by itself, without looking whether another fault was ending it, so that a node could have been started twice. It goes through _stop_and_restart_nodes now, with the losses of the history beside it. The pool of the route stands in World.route_pools alone, and the test of moved routes uses the reading of the log that test_slow_links had.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,7 +15,7 @@
 from soak._leaving import DEPARTURE_KINDS, RECORD_KINDS, block_records, make_workers_leave
 from soak._plan import FaultKind
 from soak._restarts import RESTART_KINDS, restart_workers
-from soak._routes import ROUTE_KINDS, disrupt_route, stop_owner_of_forgetful_store
+from soak._routes import ROUTE_KINDS, disrupt_route, forget_history_repeatedly
 from soak._world import FOREIGN_PREFIX
 from standins.hosted import FOREIGN_ENTRIES, WORKER_CPU, Passage
 
@@ -143,7 +143,10 @@
             case kind if kind in ROUTE_KINDS:
                 await disrupt_route(self.world, self.callers, fault)
             case FaultKind.STORE_FORGETS_AT_STOP:
-                await stop_owner_of_forgetful_store(self.world, fault)
+                await asyncio.gather(
+                    self._stop_and_restart_nodes(fault),
+                    forget_history_repeatedly(self.world, fault),
+                )
             case kind if kind in DEPARTURE_KINDS:
                 await make_workers_leave(self.world, fault)
             case kind if kind in RECORD_KINDS:
@@ -197,13 +200,18 @@
 
     async def _stop_and_restart_nodes(self, fault: Fault) -> None:
         """End one node or all nodes, and restart them after the fault's duration."""
-        all_nodes = fault.kind is FaultKind.KILL_ALL_NODES
-        names = sorted(self.world.links) if all_nodes else [self._target_node(fault)]
+        match fault.kind:
+            case FaultKind.KILL_ALL_NODES:
+                names = sorted(self.world.links)
+            case FaultKind.STORE_FORGETS_AT_STOP:
+                names = [self.world.owner() or self._target_node(fault)]
+            case _:
+                names = [self._target_node(fault)]
         nodes = [self.world.nodes.nodes[name] for name in names]
         ending = [node for node in nodes if node.process.pid not in self.world.expected_ends]
         for node in ending:
             self.world.expected_ends.add(node.process.pid)
-            stop = fault.kind is FaultKind.STOP_NODE
+            stop = fault.kind in (FaultKind.STOP_NODE, FaultKind.STORE_FORGETS_AT_STOP)
             node.send_signal(signal.SIGTERM if stop else signal.SIGKILL)
         for node in ending:
             await asyncio.to_thread(node.process.wait, NODE_END_TIMEOUT_S)
--- a/soak/_routes.py
+++ b/soak/_routes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from typing import TYPE_CHECKING
 
 from pumicespur.utils import monotonic
@@ -45,10 +44,10 @@
     """Inject one of `ROUTE_KINDS`."""
     match fault.kind:
         case FaultKind.ROUTE_MOVES:
-            world.quick_pool = SECOND_POOL
+            world.route_pools["quick"] = SECOND_POOL
             world.reconfigure()
             await asyncio.sleep(fault.for_s)
-            world.quick_pool = "main"
+            world.route_pools.pop("quick", None)
             world.reconfigure()
         case FaultKind.ROUTE_AWAY:
             for caller in callers:
@@ -71,20 +70,12 @@
         await asyncio.sleep(REPEAT_INTERVAL_S)
 
 
-async def stop_owner_of_forgetful_store(world: SoakWorld, fault: Fault) -> None:
-    """Stop the owner of the pool as planned; the slow store forgets its history meanwhile."""
-    node = world.nodes.nodes.get(world.owner())
-    if node is None or node.process.poll() is not None:
-        return
-    world.expected_ends.add(node.process.pid)
+async def forget_history_repeatedly(world: SoakWorld, fault: Fault) -> None:
+    """Let the slow store forget its history again and again, for about a takeover."""
     slow_s, world.store.faults.slow_s = world.store.faults.slow_s, SLOW_STORE_S
-    node.send_signal(signal.SIGTERM)
-    stopped_at = monotonic()
+    began_at = monotonic()
     for delay_s in FORGET_DELAYS_S:
-        await asyncio.sleep(max(0.0, stopped_at + delay_s * (0.5 + fault.strength) - monotonic()))
+        await asyncio.sleep(max(0.0, began_at + delay_s * (0.5 + fault.strength) - monotonic()))
         world.store.forget_history()
         world.store.wake_feeds()
-    await asyncio.to_thread(node.process.wait)
     world.store.faults.slow_s = slow_s
-    await asyncio.sleep(fault.for_s)
-    world.start_node(node.name)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -61,8 +61,6 @@
         self.expected_ends: set[int] = set()
         """Ids of the processes that the soak ended on purpose."""
         self.account_history = AccountHistory()
-        self.quick_pool = "main"
-        """The pool of the route `quick`."""
         self.absent_routes: set[str] = set()
         """Routes that are left out of the next configurations."""
         self.added_routes: dict[str, float] = {}
@@ -80,7 +78,6 @@
         self.accounts = self.account_history.declarations()
         self.public_routes = frozenset(routes)
         present = tuple(r for r in (*routes, KEYED_ROUTE) if r not in self.absent_routes)
-        self.route_pools = {"quick": self.quick_pool}
         super().configure(version, present, **fields)
 
     async def close(self) -> None:
--- a/tests/test_moved_routes.py
+++ b/tests/test_moved_routes.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from typing import TYPE_CHECKING
 
 from tests.test_node import LONG_RUNNING, STEP, NodeCase, job_id
+from tests.test_slow_links import versions_in_force
 
 if TYPE_CHECKING:
     from standins.hosted import Node
@@ -31,13 +31,9 @@
         """Send the route to a pool; return when the node has the configuration in force."""
         version = self.world.version + 1
         self.world.configure(version, backend=pool)
-        await self.world.wait_for(lambda: self.is_in_force(version), "the change is in force")
-
-    def is_in_force(self, version: int) -> bool:
-        """Return whether the node has logged that it has put a configuration in force."""
-        lines = self.node.log.read_text().splitlines()
-        events = [json.loads(line) for line in lines if '"configuration in force"' in line]
-        return any(event["version"] == version for event in events)
+        await self.world.wait_for(
+            lambda: version in versions_in_force(self.node), "the change is in force"
+        )
 
 
 class NewProcessTest(MovedRouteCase):
