--- a/tests/test_submission_model.py
+++ b/tests/test_submission_model.py
@@ -14,11 +14,10 @@
 import unittest
 from collections import Counter
 from dataclasses import dataclass, replace
-from enum import Enum
 from typing import TYPE_CHECKING, Any, cast
 from unittest.mock import patch
 
-from expression import Error, Ok, Result
+from expression import Ok, Result
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -45,21 +44,13 @@
     WorkerId,
 )
 from pumicespur.schema.jobs_pb import JobPhase, JobRecord, StepRecord
-from pumicespur.store import (
-    AnswerLost,
-    Conflict,
-    OutageTracker,
-    Page,
-    Row,
-    Transaction,
-    Unavailable,
-    Write,
-)
+from pumicespur.store import Page, Transaction, Write
 from pumicespur.utils import monotonic
 from pumicespur.view import FleetView
 from soak import mutant
 from tests.base import default_settings
 from tests.test_jobs import ROUTE, make_worker
+from tests.test_submission_faults import Does, FakeStore
 
 if TYPE_CHECKING:
     from pumicespur.store import Fault
@@ -82,53 +73,14 @@
 """Time between rounds, after which workers with failures take tasks again."""
 
 
-class Fate(Enum):
-    """What becomes of a write."""
-
-    ANSWERED = "answered"
-    LOST = "applied without an answer"
-    LATE = "applied later without an answer"
-    REFUSED = "refused"
+FATES = (Does.ANSWERS, Does.REFUSES, Does.LOSES_ANSWER, Does.APPLIES_LATE)
 
 
-class ModelStore:
-    """Rows in memory; each write meets the present fate."""
-
-    def __init__(self) -> None:
-        self.rows: dict[str, Row] = {}
-        self.version = 0
-        self.fate = Fate.ANSWERED
-        self.late: list[Transaction] = []
-        self.outage = OutageTracker()
-
-    def apply(self, transaction: Transaction) -> Result[int, Fault]:
-        found = [self.row(condition.key) for condition in transaction.conditions]
-        conditions = zip(found, transaction.conditions, strict=True)
-        if any(row.version != condition.version for row, condition in conditions):
-            return Error(Conflict(tuple(row.key for row in found), tuple(found)))
-        self.version += 1
-        for write in transaction.writes:
-            assert write.value is not None
-            self.rows[write.key] = Row(write.key, write.value, self.version)
-        return Ok(self.version)
-
-    def row(self, key: str) -> Row:
-        return self.rows.get(key, Row(key, b"", 0))
+class ModelStore(FakeStore):
+    """Rows in memory; each write meets the present fate, late ones wait until they are let go."""
 
     async def transact(self, transaction: Transaction) -> Result[int, Fault]:
-        match self.fate:
-            case Fate.ANSWERED:
-                return self.apply(transaction)
-            case Fate.LOST:
-                self.apply(transaction)
-            case Fate.LATE:
-                self.late.append(transaction)
-            case Fate.REFUSED:
-                return Error(Unavailable("refused"))
-        return Error(AnswerLost("nothing came"))
-
-    async def read(self, key: str) -> Result[Row, Fault]:
-        return Ok(self.row(key))
+        return await self.respond(self.otherwise, transaction)
 
     async def scan(self, table: str, part: str, timeout_s: float = 0.0) -> Result[Page, Fault]:
         prefix = f"{table}/{part}/"
@@ -221,18 +173,20 @@
         self.runner.close()
 
     @rule(
-        job=st.sampled_from(JOBS), process=st.integers(0, PROCESSES - 1), fate=st.sampled_from(Fate)
+        job=st.sampled_from(JOBS),
+        process=st.integers(0, PROCESSES - 1),
+        fate=st.sampled_from(FATES),
     )
-    def submit(self, job: str, process: int, fate: Fate) -> None:
+    def submit(self, job: str, process: int, fate: Does) -> None:
         view = self.views[process]
         route = view.configuration.routes.get(ROUTE.name)
         if route is None:
             return
         record = JobRecord(id=job, route=ROUTE.name, steps=[StepRecord(count=1, cpu_millis=1)])
-        self.store.fate = fate
+        self.store.otherwise = fate
         service = JobService(cast("Any", self.store), view)
         outcome = self.runner.run(service.submit(route, record, monotonic() + CALL_S))
-        self.store.fate = Fate.ANSWERED
+        self.store.otherwise = Does.ANSWERS
         self.offered[job].append(route.max_attempts)
         if outcome is SubmissionOutcome.ACCEPTED:
             self.accepted.add(job)
