--- a/pumicespur/maintenance/_intents.py
+++ b/pumicespur/maintenance/_intents.py
@@ -11,6 +11,7 @@
 
 from pumicespur.maintenance._store_reads import read_with_retry
 from pumicespur.model import InstanceId, PoolId, ProcessId
+from pumicespur.platform import ORDER_LIFETIME_S
 from pumicespur.schema.jobs_pb import OrderIntent, OrderIntents
 from pumicespur.store import Write
 from pumicespur.utils import monotonic
@@ -33,7 +34,8 @@
 
 def intent_validity_s(settings: FleetSettings) -> float:
     """Return for how long an intent matters to the next fleet leader, in seconds."""
-    return settings.lease_ms / 1000 + MAX_PROOF_AGE_S + DELAYED_ORDER_MARGIN_S
+    interval_s = max(settings.lease_ms / 1000, ORDER_LIFETIME_S)
+    return interval_s + MAX_PROOF_AGE_S + DELAYED_ORDER_MARGIN_S
 
 
 class IntentLog:
--- a/pumicespur/platform/__init__.py
+++ b/pumicespur/platform/__init__.py
@@ -20,7 +20,7 @@
     encode_wave_state,
     wave_state_key,
 )
-from pumicespur.platform._fleet import FleetOrders
+from pumicespur.platform._fleet import ORDER_LIFETIME_S, FleetOrders
 from pumicespur.platform._http import HttpClient
 from pumicespur.platform._orders import WorkerOrders
 from pumicespur.platform._store_probe import StoreProbe
@@ -30,6 +30,7 @@
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
     "OPERATORS_TABLE",
+    "ORDER_LIFETIME_S",
     "WAVE_PREFIX",
     "WORKERS_TABLE",
     "CallerServer",
--- a/pumicespur/platform/_fleet.py
+++ b/pumicespur/platform/_fleet.py
@@ -10,7 +10,14 @@
 
 from pumicespur.model import DataHall, Instance, InstanceId, InstanceState, PoolId, WorkerName
 from pumicespur.platform._declarations import WireCapacity, find_rack
-from pumicespur.platform._http import JSON_HEADERS, HttpClient, Response, Transfer, decode_body
+from pumicespur.platform._http import (
+    JSON_HEADERS,
+    UNACKNOWLEDGED_TIMEOUT_S,
+    HttpClient,
+    Response,
+    Transfer,
+    decode_body,
+)
 from pumicespur.store import NeverDone, Unavailable
 
 if TYPE_CHECKING:
@@ -25,6 +32,10 @@
 CALL_TIMEOUT_S = 1.0
 """A few times the platform's usual response time; a later response counts as lost."""
 
+ORDER_LIFETIME_S = max(CALL_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S)
+"""Longest time between the sending of an order and its arrival: a longer one resets the connection,
+also if the process is killed or frozen."""
+
 _STATES = {
     "up": InstanceState.UP,
     "moving": InstanceState.MOVING,
--- a/pumicespur/platform/_http.py
+++ b/pumicespur/platform/_http.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import errno
+import socket
+import struct
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import aiohttp
 import anyio
@@ -31,6 +33,13 @@
 """Longest pause within a response: a lost packet is retransmitted within 0.4 s, and a slow shared
 link may take as long again."""
 
+UNACKNOWLEDGED_TIMEOUT_S = 2.0
+"""Time after which the kernel resets a connection whose peer acknowledges nothing of what was sent,
+also while this process is frozen."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""`SO_LINGER`, on, with no time to linger."""
+
 MAX_TRANSFER_S = 30.0
 """Longest time of one response: its maximum size, a megabyte, arrives in this time at 35 KB/s."""
 
@@ -111,8 +120,25 @@
         return Error(AnswerLost(f"not understood: {failure}"))
 
 
+def open_resetting_socket(address: tuple[int, int, int, str, tuple[Any, ...]]) -> socket.socket:
+    """Create a socket that resets its connection when it is closed, also by the process's end.
+
+    A network that holds up the request of a call that timed out delivers it after a normal close,
+    long after the time that its sender reckoned with. It drops it after a reset.
+    """
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    timeout_ms = int(UNACKNOWLEDGED_TIMEOUT_S * 1000)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+    return opened
+
+
 class HttpClient:
-    """A pool of connections; a failed call returns whether the request may have arrived."""
+    """A pool of connections; a failed call returns whether the request may have arrived.
+
+    Nothing of a call that failed arrives later, see `open_resetting_socket`.
+    """
 
     def __init__(self, connections_per_address: int) -> None:
         connector = aiohttp.TCPConnector(
@@ -120,6 +146,7 @@
             limit_per_host=connections_per_address,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
             use_dns_cache=False,
+            socket_factory=open_resetting_socket,
         )
         self.session = aiohttp.ClientSession(
             connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,6 +11,7 @@
 
 from pumicespur.utils import monotonic
 from soak._accounts import ACCOUNT_NAMES, LOW_LIMIT_CPU_MILLIS, NORMAL_LIMIT_CPU_MILLIS
+from soak._cuts import cut_fleet_leader
 from soak._evacuations import evacuate_halls
 from soak._leaving import DEPARTURE_KINDS, RECORD_KINDS, block_records, make_workers_leave
 from soak._plan import FaultKind
@@ -140,6 +141,9 @@
                 await self.callers[fault.target % len(self.callers)].submit_burst(
                     _account_name(fault)
                 )
+            case FaultKind.LEADER_CUT:
+                self._perform_operator_action(fault)
+                await cut_fleet_leader(self.world, fault)
             case kind if kind in ROUTE_KINDS:
                 await disrupt_route(self.world, self.callers, fault)
             case FaultKind.STORE_FORGETS_AT_STOP:
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -53,6 +53,8 @@
     WORKER_LINKS_SILENT = "links to workers silent"
     WORKER_LINKS_NO_ANSWERS = "links to workers carry no answers"
     WORKER_LINKS_RESET = "links to workers reset"
+    LEADER_CUT = "fleet leader cut off with orders on their way"
+    """A wave, whose leader is cut off from the platform's orders and then from the store."""
     CALLER_LINK_RESET = "link from callers reset"
     WORKER_CRASH = "worker crashes"
     WORKER_RESTARTS = "worker starts again under its name"
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -38,13 +38,14 @@
     """All links of one node; they persist when its process is restarted."""
 
     store: Link
+    fleet: Link
     callers: Link
     workers: dict[str, Link] = field(default_factory=dict)
     """Links by the worker's own address."""
 
     def all_links(self) -> list[Link]:
         """Return every link."""
-        return [self.store, self.callers, *self.workers.values()]
+        return [self.store, self.fleet, self.callers, *self.workers.values()]
 
 
 class SoakWorld(World):
@@ -92,9 +93,13 @@
         store = await self.serve(
             self.store.app(lambda row: self._rewrite_worker_address(name, row))
         )
-        links = NodeLinks(Link(lambda: store), Link(lambda: self.caller_address(name)))
-        await links.store.listen()
-        await links.callers.listen()
+        links = NodeLinks(
+            store=Link(lambda: store),
+            fleet=Link(lambda: self.addresses["fleet"]),
+            callers=Link(lambda: self.caller_address(name)),
+        )
+        for link in links.all_links():
+            await link.listen()
         self.links[name] = links
         for worker in self.workers.values():
             await self._add_link(links, worker)
@@ -102,7 +107,9 @@
 
     def start_node(self, name: str) -> Node:
         """Start a process of a node whose links exist."""
-        addresses = self.addresses | {"store": self.links[name].store.address}
+        links = self.links[name]
+        own = {"store": links.store.address, "fleet": links.fleet.address}
+        addresses = self.addresses | own
         node = self.nodes.start(name, addresses, self.node_module)
         self.started_nodes.append(node)
         return node
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -32,7 +32,7 @@
     _process_tracker,
     _table_follower,
 )
-from pumicespur.platform import _callers, _declarations, _orders, _table
+from pumicespur.platform import _callers, _declarations, _http, _orders, _table
 from pumicespur.store import Transaction
 
 
@@ -81,6 +81,8 @@
     """An id is taken in one pool only."""
     TERMS_OF_THE_OWNER = "terms-of-the-owner"
     """A job gets the terms that its owner's configuration has when it takes the job in."""
+    HELD_UP_REQUESTS_ARRIVE = "held-up-requests-arrive"
+    """Connections are closed without a reset, so what a network holds up arrives later."""
     OWNERS_FORGOTTEN = "owners-forgotten"
     """A scan of the owners' table empties the view, in which a takeover looks its owner up."""
     LATE_WORK_STARVES = "late-work-starves"
@@ -270,6 +272,8 @@
             _replace(_process_tracker.ProcessTracker, "_apply_owners", _clear_owners)
             controller = _ownership_controller.OwnershipController
             _replace(controller, "_check_pool", _check_pool_by_the_view)
+        case Mutant.HELD_UP_REQUESTS_ARRIVE:
+            _replace(_http, "open_resetting_socket", None)
         case Mutant.CHANGES_REPLAYED:
             _replace(_table_follower.TableFollower, "_should_rescan", lambda *arguments: False)
 
--- a/standins/hosted/_links.py
+++ b/standins/hosted/_links.py
@@ -39,6 +39,8 @@
         """Monotonic time at which each direction is free again; True is the requests' direction."""
         self.passage = Passage.BOTH_WAYS
         self.passage_changed = asyncio.Event()
+        self.cut_before = b""
+        """If not empty, the link carries nothing from the first request on that contains this."""
         self.writers: set[asyncio.StreamWriter] = set()
         self.connections: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
@@ -104,7 +106,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, request: bool
     ) -> None:
         while data := await reader.read(self._chunk_bytes()):
+            if request and self.cut_before and self.cut_before in data:
+                self.cut_before = b""
+                self.set_passage(Passage.NOTHING)
             await self._wait_for_passage(request)
+            if failure := reader.exception():
+                # What a link holds up is lost when its sender resets the connection.
+                raise failure
             await self._wait_for_bandwidth(len(data), request)
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -367,9 +367,9 @@
                 found.append((first, second))
         return found
 
-    def owner(self) -> str:
-        """Return the process that the store records as owner of the pool `main`, empty for none."""
-        value = self.store.value(("owners", "main", "owner"))
+    def owner(self, pool: str = "main") -> str:
+        """Return the process that the store records as owner of a pool, empty for none."""
+        value = self.store.value(("owners", pool, "owner"))
         if value is None:
             return ""
         return OwnerRecord.from_binary(value).process
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
+import sys
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -21,7 +23,7 @@
 from pumicespur.platform._http import HttpClient
 from pumicespur.store import AnswerLost, ConnectionBroken, NotListening, Row
 from pumicespur.view import FleetView
-from standins.hosted import FOREIGN_ENTRIES, USUAL_ENTRY
+from standins.hosted import FOREIGN_ENTRIES, USUAL_ENTRY, Link, Passage
 from tests.base import default_settings
 from tests.test_jobs import make_worker
 from tests.test_node import STEP, NodeCase, job_id
@@ -35,6 +37,20 @@
 SILENT_CALL_S = 0.3
 """Timeout of a call that gets no response."""
 
+CALL_TWICE = """
+import sys, anyio
+from pumicespur.platform._http import HttpClient
+
+async def call_twice():
+    client = HttpClient(1)
+    print((await client.call("GET", sys.argv[1], 20.0)).is_ok(), flush=True)
+    sys.stdin.readline()
+    await client.call("POST", sys.argv[1], 20.0, body=b"order")
+
+anyio.run(call_twice)
+"""
+"""Program that calls an address, and once more after a line of input, without an answer."""
+
 W = WorkerName("w")
 START_TIME_MS = 1_776_052_017_694
 INVALID_START_TIMES: tuple[Any, ...] = (True, 1.5, -1, 0, [1], {}, "1776052017694", None)
@@ -209,6 +225,64 @@
         self.assertIs(type(fault), AnswerLost)
 
 
+class HeldUpRequestTest(unittest.IsolatedAsyncioTestCase):
+    """A link holds a request up and delivers it later, unless its sender resets the connection."""
+
+    async def asyncSetUp(self) -> None:
+        self.received = asyncio.Event()
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        port = self.server.sockets[0].getsockname()[1]
+        self.link = Link(lambda: f"127.0.0.1:{port}")
+        await self.link.listen()
+        self.addAsyncCleanup(self.link.close)
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Note the second request on a connection; the first one gets a response."""
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        with contextlib.suppress(OSError):
+            if await reader.read(1):
+                self.received.set()
+        writer.close()
+
+    async def assert_lost_when_the_link_carries_again(self) -> None:
+        await asyncio.sleep(SILENT_CALL_S)
+        self.link.set_passage(Passage.BOTH_WAYS)
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(self.received.wait(), SILENT_CALL_S)
+
+    async def hold_up(self, client: HttpClient, timeout_s: float) -> object:
+        """Open a connection, cut the link, then call once more on that connection."""
+        url = f"http://{self.link.address}/"
+        self.assertTrue((await client.call("GET", url, CALL_S)).is_ok())
+        self.link.set_passage(Passage.NOTHING)
+        return (await client.call("POST", url, timeout_s, body=b"order")).error
+
+    async def test_a_call_that_timed_out_does_not_arrive_after_a_cut(self) -> None:
+        """Guards against orders of a fleet leader that arrive after those of the next one."""
+        client = HttpClient(1)
+        self.addAsyncCleanup(client.aclose)
+        self.assertIs(type(await self.hold_up(client, SILENT_CALL_S)), AnswerLost)
+        await self.assert_lost_when_the_link_carries_again()
+
+    async def test_a_call_of_a_killed_process_does_not_arrive_after_a_cut(self) -> None:
+        """Guards against orders of a killed fleet leader that arrive after the next one's."""
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-c", CALL_TWICE, f"http://{self.link.address}/"),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert process.stdin is not None and process.stdout is not None
+        await process.stdout.readline()
+        self.link.set_passage(Passage.NOTHING)
+        process.stdin.write(b"\n")
+        await asyncio.sleep(SILENT_CALL_S)
+        process.kill()
+        await process.wait()
+        await self.assert_lost_when_the_link_carries_again()
+
+
 class ForeignEntriesTest(NodeCase):
     """The workers' table also contains entries of other writers."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,11 +44,12 @@
 CI_LENGTH_S = 4.0
 CI_EVACUATION_LENGTH_S = 8.0
 """Long enough for submissions after the bound of an evacuation, 1.5 s."""
-CI_ROUTE_LENGTH_S = 6.0
-CI_ROUTE_KINDS = {
+CI_BELIEF_LENGTH_S = 6.0
+CI_BELIEF_KINDS = {
     1: (FaultKind.ROUTE_MOVES, FaultKind.IDS_SENT_AGAIN, FaultKind.KILL_NODE),
     2: (FaultKind.ROUTE_AWAY, FaultKind.KILL_ALL_NODES),
     4: (FaultKind.STORE_FORGETS_AT_STOP,),
+    5: (FaultKind.LEADER_CUT,),
 }
 """Kinds of overlapping faults by seed."""
 JOB = "0" * 16
@@ -342,11 +343,11 @@
             ]
         )
 
-    async def test_short_runs_with_a_route_that_moves_goes_and_comes_back(self) -> None:
-        """Guards against what a process can't know that starts or takes a pool meanwhile."""
+    async def test_short_runs_that_show_what_a_process_cannot_know(self) -> None:
+        """Guards against beliefs about routes, owners and orders that changed meanwhile."""
         await self.assert_promises_hold(
             [
-                draw_overlapping_plan(seed, CI_ROUTE_LENGTH_S, Deployment(), kinds)
-                for seed, kinds in CI_ROUTE_KINDS.items()
+                draw_overlapping_plan(seed, CI_BELIEF_LENGTH_S, Deployment(), kinds)
+                for seed, kinds in CI_BELIEF_KINDS.items()
             ]
         )
