--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -262,6 +262,7 @@
             route=self.route,
             account=self.account,
             failure=self.failure,
+            withdrawn=self.record.withdrawn,
         )
         if self.ended:
             record.left = self.outstanding_runs()
--- a/pumicespur/jobs/submissions/_attempt.py
+++ b/pumicespur/jobs/submissions/_attempt.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from pumicespur.jobs.submissions._hold import SubmissionHold
-    from pumicespur.model import Route
+    from pumicespur.model import PoolId, Route
     from pumicespur.platform import PlatformTable
     from pumicespur.schema.jobs_pb import JobRecord
     from pumicespur.store import Fault
@@ -107,7 +107,7 @@
 
     async def _write(self) -> Result[int, Fault]:
         """Write the job if no pool has its id; repeated writes are applied once at most."""
-        transaction = self._transaction()
+        transaction = submission_transaction(self.id_key, self.route.pool, self.record)
         unconfirmed = self.may_be_recorded
         # The write may be applied even if this call is cancelled.
         self.may_be_recorded = True
@@ -116,17 +116,6 @@
         self.may_be_recorded = unconfirmed or is_lost
         return response
 
-    def _transaction(self) -> Transaction:
-        pool, record = self.route.pool, self.record
-        holder = JobIdRecord(pool=pool, route=self.route.name, account=record.account)
-        return Transaction(
-            [Condition(self.id_key, 0)],
-            [
-                Write(self.id_key, holder.to_binary()),
-                Write(submission_key(pool, JobId(record.id)), record.to_binary()),
-            ],
-        )
-
     def refuse(self, error: Fault) -> SubmissionOutcome:
         """Return and log what is known of a job that was not confirmed."""
         unknown = self.may_be_recorded
@@ -151,8 +140,25 @@
         )
 
 
+def submission_transaction(id_key: str, pool: PoolId, record: JobRecord) -> Transaction:
+    """Return the transaction that records a job for a pool if the row of its id is not there."""
+    holder = JobIdRecord(
+        pool=pool, route=record.route, account=record.account, withdrawn=record.withdrawn
+    )
+    return Transaction(
+        [Condition(id_key, 0)],
+        [
+            Write(id_key, holder.to_binary()),
+            Write(submission_key(pool, JobId(record.id)), record.to_binary()),
+        ],
+    )
+
+
 def resubmission_outcome(route: Route, record: JobRecord, known: JobIdRecord) -> SubmissionOutcome:
     """Return the outcome for an id that is recorded already: accepted if it is the caller's."""
+    if known.withdrawn:
+        log.warning("job refused", job=record.id, route=route.name, reason="cancelled before")
+        return SubmissionOutcome.CANCELLED_BEFORE
     account = AccountId(record.account)
     if not is_visible_to(account, route, known):
         log.warning("job refused", job=record.id, route=route.name, reason="id of another account")
--- a/pumicespur/jobs/submissions/_service.py
+++ b/pumicespur/jobs/submissions/_service.py
@@ -16,13 +16,14 @@
     MAX_RETRY_DELAY_S,
     RETRY_DELAY_S,
     SubmissionAttempt,
+    submission_transaction,
 )
 from pumicespur.jobs.submissions._hold import SubmissionHold
 from pumicespur.jobs.submissions._terms import terms_of
 from pumicespur.model import AccountId, CancellationOutcome, JobId, PoolId, SubmissionOutcome
 from pumicespur.schema.jobs_pb import JobIdRecord, JobPhase, JobRecord, ProgressRecord
 from pumicespur.store import AnswerLost, Condition, Row, Transaction, Write
-from pumicespur.utils import monotonic
+from pumicespur.utils import monotonic, now_ms
 
 if TYPE_CHECKING:
     from pumicespur.model import Route
@@ -130,7 +131,11 @@
     async def cancel(
         self, route: Route, account: AccountId, job: JobId, give_up_at: float
     ) -> CancellationOutcome:
-        """Record that a job is cancelled; the pool's owner stops it."""
+        """Record that a job is cancelled; the pool's owner stops it.
+
+        If no job of this id is recorded, the id is withdrawn, so that a submission that is still
+        under way starts nothing.
+        """
         with anyio.CancelScope(deadline=give_up_at):
             return await self._cancel(route, account, job, give_up_at)
         return CancellationOutcome.UNKNOWN
@@ -141,15 +146,37 @@
         outcome = await self._cancel_in(route.pool, route, account, job, give_up_at)
         if outcome is not CancellationOutcome.NO_SUCH_JOB:
             return outcome
-        # The route may have had another pool when the job was submitted.
-        holder = await self._find_holder(job, give_up_at)
-        match holder:
-            case Result(tag="ok", ok=JobIdRecord(pool=pool)) if pool != route.pool:
-                return await self._cancel_in(PoolId(pool), route, account, job, give_up_at)
-            case Result(tag="ok"):
-                return CancellationOutcome.NO_SUCH_JOB
-            case _:
+        while True:
+            # The route may have had another pool when the job was submitted.
+            holder = await self._find_holder(job, give_up_at)
+            match holder:
+                case Result(tag="ok", ok=JobIdRecord(pool=pool)):
+                    return await self._cancel_in(PoolId(pool), route, account, job, give_up_at)
+                case Result(tag="ok"):
+                    response = await self._withdraw(route, account, job)
+                    if response.is_ok():
+                        return CancellationOutcome.NO_SUCH_JOB
+                case _:
+                    return CancellationOutcome.UNKNOWN
+            if monotonic() + MAX_RETRY_DELAY_S >= give_up_at:
                 return CancellationOutcome.UNKNOWN
+            await anyio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.0))
+
+    async def _withdraw(self, route: Route, account: AccountId, job: JobId) -> Result[int, Fault]:
+        """Record a cancelled job without steps, if no pool has a job of this id."""
+        record = JobRecord(
+            id=job,
+            route=route.name,
+            account=account,
+            accepted_ms=now_ms(),
+            cancelled=True,
+            withdrawn=True,
+        )
+        transaction = submission_transaction(job_id_key(job), route.pool, record)
+        response = await self.table.transact(transaction)
+        if response.is_ok():
+            log.info("job id withdrawn", job=job, route=route.name, version=response.ok)
+        return response
 
     async def _cancel_in(
         self, pool: PoolId, route: Route, account: AccountId, job: JobId, give_up_at: float
--- a/pumicespur/model/_outcomes.py
+++ b/pumicespur/model/_outcomes.py
@@ -15,6 +15,8 @@
     """Whether it is recorded is not known."""
     OTHER_ACCOUNT = "of another account"
     """A job of another client account has this id."""
+    CANCELLED_BEFORE = "cancelled before"
+    """The id was cancelled while no job was recorded under it, and stays so."""
 
 
 class CancellationOutcome(Enum):
--- a/pumicespur/platform/_callers.py
+++ b/pumicespur/platform/_callers.py
@@ -286,7 +286,7 @@
                 return _error_response(503, "the job was not taken")
             case SubmissionOutcome.UNKNOWN:
                 return _error_response(504, "whether the job was taken is not known; ask again")
-            case SubmissionOutcome.OTHER_ACCOUNT:
+            case SubmissionOutcome.OTHER_ACCOUNT | SubmissionOutcome.CANCELLED_BEFORE:
                 return _error_response(409, "the id can't be used")
 
     async def _read_state(
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -22,6 +22,9 @@
 RESPONSE_TIMEOUT_S = 3.0
 """Time that a caller waits for a response."""
 
+SHORT_TIMEOUT_S = 0.6
+"""Time for a response that is given up early."""
+
 MAX_SUBMIT_ATTEMPTS = 5
 """Number of times that a caller sends the same job."""
 
@@ -129,6 +132,14 @@
         """The time at which the caller first asked to cancel the job."""
         return min((e.sent_at for e in self.exchanges if e.method == "DELETE"), default=None)
 
+    @property
+    def cancel_answered_at(self) -> float | None:
+        """The time at which the caller first knew that the job is cancelled or does not exist."""
+        answered = [
+            e.ended_at for e in self.exchanges if e.method == "DELETE" and e.status in (200, 410)
+        ]
+        return min(answered, default=None)
+
     @property
     def cancelled_at(self) -> float | None:
         """The time at which the cancellation was first confirmed."""
@@ -245,6 +256,15 @@
         body = {"taskSpec": job.kind.value, "steps": job.steps}
         job.exchanges.append(await self._send("POST", job.path, body, node))
 
+    async def submit_once(self) -> SentJob:
+        """Submit a job without a key once, and wait only for a short time."""
+        job = SentJob(f"{self.repeat_random.getrandbits(64):016x}", JobKind.SHORT, [_burst_step()])
+        self.jobs.append(job)
+        body = {"taskSpec": job.kind.value, "steps": job.steps}
+        exchange = await self._send("POST", job.path, body, timeout_s=SHORT_TIMEOUT_S)
+        job.exchanges.append(exchange)
+        return job
+
     def _api_key(self, account: str) -> str:
         return self.world.account_history.current_key(account) if account else ""
 
@@ -296,12 +316,18 @@
         return [first, {**first, "count": self.random.randint(1, 3), "dependsOn": [0]}]
 
     async def _send(
-        self, method: str, path: str, body: Any, node: str = "", key: str = ""
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        node: str = "",
+        key: str = "",
+        timeout_s: float = RESPONSE_TIMEOUT_S,
     ) -> Exchange:
         """Send a request to the given or the preferred node; prefer the next node if it fails."""
         name = node or self.node_names[self.preferred_index % len(self.node_names)]
         pid = self.world.nodes.nodes[name].process.pid
-        headers = {"Host": HOST, "X-Pumicespur-Deadline-Ms": str(int(RESPONSE_TIMEOUT_S * 1000))}
+        headers = {"Host": HOST, "X-Pumicespur-Deadline-Ms": str(int(timeout_s * 1000))}
         if key:
             headers["Authorization"] = f"Bearer {key}"
         url = f"http://{self.world.links[name].callers.address}{path}"
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -36,6 +36,10 @@
 """Time after a confirmed cancellation by which the job's tasks have ended, without faults: a lease
 and two polls."""
 
+CANCEL_START_TIMEOUT_S = 2.0
+"""Time after the answer to a cancelling, from which on no task of the job may start; `cancel_ms` of
+the nodes' settings."""
+
 DRAIN_TIMEOUT_S = 1.2
 """Time after a worker's announcement that it leaves, from which on no task may start on it;
 `drain_ms` of the nodes' settings."""
@@ -109,6 +113,7 @@
             self._check_step_order(runs),
             self._check_reported_states(runs),
             self._check_cancellations(),
+            self._check_starts_after_cancellations(),
             self._check_budgets(runs),
             self._check_fleet_orders(),
             self._check_configuration_order(),
@@ -278,6 +283,18 @@
             if run.ended_at is None and now > due_from + MIN_FAULT_FREE_S + CANCEL_TIMEOUT_S:
                 yield Finding("tasks of a cancelled job end", str(run))
 
+    def _check_starts_after_cancellations(self) -> Iterator[Finding]:
+        """Check that nothing starts once the answer to a job's cancelling is binding.
+
+        This holds during faults too, because the worker refuses an order that arrives too late.
+        """
+        for run in self.world.history:
+            job = self.jobs.get(run.task.partition(".")[0])
+            answered_at = None if job is None else job.cancel_answered_at
+            if answered_at is not None and run.started_at > answered_at + CANCEL_START_TIMEOUT_S:
+                age_s = f"{run.started_at - answered_at:.3f} s after the answer"
+                yield Finding("nothing starts after its cancelling", f"{run} {age_s}")
+
     def _check_budgets(self, runs: dict[str, list[Run]]) -> Iterator[Finding]:
         for job in self.jobs.values():
             if job.kind is not JobKind.LONG_RUNNING:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -41,6 +41,9 @@
 MAX_LATE_S = 0.8
 """Max delay of a late start or write."""
 
+LATE_SUBMISSION_S = 3.0
+"""Delay of a submission's write, beyond the answer to its cancelling and the bound of it."""
+
 MAX_ADDED_DELAY_S = 0.4
 """Max delay that a slow store or link adds."""
 
@@ -146,6 +149,8 @@
                 await cut_fleet_leader(self.world, fault)
             case kind if kind in ROUTE_KINDS:
                 await disrupt_route(self.world, self.callers, fault)
+            case FaultKind.CANCEL_UNCONFIRMED:
+                await self._cancel_unconfirmed_jobs()
             case FaultKind.STORE_FORGETS_AT_STOP:
                 await asyncio.gather(
                     self._stop_and_restart_nodes(fault),
@@ -236,6 +241,15 @@
         await asyncio.sleep(fault.for_s)
         self._send_signal(node, signal.SIGCONT)
 
+    async def _cancel_unconfirmed_jobs(self) -> None:
+        """Cancel jobs whose submissions the store applies only after that."""
+        faults = self.world.store.faults
+        for caller in self.callers:
+            faults.late_share, faults.late_s = 1.0, LATE_SUBMISSION_S
+            job = await caller.submit_once()
+            faults.late_share = 0.0
+            await caller.cancel(job)
+
     async def _change_account(self, fault: Fault) -> None:
         """Rotate a key, revoke one, or lower a limit for the fault's duration."""
         account_history, account = self.world.account_history, _account_name(fault)
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -85,6 +85,7 @@
     ROUTE_MOVES = "route moves to another pool and back"
     ROUTE_AWAY = "route taken out and back"
     IDS_SENT_AGAIN = "ids of accepted jobs sent again at every node"
+    CANCEL_UNCONFIRMED = "jobs cancelled while their submissions are written late"
     STORE_FORGETS_AT_STOP = "slow store forgets its history as an owner is stopped"
     CONFIGURE = "new configuration"
     CONFIGURE_OFTEN = "large configurations in quick succession"
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -11,6 +11,8 @@
 from enum import Enum
 from typing import Any
 
+from expression import Ok
+
 from pumicespur.commands import node
 from pumicespur.jobs import (
     _availability,
@@ -83,6 +85,8 @@
     """A job gets the terms that its owner's configuration has when it takes the job in."""
     HELD_UP_REQUESTS_ARRIVE = "held-up-requests-arrive"
     """Connections are closed without a reset, so what a network holds up arrives later."""
+    CANCELLING_UNRECORDED = "cancelling-unrecorded"
+    """The cancelling of an unknown job is answered without a record of it."""
     OWNERS_FORGOTTEN = "owners-forgotten"
     """A scan of the owners' table empties the view, in which a takeover looks its owner up."""
     LATE_WORK_STARVES = "late-work-starves"
@@ -181,6 +185,10 @@
     return DECODE_EVACUATIONS(self, [row for row in rows if row.version > shown_to])
 
 
+async def _leave_unrecorded(self: _service.JobService, *arguments: Any) -> Any:
+    return Ok(0)
+
+
 def _guard_id_by_pool(self: _attempt.SubmissionAttempt, *arguments: Any) -> None:
     INIT_ATTEMPT(self, *arguments)
     self.id_key += f"/{self.route.pool}"
@@ -266,6 +274,8 @@
             _replace(_placement, "is_long_overdue", lambda *arguments: False)
         case Mutant.IDS_GUARDED_BY_POOL:
             _replace(_attempt.SubmissionAttempt, "__init__", _guard_id_by_pool)
+        case Mutant.CANCELLING_UNRECORDED:
+            _replace(_service.JobService, "_withdraw", _leave_unrecorded)
         case Mutant.TERMS_OF_THE_OWNER:
             _replace(_pool.PoolState, "add_job", _add_job_on_present_terms)
         case Mutant.OWNERS_FORGOTTEN:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,6 +22,9 @@
     return f"{number:016x}"
 
 
+LATE_WRITE_S = 5.0
+"""Delay of a late write, longer than a submission's caller waits."""
+
 REFUSAL_TIMEOUT_S = 20.0
 """Time limit for a node to refuse requests at once while the store is silent."""
 
@@ -194,6 +197,21 @@
         while await self.world.state(self.node, job_id(4)) != "410":
             await asyncio.sleep(0.05)
 
+    async def test_a_late_submission_starts_nothing_after_its_cancelling_was_answered(self) -> None:
+        # The job started seconds after its caller had been told that there was no such job.
+        self.world.store.faults.late_share, self.world.store.faults.late_s = 1.0, LATE_WRITE_S
+        self.assertEqual(504, await self.world.submit(self.node, job_id(6), [STEP]))
+        self.world.store.faults.late_share = 0.0
+        status, _ = await self.world.call(self.node, "DELETE", f"/quick/{job_id(6)}")
+        self.assertIn(status, (200, 410))
+        await asyncio.sleep(LATE_WRITE_S)
+        self.assertEqual("410", await self.world.state(self.node, job_id(6)))
+        self.assertEqual(409, await self.world.submit(self.node, job_id(6), [STEP]))
+        self.assertEqual(200, await self.world.submit(self.node, job_id(7), [STEP]))
+        await self.world.wait_state(self.node, job_id(7), "completed")
+        self.assertEqual("410", await self.world.state(self.node, job_id(6)))
+        self.assertEqual({job_id(7)}, {run.task.partition(".")[0] for run in self.world.history})
+
     async def test_lost_responses_run_nothing_twice(self) -> None:
         self.world.store.faults.lose_share = 0.3
         accepted = [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,7 @@
     2: (FaultKind.ROUTE_AWAY, FaultKind.KILL_ALL_NODES),
     4: (FaultKind.STORE_FORGETS_AT_STOP,),
     5: (FaultKind.LEADER_CUT,),
+    6: (FaultKind.CANCEL_UNCONFIRMED,),
 }
 """Kinds of overlapping faults by seed."""
 JOB = "0" * 16
--- a/tests/test_submission_model.py
+++ b/tests/test_submission_model.py
@@ -1,10 +1,10 @@
 """A model check of submissions: the real service, follower and pool over rows in memory.
 
-Processes with configurations of different age accept jobs; answers of the store are lost or late;
-the route moves to another pool, goes, and comes back with other values; pools get owners that have
-seen nothing. No task may run twice at once or again after its end, an accepted job is known, and
-it fails only after the attempts that it was promised. Each mutant removes one safeguard, and the
-check must detect it.
+Processes with configurations of different age accept and cancel jobs; answers of the store are lost
+or late; the route moves to another pool, goes, and comes back with other values; pools get owners
+that have seen nothing. No task may run twice at once or again after its end, none starts after its
+job's cancelling was answered, an accepted job is known, and it fails only after the attempts that
+it was promised. Each mutant removes one safeguard, and the check must detect it.
 """
 
 from __future__ import annotations
@@ -31,9 +31,10 @@
 from pumicespur.jobs import JobService
 from pumicespur.jobs._keys import progress_key, submissions_table
 from pumicespur.jobs._pool import PoolState
-from pumicespur.jobs.submissions import SubmissionFollower, _attempt
+from pumicespur.jobs.submissions import SubmissionFollower, _attempt, _service
 from pumicespur.model import (
     AccountId,
+    CancellationOutcome,
     Configuration,
     EndedRun,
     JobId,
@@ -145,6 +146,8 @@
         self.publish_configuration(POOLS[0], MAX_ATTEMPTS[0])
         self.now = 0.0
         self.accepted: set[str] = set()
+        self.cancelled: set[str] = set()
+        """Jobs whose callers were told that they are cancelled or do not exist."""
         self.offered: dict[str, list[int]] = {job: [] for job in JOBS}
         """The attempts that processes offered when the job was submitted."""
         self.running: dict[TaskName, ModelRun] = {}
@@ -197,6 +200,25 @@
         if outcome is SubmissionOutcome.ACCEPTED:
             self.accepted.add(job)
 
+    @rule(
+        job=st.sampled_from(JOBS),
+        process=st.integers(0, PROCESSES - 1),
+        fate=st.sampled_from(FATES),
+    )
+    def cancel(self, job: str, process: int, fate: Does) -> None:
+        view = self.views[process]
+        route = view.configuration.routes.get(ROUTE.name)
+        if route is None:
+            return
+        self.store.otherwise = fate
+        service = JobService(cast("Any", self.store), view)
+        outcome = self.runner.run(
+            service.cancel(route, AccountId(""), JobId(job), monotonic() + CALL_S)
+        )
+        self.store.otherwise = Does.ANSWERS
+        if outcome is not CancellationOutcome.UNKNOWN:
+            self.cancelled.add(job)
+
     @rule(pool=st.sampled_from((*POOLS, None)), attempts=st.sampled_from(MAX_ATTEMPTS))
     def publish(self, pool: PoolId | None, attempts: int) -> None:
         self.publish_configuration(pool, attempts)
@@ -227,6 +249,7 @@
         for task in owner.pool.place(self.now, self.now * 1000):
             assert task.name not in self.running, f"{task.name} runs twice at once"
             assert task.name not in self.done, f"{task.name} runs again after its end"
+            assert task.job.id not in self.cancelled, f"{task.name} starts after its cancelling"
             self.running[task.name] = ModelRun(pool, task.run)
         owner.commit()
 
@@ -283,8 +306,12 @@
         phases=(Phase.generate,),
         suppress_health_check=list(HealthCheck),
     )
-    # A submission is tried once: its second try would come after the caller's time.
-    with patch.object(_attempt, "RETRY_DELAY_S", math.inf):
+    # Calls to the store are tried once: a second try would come after the caller's time.
+    once = math.inf
+    with (
+        patch.multiple(_attempt, RETRY_DELAY_S=once),
+        patch.multiple(_service, RETRY_DELAY_S=once, MAX_RETRY_DELAY_S=once),
+    ):
         run_state_machine_as_test(SubmissionMachine, settings=drawn)
 
 
@@ -300,8 +327,16 @@
 
     def test_finds_ids_that_are_guarded_by_pool(self) -> None:
         self.assert_found(
-            _attempt.SubmissionAttempt, "__init__", mutant._guard_id_by_pool, "runs|not known"
+            _attempt.SubmissionAttempt,
+            "__init__",
+            mutant._guard_id_by_pool,
+            "runs|not known|starts after",
         )
 
     def test_finds_terms_that_are_read_by_the_owner(self) -> None:
         self.assert_found(PoolState, "add_job", mutant._add_job_on_present_terms, "attempts")
+
+    def test_finds_a_cancelling_that_leaves_no_record(self) -> None:
+        self.assert_found(
+            JobService, "_withdraw", mutant._leave_unrecorded, "starts after its cancelling"
+        )
