--- a/benchmarks/evacuations.py
+++ b/benchmarks/evacuations.py
@@ -9,7 +9,7 @@
 
 from benchmarks._report import print_section, print_table
 from benchmarks.jobs import CONFIGURATION, JOBS_PER_WORKER, ROUTE, add_job, make_idle_pool
-from pumicespur.jobs._placement import assign
+from pumicespur.jobs.placement import assign
 from pumicespur.model import DataHall
 from pumicespur.schema.jobs_pb import JobRecord, StepRecord
 
--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -5,8 +5,8 @@
 import time
 
 from benchmarks._report import print_table
-from pumicespur.jobs._placement import order_groups
 from pumicespur.jobs._pool import PoolState
+from pumicespur.jobs.placement import order_groups
 from pumicespur.model import (
     Capacity,
     Configuration,
--- a/benchmarks/late_work.py
+++ b/benchmarks/late_work.py
@@ -6,8 +6,8 @@
 from unittest.mock import patch
 
 from benchmarks._report import percentile, print_section, print_table
-from pumicespur.jobs import _placement
 from pumicespur.jobs._feasibility import is_overdue
+from pumicespur.jobs.placement import _placement
 from tests.pool_play import BUSY, CALM, HOT, OVERLOAD, PEAKS, Outcome, PoolPlay
 
 if TYPE_CHECKING:
--- a/pumicespur/jobs/_advice_client.py
+++ b/pumicespur/jobs/_advice_client.py
@@ -8,7 +8,7 @@
 from expression import Result
 from logbook import Logger
 
-from pumicespur.jobs._placement import order_groups
+from pumicespur.jobs.placement import order_groups
 from pumicespur.utils import monotonic, now_ms
 
 if TYPE_CHECKING:
--- a/pumicespur/jobs/_job.py
+++ b/pumicespur/jobs/_job.py
@@ -161,9 +161,8 @@
     """Admission tickets for the step by worker, with their expiry in monotonic seconds."""
     rack: Rack | None = None
     """The rack of the first placed task, for steps that stay in one rack."""
-    may_change_rack: bool = False
-    """Whether such a step continues in other racks, since its rack was evacuated after some of its
-    tasks had begun."""
+    spans_racks: bool = False
+    """Whether such a step uses several racks, since none can serve it alone."""
 
     @property
     def name(self) -> str:
@@ -177,7 +176,7 @@
 
     def permits_rack(self, rack: Rack) -> bool:
         """Whether a step that stays in one rack may have tasks in a rack."""
-        return self.rack is None or self.may_change_rack or rack == self.rack
+        return self.rack is None or self.spans_racks or rack == self.rack
 
     def has_tickets(self, now: float) -> bool:
         """Whether any ticket is still valid."""
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -20,8 +20,8 @@
 from pumicespur.jobs._fair_share import FairShareMeter
 from pumicespur.jobs._job import TaskState, explain_failure, make_job, update_ticket_need
 from pumicespur.jobs._limits import PoolLimits
-from pumicespur.jobs._placement import order_groups, place_groups, release_evacuated_racks
 from pumicespur.jobs._worker_load import WorkerLoad
+from pumicespur.jobs.placement import order_groups, place_groups, review_racks
 from pumicespur.model import JobId, RouteName, RunEnd, TaskName, WorkerId, worker_name
 from pumicespur.schema.jobs_pb import FailureRecord, JobPhase
 from pumicespur.utils import monotonic
@@ -371,7 +371,7 @@
         """Choose workers for the waiting tasks that are ready to start."""
         loads = list(self.loads.values())
         groups = order_groups(self.jobs.values(), now_ms)
-        release_evacuated_racks(groups, loads)
+        review_racks(groups, self.loads)
         reserve_quarantine_workers(groups, loads, now)
         self.limits.begin_round()
         placed = place_groups(groups, loads, self.limits, now, self.spread_halls)
--- a/pumicespur/jobs/_worker_load.py
+++ b/pumicespur/jobs/_worker_load.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from pumicespur.jobs._account_usage import AccountUsage
 from pumicespur.jobs._job import TaskState
-from pumicespur.model import InstanceId, WorkerState
+from pumicespur.model import Capacity, InstanceId, WorkerState
 
 if TYPE_CHECKING:
     from pumicespur.jobs._job import StepGroup, Task
@@ -124,12 +125,16 @@
         """Whether the worker is being evacuated or drained."""
         return self.evacuating or self.worker.state is WorkerState.DRAINING
 
-    def can_accept_tasks(self, now: float) -> bool:
-        """Whether the worker can be given tasks now."""
+    @property
+    def is_open(self) -> bool:
+        """Whether the worker is there to be given tasks, though perhaps not at this moment."""
         ready = self.listed and self.worker.state is WorkerState.READY
-        usable = self.reachable and not self.has_unknown_runs
         wanted = not self.evacuating and not self.hall_evacuated
-        return ready and usable and wanted and now >= self.paused_until
+        return ready and self.reachable and wanted
+
+    def can_accept_tasks(self, now: float) -> bool:
+        """Whether the worker can be given tasks now."""
+        return self.is_open and not self.has_unknown_runs and now >= self.paused_until
 
     def note_cold(self, worker: Worker, now: float, *, is_new: bool) -> None:
         """Apply for how long an entry says that the worker is cold.
@@ -176,6 +181,24 @@
             and self.accelerators + spec.accelerators <= capacity.accelerators
         )
 
+    def slots(self, group: StepGroup) -> int:
+        """Return how many tasks of a step fit on the worker if it runs nothing else."""
+        capacity = self.worker.capacity
+        most = group.spec.max_per_worker or len(group.tasks)
+        return min(most, _count_fitting(group.spec, capacity))
+
+    def free_slots(self, group: StepGroup) -> int:
+        """Return how many more tasks of a step fit on the worker."""
+        total = self.worker.capacity
+        free = Capacity(
+            total.cpu_millis - self.cpu_millis,
+            total.memory_mb - self.memory_mb,
+            total.accelerators - self.accelerators,
+        )
+        assigned = sum(1 for task in self.tasks if task.group is group)
+        most = (group.spec.max_per_worker or len(group.tasks)) - assigned
+        return min(most, _count_fitting(group.spec, free))
+
     def has_label(self, spec: StepRecord) -> bool:
         """Whether the worker has the label that a step requires, if any."""
         return not spec.required_label or spec.required_label in self.worker.labels
@@ -220,3 +243,15 @@
         self.paused_until = now + min(MAX_EJECT_S, MIN_EJECT_S * 2**self.ejections)
         self.ejections += 1
         return True
+
+
+def _count_fitting(spec: StepRecord, free: Capacity) -> int:
+    """Return how many tasks of a step fit in free resources."""
+    cpu_millis = 0 if spec.fills else spec.cpu_millis
+    resources = (
+        (free.cpu_millis, cpu_millis),
+        (free.memory_mb, spec.memory_mb),
+        (free.accelerators, spec.accelerators),
+    )
+    counts = (available // needed for available, needed in resources if needed)
+    return max(0, min(counts, default=sys.maxsize))
--- /dev/null
+++ b/pumicespur/jobs/placement/__init__.py
@@ -0,0 +1,8 @@
+"""Placement of waiting tasks on workers."""
+
+from __future__ import annotations
+
+from pumicespur.jobs.placement._placement import assign, order_groups, place_groups
+from pumicespur.jobs.placement._same_rack import review_racks
+
+__all__ = ["assign", "order_groups", "place_groups", "review_racks"]
--- a/pumicespur/jobs/_placement.py
+++ b/pumicespur/jobs/placement/_placement.py
@@ -17,6 +17,7 @@
     select_going_first,
 )
 from pumicespur.jobs._job import RunStability, TaskState
+from pumicespur.jobs.placement._same_rack import choose_in_rack
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
@@ -25,7 +26,7 @@
     from pumicespur.jobs._job import Job, StepGroup, Task
     from pumicespur.jobs._limits import PoolLimits
     from pumicespur.jobs._worker_load import WorkerLoad
-    from pumicespur.model import Rack, WorkerId
+    from pumicespur.model import WorkerId
 
 PRIORITY_DELAY_MS = 20_000.0
 """Added to a job's deadline per priority level when groups are ordered; higher levels are less
@@ -65,26 +66,6 @@
     return (not goes_first, deadline, job.id, group.repeat, group.step)
 
 
-def release_evacuated_racks(groups: Iterable[StepGroup], loads: Iterable[WorkerLoad]) -> None:
-    """Let steps that stay in one rack leave it once its data hall is evacuated.
-
-    A step of which nothing has begun chooses another rack as a whole. Otherwise its tasks are in
-    several racks in any case, and it continues wherever there is free capacity.
-    """
-    bound = [group for group in groups if group.rack is not None]
-    if not bound:
-        return
-    evacuated: set[Rack] = set()
-    others: set[Rack] = set()
-    for load in loads:
-        (evacuated if load.hall_evacuated else others).add(load.worker.rack)
-    evacuated -= others
-    for group in bound:
-        if group.rack in evacuated:
-            group.rack = None
-            group.may_change_rack = bool(group.done) or any(task.worker for task in group.tasks)
-
-
 class Candidates:
     """The workers that may be given tasks in one placement round.
 
@@ -308,7 +289,7 @@
     if not eligible:
         return None
     if spec.same_rack:
-        return _choose_in_rack(group, eligible, candidates.now)
+        return choose_in_rack(group, eligible, candidates.now)
     if spec.long_running:
         return _choose_spread_out(group, eligible, candidates)
     if task.losses:
@@ -368,27 +349,3 @@
 
 def _is_far_from_data(group: StepGroup, load: WorkerLoad) -> bool:
     return bool(group.spec.data_rack) and load.worker.rack != group.spec.data_rack
-
-
-def _choose_in_rack(group: StepGroup, eligible: list[WorkerLoad], now: float) -> WorkerLoad | None:
-    """Return the least utilized eligible worker in the group's rack, or None if there is none.
-
-    The first task sets the rack: that of the group's data if eligible, else the one with the most
-    free processor capacity. A step that may change its rack sets another one when that is full.
-    """
-    if group.rack is not None:
-        in_rack = [load for load in eligible if load.worker.rack == group.rack]
-        if in_rack or not group.may_change_rack:
-            return min(
-                in_rack,
-                key=lambda load: (load.is_cold(now), load.utilization(), load.worker.id),
-                default=None,
-            )
-    free_cpu_millis: Counter[Rack] = Counter()
-    for load in eligible:
-        free_cpu_millis[load.worker.rack] += load.worker.capacity.cpu_millis - load.cpu_millis
-    group.rack = max(
-        sorted(free_cpu_millis),
-        key=lambda name: (name == group.spec.data_rack, free_cpu_millis[name]),
-    )
-    return _choose_in_rack(group, eligible, now)
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -20,12 +20,12 @@
     _known_state,
     _lease,
     _limits,
-    _placement,
     _pool,
     _worker_load,
     _worker_session,
     _worker_starts,
 )
+from pumicespur.jobs.placement import _placement
 from pumicespur.jobs.submissions import _attempt, _service, terms_of
 from pumicespur.model import ANONYMOUS_ACCOUNT
 from pumicespur.node import (
--- a/tests/test_evacuated_placement.py
+++ b/tests/test_evacuated_placement.py
@@ -11,8 +11,8 @@
 from pumicespur.jobs._demand import measure_demand
 from pumicespur.jobs._estimates import ColdSlowdown
 from pumicespur.jobs._job import TaskState, WorkerLoss
-from pumicespur.jobs._placement import order_groups
 from pumicespur.jobs._pool import PoolState
+from pumicespur.jobs.placement import order_groups
 from pumicespur.model import (
     AccountId,
     Capacity,
--- a/tests/test_evacuated_starts.py
+++ b/tests/test_evacuated_starts.py
@@ -16,8 +16,8 @@
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._known_state import KnownState, start_timeout_s
 from pumicespur.jobs._lease import EarlierLeases
-from pumicespur.jobs._placement import assign
 from pumicespur.jobs._worker_session import WorkerSession
+from pumicespur.jobs.placement import assign
 from pumicespur.model import DataHall, HallEvacuation, PoolSettings, WorkerName
 from pumicespur.schema.jobs_pb import StepRecord
 from pumicespur.schema.node_pb import WorkerSettings
--- a/tests/test_feasibility.py
+++ b/tests/test_feasibility.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
-from pumicespur.jobs import _placement
 from pumicespur.jobs._feasibility import (
     LONG_OVERDUE_AFTER_S,
     LONG_OVERDUE_RATIO,
@@ -20,7 +19,7 @@
     is_overdue,
     select_going_first,
 )
-from pumicespur.jobs._placement import order_groups
+from pumicespur.jobs.placement import _placement, order_groups
 from pumicespur.schema.jobs_pb import StepRecord
 from soak.mutant import Mutant, apply_mutant
 from tests.pool_play import (
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pumicespur.jobs._placement import assign, order_groups
+from pumicespur.jobs.placement import assign, order_groups
 from pumicespur.model import DataHall
 from pumicespur.schema.jobs_pb import StepRecord
 from tests.test_jobs import make_pool, make_record, make_worker, run_all, submit
