--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -31,11 +31,11 @@
 from pumicespur.node._evacuations import EvacuationFollower
 from pumicespur.node._inspection import serve_inspection
 from pumicespur.node._ownership_controller import OwnershipController
-from pumicespur.node._process_tracker import count_waiting
 from pumicespur.node._refusals import KeyRefusals
 from pumicespur.node._reload import SettingsFile
 from pumicespur.node._table_follower import RescanPolicy, TableFollower
-from pumicespur.node._tables import PRESENCE_TABLE, REPORTS_TABLE, process_row_key
+from pumicespur.node._tables import PRESENCE_TABLE, process_row_key
+from pumicespur.node._waiting_jobs import count_waiting_jobs
 from pumicespur.node._workers import WorkerList
 from pumicespur.platform import (
     CONFIGURATION_KEY,
@@ -82,9 +82,6 @@
 """Length of an outage of the store after which callers are refused at once: two heartbeats.
 Attempts that cannot succeed would only keep callers from trying elsewhere."""
 
-MAX_WAITING_AGE_S = 6.0
-"""Age up to which an owner's report is used to count waiting jobs."""
-
 OUTDATED_RATIO = 0.5
 """Part of the time allowed for a new configuration after which a process that lacks it refuses
 callers. The process learns of a version up to half a second after operators get confirmation that
@@ -395,18 +392,5 @@
         return self.stopping
 
     async def waiting_jobs(self, route: Route) -> int | None:
-        """Return how many jobs wait on a route, or None if that is not known.
-
-        Only owners follow reports; other processes read the one of the pool's owner on request.
-        """
-        owner = self.view.owners.get(route.pool)
-        if owner is None:
-            return None
-        key = process_row_key(REPORTS_TABLE, ProcessId(owner.record.process))
-        found = await self.table.read(key)
-        match found:
-            case Result(tag="ok", ok=row):
-                return count_waiting(row, route, self.table.clock, MAX_WAITING_AGE_S)
-            case Result(error=error):
-                log.info("waiting jobs not read", route=route.name, reason=str(error))
-                return None
+        """Return how many jobs wait on a route, or None if that is not known."""
+        return await count_waiting_jobs(self.table, self.view, route)
--- a/pumicespur/node/_process_tracker.py
+++ b/pumicespur/node/_process_tracker.py
@@ -27,12 +27,11 @@
     from collections.abc import Callable, Sequence
 
     from pumicespur.config import NodeSettings
-    from pumicespur.model import Route
     from pumicespur.node._heartbeats import HeartbeatWriter
     from pumicespur.node._owned_roles import OwnedRoles
     from pumicespur.node._predecessors import Predecessors
     from pumicespur.platform import PlatformTable
-    from pumicespur.store import Fault, Row, StoreClock
+    from pumicespur.store import Fault, Row
     from pumicespur.view import FleetView
 
 log = Logger(__name__)
@@ -280,17 +279,3 @@
         if known is None or row.version > known.token:
             self.view.owners[pool] = SeenOwner(record, row.version, monotonic())
             self.request_check()
-
-
-def count_waiting(row: Row, route: Route, clock: StoreClock, max_age_s: float) -> int | None:
-    """Return the number of a route's waiting jobs by an owner's report; None if missing or old."""
-    if not row.version or not clock.known:
-        return None
-    report = DutyReport.from_binary(row.value)
-    if clock.at_most_ms(monotonic()) - report.told_ms > max_age_s * 1000:
-        return None
-    pools = [pool for pool in report.pools if pool.pool == route.pool]
-    if not pools:
-        return None
-    newest = max(pools, key=lambda pool: pool.fencing_token)
-    return sum(count.jobs for count in newest.waiting if count.route == route.name)
--- a/tests/test_moved_routes.py
+++ b/tests/test_moved_routes.py
@@ -15,6 +15,9 @@
 POOLS = ("main", "second")
 SEEDS = (1, 2, 3, 4)
 MAX_PAUSE_S = 0.4
+COUNT_TIMEOUT_S = 20.0
+"""Time limit for the count of waiting jobs."""
+
 OBSERVED_S = 1.0
 """Time for which runs are watched after the ids have come again."""
 
@@ -104,3 +107,20 @@
             lambda: all(run.ended_at for run in self.world.history), "its tasks are stopped"
         )
         self.assertEqual(2, len(self.world.history))
+
+
+class WaitingJobsTest(MovedRouteCase):
+    """Jobs that wait in the pool that the route had before."""
+
+    async def test_they_are_counted(self) -> None:
+        # GET on the route answered `pending` 0 while jobs of the route waited.
+        huge = {**STEP, "count": 1, "cpu": 100_000}
+        self.assertEqual(200, await self.world.submit(self.node, job_id(1), [huge]))
+        await self.move_route("second")
+        self.assertEqual(200, await self.world.submit(self.node, job_id(2), [huge]))
+        pending = 0
+        async with asyncio.timeout(COUNT_TIMEOUT_S):
+            while pending != 2:
+                _, body = await self.world.call(self.node, "GET", "/quick/")
+                pending = body.get("pending", 0)
+                await asyncio.sleep(0.05)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -27,9 +27,10 @@
 from pumicespur.node._owned_roles import OwnedRoles
 from pumicespur.node._ownership_controller import STARTUP_DELAY_S, OwnershipController
 from pumicespur.node._predecessors import Predecessors
-from pumicespur.node._process_tracker import RENEWAL_INTERVAL_S, count_waiting
+from pumicespur.node._process_tracker import RENEWAL_INTERVAL_S
 from pumicespur.node._tables import HEARTBEATS_TABLE, PRESENCE_TABLE
 from pumicespur.node._takeover_policy import CANDIDATE_DELAY_S
+from pumicespur.node._waiting_jobs import decode_reports, sum_waiting
 from pumicespur.schema.jobs_pb import (
     DutyReport,
     GivenUp,
@@ -538,11 +539,19 @@
         pools = [PoolReport(pool="main", fencing_token=4, waiting=waiting)]
         record = DutyReport(process="owner", pools=pools, told_ms=told_ms)
         row = Row("reports/owner/newest", record.to_binary(), 5)
-        return count_waiting(row, ROUTE, self.clock, 6.0)
+        return sum_waiting(decode_reports(row, self.clock, 6.0), ROUTE)
 
     def test_route_is_counted(self) -> None:
         self.assertEqual(3, self.count(9_000))
 
+    def test_the_newest_report_on_each_pool_counts(self) -> None:
+        waiting = [WaitingCount(route="quick", jobs=3)]
+        reports = [
+            PoolReport(pool=pool, fencing_token=token, waiting=waiting * token)
+            for pool, token in (("main", 1), ("main", 2), ("second", 1))
+        ]
+        self.assertEqual(9, sum_waiting(reports, ROUTE))
+
     def test_old_report_is_ignored(self) -> None:
         self.assertIsNone(self.count(3_000))
 
