Racks of steps: a round stops looking at the first rack that can serve a step

Cause: each round counted the room of all racks for each waiting step without a rack, also where the first one answers the question.

Change: _can_serve stops as soon as a rack holds what must run at once, and so does the search over racks.

Tests of racks and evacuations pass.

--- a/pumicespur/jobs/placement/_same_rack.py
+++ b/pumicespur/jobs/placement/_same_rack.py
@@ -38,32 +38,35 @@
     loads: Mapping[WorkerId, WorkerLoad],
     racks: Mapping[Rack, Sequence[WorkerLoad]],
 ) -> None:
-    needed = _least_tasks_in_rack(group)
-    if group.rack is not None and _count_slots(group, racks.get(group.rack, ())) >= needed:
+    if group.rack is not None and _can_serve(group, racks.get(group.rack, ())):
         group.spans_racks = False
         return
     assigned = [loads.get(task.worker) for task in group.tasks if task.worker is not None]
     if not assigned:
         group.rack = None
-        largest = max((_count_slots(group, rack) for rack in racks.values()), default=0)
-        group.spans_racks = largest < needed
+        group.spans_racks = not any(_can_serve(group, rack) for rack in racks.values())
     elif any(load is not None and load.reachable for load in assigned):
         # While all of them are silent, it is open whether the whole step is to move.
         group.spans_racks = group.rack is not None
 
 
+def _can_serve(group: StepGroup, rack: Iterable[WorkerLoad]) -> bool:
+    """Whether the open workers of a rack can serve a step if they run nothing else."""
+    needed = _least_tasks_in_rack(group)
+    for load in rack:
+        if load.is_open and load.has_label(group.spec):
+            needed -= load.slots(group)
+        if needed <= 0:
+            return True
+    return False
+
+
 def _least_tasks_in_rack(group: StepGroup) -> int:
     """Return how many of a step's tasks a rack must hold at once to serve the step."""
     runs_together = group.spec.gang or group.spec.long_running
     return len(group.tasks) - group.done if runs_together else 1
 
 
-def _count_slots(group: StepGroup, rack: Iterable[WorkerLoad]) -> int:
-    """Return how many tasks of a step the open workers of a rack hold if they run nothing else."""
-    open_loads = (load for load in rack if load.is_open and load.has_label(group.spec))
-    return sum(load.slots(group) for load in open_loads)
-
-
 def choose_in_rack(group: StepGroup, eligible: list[WorkerLoad], now: float) -> WorkerLoad | None:
     """Return the least utilized eligible worker in the group's rack, or None if there is none.
 
