--- a/pumicespur/jobs/__init__.py
+++ b/pumicespur/jobs/__init__.py
@@ -18,9 +18,9 @@
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import OWNERS_TABLE, owner_key
 from pumicespur.jobs._known_state import evacuations_max_age_s, workers_max_age_s
-from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._owner import PoolOwner
 from pumicespur.jobs._waiting_report import describe_waiting_work, update_waiting_metrics
+from pumicespur.jobs.sessions import EarlierLeases
 from pumicespur.jobs.submissions import JobService
 
 __all__ = [
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -18,9 +18,8 @@
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._pool_report import report_pool
 from pumicespur.jobs._pool_sizing import PoolSizer
-from pumicespur.jobs._restarts import Restarts
 from pumicespur.jobs._throttle import choose_speed_changes
-from pumicespur.jobs._worker_session import WorkerSession
+from pumicespur.jobs.sessions import Restarts, WorkerSession
 from pumicespur.jobs.submissions import SubmissionFollower
 from pumicespur.model import InstanceId, WorkerId, WorkerState, worker_name
 from pumicespur.store import Write
@@ -34,8 +33,8 @@
 
     from pumicespur.config import NodeSettings
     from pumicespur.jobs._job import StepGroup
-    from pumicespur.jobs._lease import EarlierLeases
     from pumicespur.jobs._pool import RunKey
+    from pumicespur.jobs.sessions import EarlierLeases
     from pumicespur.model import EndedRun, Worker
     from pumicespur.platform import PlatformTable, WorkerOrders
     from pumicespur.schema.jobs_pb import PartRecord, PoolReport
--- a/pumicespur/jobs/_session_owner.py
+++ b/pumicespur/jobs/sessions/_interfaces.py
@@ -1,4 +1,4 @@
-"""The interface of a pool's owner that worker sessions use."""
+"""What sessions use of their pool's owner, and starts of their session."""
 
 from __future__ import annotations
 
@@ -11,8 +11,11 @@
     from pumicespur.jobs._job import StepGroup
     from pumicespur.jobs._known_state import KnownState
     from pumicespur.jobs._pool import PoolState, RunKey
-    from pumicespur.model import EndedRun, WorkerId
+    from pumicespur.jobs._worker_load import WorkerLoad
+    from pumicespur.jobs.sessions._lease import WorkerLease
+    from pumicespur.model import EndedRun, Refused, WorkerId
     from pumicespur.platform import WorkerOrders
+    from pumicespur.store import AnswerLost, Unavailable
 
 
 class SessionOwner(Protocol):
@@ -52,3 +55,20 @@
 
     def drop_session(self, worker: WorkerId) -> None:
         """Drop the session of an ended incarnation."""
+
+
+class Session(Protocol):
+    """The session with one incarnation of a worker, as its starts see it."""
+
+    owner: SessionOwner
+    id: WorkerId
+    load: WorkerLoad
+    lease: WorkerLease
+    gone: bool
+    restarted: bool
+
+    def end(self, reason: str) -> None:
+        """Note that this incarnation of the worker has ended with all its runs."""
+
+    def note_failure(self, error: Refused | Unavailable | AnswerLost) -> None:
+        """Note a failed call."""
--- a/pumicespur/jobs/_restarts.py
+++ b/pumicespur/jobs/sessions/_restarts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pumicespur.jobs._lease import EarlierLeases
+from pumicespur.jobs.sessions._lease import EarlierLeases
 from pumicespur.model import start_time_ms, worker_name
 from pumicespur.utils import now_ms
 
--- a/pumicespur/jobs/_worker_session.py
+++ b/pumicespur/jobs/sessions/_session.py
@@ -15,9 +15,9 @@
 )
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._journal import OwnershipLostError
-from pumicespur.jobs._lease import WorkerLease
-from pumicespur.jobs._stops import UnwantedRuns, mark_stalled
-from pumicespur.jobs._worker_starts import WorkerStarts
+from pumicespur.jobs.sessions._lease import WorkerLease
+from pumicespur.jobs.sessions._starts import WorkerStarts
+from pumicespur.jobs.sessions._stops import UnwantedRuns, mark_stalled
 from pumicespur.model import FENCED_REASON, OtherLife, Refused, StartedAgain, WorkerStatus
 from pumicespur.store import AnswerLost, ConnectionBroken, NotListening, Unavailable
 from pumicespur.utils import METRICS, monotonic
@@ -26,9 +26,9 @@
     from collections.abc import Iterable
 
     from pumicespur.jobs._job import Task
-    from pumicespur.jobs._lease import EarlierLeases
     from pumicespur.jobs._pool import RunKey
-    from pumicespur.jobs._session_owner import SessionOwner
+    from pumicespur.jobs.sessions._interfaces import SessionOwner
+    from pumicespur.jobs.sessions._lease import EarlierLeases
     from pumicespur.model import ActiveRun, TaskName, Worker
 
 log = Logger(__name__)
--- a/pumicespur/jobs/_worker_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -10,7 +10,7 @@
 from pumicespur.jobs._job import TaskState, WorkerLoss
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs._known_state import start_timeout_s
-from pumicespur.jobs._unconfirmed_starts import UnconfirmedStarts, UnresolvedStart
+from pumicespur.jobs.sessions._unconfirmed_starts import UnconfirmedStarts, UnresolvedStart
 from pumicespur.model import FENCED_REASON, OtherLife, Refused, StartOrder
 from pumicespur.store import AnswerLost, Unavailable
 from pumicespur.utils import METRICS, monotonic
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from pumicespur.jobs._job import Task
     from pumicespur.jobs._known_state import KnownState
-    from pumicespur.jobs._worker_session import WorkerSession
+    from pumicespur.jobs.sessions._interfaces import Session
     from pumicespur.model import ActiveRun, TaskName
 
 log = Logger(__name__)
@@ -46,7 +46,7 @@
 class WorkerStarts:
     """Orders starts on one incarnation of a worker and resolves those without a response."""
 
-    def __init__(self, session: WorkerSession) -> None:
+    def __init__(self, session: Session) -> None:
         self.session = session
         self.owner = session.owner
         self.id = session.id
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -18,14 +18,12 @@
     _availability,
     _journal,
     _known_state,
-    _lease,
     _limits,
     _pool,
     _worker_load,
-    _worker_session,
-    _worker_starts,
 )
 from pumicespur.jobs.placement import _placement
+from pumicespur.jobs.sessions import _lease, _session, _starts
 from pumicespur.jobs.submissions import _attempt, _service, terms_of
 from pumicespur.model import ANONYMOUS_ACCOUNT
 from pumicespur.node import (
@@ -103,7 +101,7 @@
 
 
 TRANSACTION = _journal.Journal._transaction
-APPLY_STATUS = _worker_session.WorkerSession._apply_status
+APPLY_STATUS = _session.WorkerSession._apply_status
 ADD_WORKER = _pool.PoolState.add_worker
 ADD_JOB = _pool.PoolState.add_job
 INIT_ATTEMPT = _attempt.SubmissionAttempt.__init__
@@ -121,7 +119,7 @@
     return Transaction([], transaction.writes), record
 
 
-async def _confirm_unrecorded(self: _worker_session.WorkerSession, *arguments: Any) -> None:
+async def _confirm_unrecorded(self: _session.WorkerSession, *arguments: Any) -> None:
     await APPLY_STATUS(self, *arguments)
     self.recorded = self.acknowledged = self.seen
 
@@ -143,7 +141,7 @@
     return _service.SubmissionOutcome.NOT_ACCEPTED if unknown else outcome
 
 
-async def _forget_start(self: _worker_starts.WorkerStarts, task: Any, start: Any) -> None:
+async def _forget_start(self: _starts.WorkerStarts, task: Any, start: Any) -> None:
     self.unresolved.pop(task, None)
     self.requeue_if_unchanged(task, start.run, "start did not arrive")
 
@@ -224,7 +222,7 @@
         case Mutant.COMMITS_WITHOUT_CONDITIONS:
             _replace(_journal.Journal, "_transaction", _commit_without_conditions)
         case Mutant.ENDS_CONFIRMED_UNRECORDED:
-            _replace(_worker_session.WorkerSession, "_apply_status", _confirm_unrecorded)
+            _replace(_session.WorkerSession, "_apply_status", _confirm_unrecorded)
         case Mutant.LEASES_NOT_WAITED_OUT:
             _replace(_lease.WorkerLease, "expires_at", lambda self: 0.0)
         case Mutant.LOST_ANSWERS_COUNT_AS_ACCEPTED:
@@ -234,7 +232,7 @@
         case Mutant.LOST_ANSWERS_COUNT_AS_REFUSED:
             _replace(_service.JobService, "submit", _report_unknown_as_refused)
         case Mutant.UNANSWERED_STARTS_FORGOTTEN:
-            _replace(_worker_starts.WorkerStarts, "_revoke", _forget_start)
+            _replace(_starts.WorkerStarts, "_revoke", _forget_start)
         case Mutant.BUDGETS_IGNORED:
             _replace(_availability, "count_unavailable_others", lambda *arguments: 0)
         case Mutant.READINGS_BROKEN_OFF:
@@ -265,7 +263,7 @@
         case Mutant.EVACUATIONS_FORGOTTEN:
             _replace(_evacuations.EvacuationFollower, "_decode", _decode_new_evacuations)
         case Mutant.LEAVING_NOT_ASKED_AGAIN:
-            _replace(_worker_starts.WorkerStarts, "_reason_to_withhold", lambda *arguments: "")
+            _replace(_starts.WorkerStarts, "_reason_to_withhold", lambda *arguments: "")
         case Mutant.OPEN_STARTS_FORGOTTEN:
             _replace(_pool.PoolState, "drop_worker", _drop_worker_and_all_starts)
         case Mutant.ROOM_NOT_READ_AGAIN:
--- a/tests/test_evacuated_starts.py
+++ b/tests/test_evacuated_starts.py
@@ -12,12 +12,12 @@
 from pumicespur.config import load_node_settings
 from pumicespur.jobs import Ownership, PoolOwner, evacuations_max_age_s, workers_max_age_s
 from pumicespur.jobs import _owner as owner_module
-from pumicespur.jobs import _worker_starts as starts_module
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._known_state import KnownState, start_timeout_s
-from pumicespur.jobs._lease import EarlierLeases
-from pumicespur.jobs._worker_session import WorkerSession
 from pumicespur.jobs.placement import assign
+from pumicespur.jobs.sessions import _starts as starts_module
+from pumicespur.jobs.sessions._lease import EarlierLeases
+from pumicespur.jobs.sessions._session import WorkerSession
 from pumicespur.model import DataHall, HallEvacuation, PoolSettings, WorkerName
 from pumicespur.schema.jobs_pb import StepRecord
 from pumicespur.schema.node_pb import WorkerSettings
--- a/tests/test_evacuation_model.py
+++ b/tests/test_evacuation_model.py
@@ -30,7 +30,7 @@
 from pumicespur.config import NodeSettings
 from pumicespur.jobs import Ownership, OwnershipLostError, PoolOwner
 from pumicespur.jobs._known_state import KnownState
-from pumicespur.jobs._lease import EarlierLeases
+from pumicespur.jobs.sessions._lease import EarlierLeases
 from pumicespur.model import (
     ActiveRun,
     Configuration,
--- a/tests/test_incarnations_model.py
+++ b/tests/test_incarnations_model.py
@@ -25,11 +25,11 @@
 from expression import Error, Ok, Result
 
 import pumicespur.jobs._pool as pool_module
-import pumicespur.jobs._worker_session as watch_module
+import pumicespur.jobs.sessions._session as watch_module
 from pumicespur.config import NodeSettings
 from pumicespur.jobs import Ownership, OwnershipLostError, PoolOwner
-from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._pool import PoolState
+from pumicespur.jobs.sessions._lease import EarlierLeases
 from pumicespur.model import (
     ActiveRun,
     Configuration,
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -25,14 +25,14 @@
 from pumicespur.jobs._feasibility import is_overdue
 from pumicespur.jobs._job import Job, Task, TaskState, compute_critical_paths_ms, make_job
 from pumicespur.jobs._keys import submission_partitions
-from pumicespur.jobs._lease import EarlierLeases, WorkerLease
 from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._pool_sizing import PoolSizer
-from pumicespur.jobs._stops import is_stalled
 from pumicespur.jobs._throttle import choose_speed_changes
 from pumicespur.jobs._worker_load import MIN_EJECT_FAILURES, WorkerLoad
 from pumicespur.jobs.placement import assign, order_groups, place_groups
+from pumicespur.jobs.sessions._lease import EarlierLeases, WorkerLease
+from pumicespur.jobs.sessions._stops import is_stalled
 from pumicespur.jobs.submissions import terms_of
 from pumicespur.jobs.submissions._cleanup import SubmissionCleanup
 from pumicespur.jobs.submissions._follower import SubmissionFollower
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -14,11 +14,11 @@
 
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._known_state import KnownState, start_timeout_s, workers_max_age_s
-from pumicespur.jobs._lease import EarlierLeases
 from pumicespur.jobs._pool_report import report_pool
 from pumicespur.jobs._worker_load import REPORT_VALIDITY_S
-from pumicespur.jobs._worker_session import WorkerSession
 from pumicespur.jobs.placement import assign
+from pumicespur.jobs.sessions._lease import EarlierLeases
+from pumicespur.jobs.sessions._session import WorkerSession
 from pumicespur.model import AccountId, Capacity, ClientAccount, ProcessId, WorkerState
 from pumicespur.node._process_tracker import ProcessTracker
 from pumicespur.schema.jobs_pb import DutyReport, PoolReport, StepRecord
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -19,9 +19,9 @@
 from typing import Any
 
 from pumicespur.jobs import PoolOwner
-from pumicespur.jobs._lease import EarlierLeases
-from pumicespur.jobs._restarts import Restarts
 from pumicespur.jobs._worker_load import WorkerLoad
+from pumicespur.jobs.sessions._lease import EarlierLeases
+from pumicespur.jobs.sessions._restarts import Restarts
 from pumicespur.model import Configuration, PoolSettings, WorkerName, worker_id
 from pumicespur.schema.node_pb import WorkerSettings
 from pumicespur.utils import now_ms
--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -15,10 +15,10 @@
 from expression import Ok, Result
 
 from pumicespur.jobs._job import TaskState
-from pumicespur.jobs._lease import EarlierLeases
-from pumicespur.jobs._unconfirmed_starts import UnresolvedStart
-from pumicespur.jobs._worker_session import WorkerSession
 from pumicespur.jobs.placement import assign
+from pumicespur.jobs.sessions._lease import EarlierLeases
+from pumicespur.jobs.sessions._session import WorkerSession
+from pumicespur.jobs.sessions._unconfirmed_starts import UnresolvedStart
 from pumicespur.model import ActiveRun, Capacity, TaskName, WorkerStatus
 from pumicespur.schema.jobs_pb import StepRecord
 from pumicespur.utils import monotonic
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -11,10 +11,10 @@
 from pumicespur.jobs._crash_attribution import SOLE_CAUSE_LIMIT
 from pumicespur.jobs._job import TaskState, WorkerLoss
 from pumicespur.jobs._known_state import KnownState
-from pumicespur.jobs._lease import EarlierLeases
-from pumicespur.jobs._unconfirmed_starts import UnresolvedStart
-from pumicespur.jobs._worker_session import WorkerSession
 from pumicespur.jobs.placement import assign
+from pumicespur.jobs.sessions._lease import EarlierLeases
+from pumicespur.jobs.sessions._session import WorkerSession
+from pumicespur.jobs.sessions._unconfirmed_starts import UnresolvedStart
 from pumicespur.model import (
     ActiveRun,
     EndedRun,
