--- a/pumicespur/jobs/_worker_load.py
+++ b/pumicespur/jobs/_worker_load.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -183,9 +182,7 @@
 
     def slots(self, group: StepGroup) -> int:
         """Return how many tasks of a step fit on the worker if it runs nothing else."""
-        capacity = self.worker.capacity
-        most = group.spec.max_per_worker or len(group.tasks)
-        return min(most, _count_fitting(group.spec, capacity))
+        return _count_fitting(group, self.worker.capacity)
 
     def free_slots(self, group: StepGroup) -> int:
         """Return how many more tasks of a step fit on the worker."""
@@ -195,9 +192,7 @@
             total.memory_mb - self.memory_mb,
             total.accelerators - self.accelerators,
         )
-        assigned = sum(1 for task in self.tasks if task.group is group)
-        most = (group.spec.max_per_worker or len(group.tasks)) - assigned
-        return min(most, _count_fitting(group.spec, free))
+        return _count_fitting(group, free, self._count_assigned(group))
 
     def has_label(self, spec: StepRecord) -> bool:
         """Whether the worker has the label that a step requires, if any."""
@@ -210,8 +205,10 @@
             return False
         if not spec.max_per_worker:
             return True
-        assigned = sum(1 for task in self.tasks if task.group is group)
-        return assigned < spec.max_per_worker
+        return self._count_assigned(group) < spec.max_per_worker
+
+    def _count_assigned(self, group: StepGroup) -> int:
+        return sum(1 for task in self.tasks if task.group is group)
 
     def can_take(self, group: StepGroup, now: float) -> bool:
         """Whether one more task of a step can be given to the worker now."""
@@ -245,8 +242,10 @@
         return True
 
 
-def _count_fitting(spec: StepRecord, free: Capacity) -> int:
-    """Return how many tasks of a step fit in free resources."""
+def _count_fitting(group: StepGroup, free: Capacity, assigned: int = 0) -> int:
+    """Return how many more tasks of a step fit in a worker's free resources."""
+    spec = group.spec
+    most = (spec.max_per_worker or len(group.tasks)) - assigned
     cpu_millis = 0 if spec.fills else spec.cpu_millis
     resources = (
         (free.cpu_millis, cpu_millis),
@@ -254,4 +253,4 @@
         (free.accelerators, spec.accelerators),
     )
     counts = (available // needed for available, needed in resources if needed)
-    return max(0, min(counts, default=sys.maxsize))
+    return min(most, max(0, min(counts, default=most)))
--- a/pumicespur/jobs/submissions/_service.py
+++ b/pumicespur/jobs/submissions/_service.py
@@ -144,14 +144,13 @@
         self, route: Route, account: AccountId, job: JobId, give_up_at: float
     ) -> CancellationOutcome:
         outcome = await self._cancel_in(route.pool, route, account, job, give_up_at)
-        if outcome is not CancellationOutcome.NO_SUCH_JOB:
-            return outcome
-        while True:
+        while outcome is None:
             # The route may have had another pool when the job was submitted.
             holder = await self._find_holder(job, give_up_at)
             match holder:
                 case Result(tag="ok", ok=JobIdRecord(pool=pool)):
-                    return await self._cancel_in(PoolId(pool), route, account, job, give_up_at)
+                    outcome = await self._cancel_in(PoolId(pool), route, account, job, give_up_at)
+                    return outcome or CancellationOutcome.NO_SUCH_JOB
                 case Result(tag="ok"):
                     response = await self._withdraw(route, account, job)
                     if response.is_ok():
@@ -161,6 +160,7 @@
             if monotonic() + MAX_RETRY_DELAY_S >= give_up_at:
                 return CancellationOutcome.UNKNOWN
             await anyio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.0))
+        return outcome
 
     async def _withdraw(self, route: Route, account: AccountId, job: JobId) -> Result[int, Fault]:
         """Record a cancelled job without steps, if no pool has a job of this id."""
@@ -180,7 +180,8 @@
 
     async def _cancel_in(
         self, pool: PoolId, route: Route, account: AccountId, job: JobId, give_up_at: float
-    ) -> CancellationOutcome:
+    ) -> CancellationOutcome | None:
+        """Cancel a job in a pool; None if the pool has no job of this id."""
         key = submission_key(pool, job)
         while True:
             found = await self._read(key, give_up_at)
@@ -209,8 +210,11 @@
 
     async def _cancel_missing(
         self, pool: PoolId, route: Route, account: AccountId, job: JobId, give_up_at: float
-    ) -> CancellationOutcome:
-        """Determine the outcome for a job that has no unfinished submission row."""
+    ) -> CancellationOutcome | None:
+        """Determine the outcome for a job that has no unfinished submission row.
+
+        None if the pool has no progress of it either.
+        """
         found = await self._read(progress_key(pool, job), give_up_at)
         match found:
             case Result(tag="ok", ok=row) if row.version:
@@ -222,7 +226,7 @@
                 ended = progress.phase in ENDED_PHASES
                 return CancellationOutcome.NO_SUCH_JOB if ended else CancellationOutcome.UNKNOWN
             case Result(tag="ok"):
-                return CancellationOutcome.NO_SUCH_JOB
+                return None
             case _:
                 return CancellationOutcome.UNKNOWN
 
--- a/pumicespur/jobs/submissions/_terms.py
+++ b/pumicespur/jobs/submissions/_terms.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pumicespur.model import Capacity
+from pumicespur.jobs._limits import UNLIMITED
 from pumicespur.schema.jobs_pb import JobTerms, LimitRecord
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
         latency_objective_ms=route.latency_objective_s * 1000,
         needs_tickets=route.advice is not None,
     )
-    if account is not None and account.limit != Capacity(0, 0):
+    if account is not None and account.limit != UNLIMITED:
         terms.account_limit = LimitRecord(
             cpu_millis=account.limit.cpu_millis,
             memory_mb=account.limit.memory_mb,
--- a/pumicespur/node/_waiting_jobs.py
+++ b/pumicespur/node/_waiting_jobs.py
@@ -16,6 +16,7 @@
 from pumicespur.node._tables import REPORTS_TABLE, process_row_key
 from pumicespur.schema.jobs_pb import DutyReport
 from pumicespur.utils import monotonic
+from pumicespur.view import newest_reports
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -72,11 +73,7 @@
 
 def sum_waiting(reports: Iterable[PoolReport], route: Route) -> int | None:
     """Sum up a route's waiting jobs over all pools; None without a report on the route's pool."""
-    newest: dict[str, PoolReport] = {}
-    for report in reports:
-        known = newest.get(report.pool)
-        if known is None or report.fencing_token > known.fencing_token:
-            newest[report.pool] = report
+    newest = newest_reports(reports)
     if route.pool not in newest:
         return None
     counts = (count for report in newest.values() for count in report.waiting)
--- a/pumicespur/view/__init__.py
+++ b/pumicespur/view/__init__.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
-from pumicespur.view._view import FleetView, SeenOwner, SeenProcess, SeenReport
+from pumicespur.view._view import (
+    FleetView,
+    SeenOwner,
+    SeenProcess,
+    SeenReport,
+    newest_reports,
+)
 
-__all__ = ["FleetView", "SeenOwner", "SeenProcess", "SeenReport"]
+__all__ = ["FleetView", "SeenOwner", "SeenProcess", "SeenReport", "newest_reports"]
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -12,7 +12,7 @@
 from pumicespur.utils import monotonic
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from pumicespur.model import DataHall, HallEvacuation, KeyDigest, Wave, Worker
     from pumicespur.schema.jobs_pb import DutyReport, HeartbeatRecord, OwnerRecord, PoolReport
@@ -52,6 +52,16 @@
     seen_at: float
 
 
+def newest_reports(reports: Iterable[PoolReport]) -> dict[PoolId, PoolReport]:
+    """Return the report on each pool under the newest fencing token."""
+    newest: dict[PoolId, PoolReport] = {}
+    for report in reports:
+        known = newest.get(PoolId(report.pool))
+        if known is None or report.fencing_token > known.fencing_token:
+            newest[PoolId(report.pool)] = report
+    return newest
+
+
 @dataclass
 class FleetView:
     """The known state of the fleet in one process; each part is updated by one task."""
@@ -130,15 +140,8 @@
     def fresh_reports(self, max_age_s: float) -> dict[PoolId, PoolReport]:
         """Return the recent reports on pools, each under the newest fencing token."""
         now = monotonic()
-        newest: dict[PoolId, PoolReport] = {}
-        for seen in self.reports.values():
-            if now - seen.reported_at > max_age_s:
-                continue
-            for report in seen.report.pools:
-                known = newest.get(PoolId(report.pool))
-                if known is None or report.fencing_token > known.fencing_token:
-                    newest[PoolId(report.pool)] = report
-        return newest
+        fresh = (s.report for s in self.reports.values() if now - s.reported_at <= max_age_s)
+        return newest_reports(report for told in fresh for report in told.pools)
 
     def fresh_report(self, pool: PoolId, max_age_s: float) -> PoolReport | None:
         """Return the recent report on a pool under the newest fencing token."""
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -112,6 +112,11 @@
         """The path at which the job is submitted and queried."""
         return f"/{KEYED_ROUTE if self.account else 'quick'}/{self.id}"
 
+    @property
+    def body(self) -> dict[str, Any]:
+        """The body with which the job is submitted."""
+        return {"taskSpec": self.kind.value, "steps": self.steps}
+
     @property
     def submissions(self) -> list[Exchange]:
         """The attempts to submit the job."""
@@ -253,15 +258,13 @@
             return
         job = accepted[-self.repeat_random.randint(1, min(MAX_REPEATED_JOBS, len(accepted)))]
         node = next(self.repeat_nodes)
-        body = {"taskSpec": job.kind.value, "steps": job.steps}
-        job.exchanges.append(await self._send("POST", job.path, body, node))
+        job.exchanges.append(await self._send("POST", job.path, job.body, node))
 
     async def submit_once(self) -> SentJob:
         """Submit a job without a key once, and wait only for a short time."""
         job = SentJob(f"{self.repeat_random.getrandbits(64):016x}", JobKind.SHORT, [_burst_step()])
         self.jobs.append(job)
-        body = {"taskSpec": job.kind.value, "steps": job.steps}
-        exchange = await self._send("POST", job.path, body, timeout_s=SHORT_TIMEOUT_S)
+        exchange = await self._send("POST", job.path, job.body, timeout_s=SHORT_TIMEOUT_S)
         job.exchanges.append(exchange)
         return job
 
@@ -293,9 +296,8 @@
             account = self.account_random.choice(ACCOUNT_NAMES) if keyed else ""
         job = SentJob(name, kind, steps, account=account)
         self.jobs.append(job)
-        body = {"taskSpec": kind.value, "steps": steps}
         for _ in range(MAX_SUBMIT_ATTEMPTS):
-            exchange = await self._send("POST", job.path, body, key=self._api_key(account))
+            exchange = await self._send("POST", job.path, job.body, key=self._api_key(account))
             job.exchanges.append(exchange)
             if exchange.status not in RETRYABLE_STATUSES:
                 return
--- a/tests/test_submission_model.py
+++ b/tests/test_submission_model.py
@@ -14,7 +14,7 @@
 import unittest
 from collections import Counter
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any, TypeVar, cast
 from unittest.mock import patch
 
 from expression import Ok, Result
@@ -55,8 +55,13 @@
 from tests.test_submission_faults import Does, FakeStore
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from pumicespur.model import Route
     from pumicespur.store import Fault
 
+Outcome = TypeVar("Outcome")
+
 POOLS = (PoolId("main"), PoolId("second"))
 JOBS = ("a" * 16, "b" * 16)
 PROCESSES = 2
@@ -181,21 +186,31 @@
     def teardown(self) -> None:
         self.runner.close()
 
+    def route_at(self, process: int) -> Route | None:
+        return self.views[process].configuration.routes.get(ROUTE.name)
+
+    def service_at(self, process: int) -> JobService:
+        return JobService(cast("Any", self.store), self.views[process])
+
+    def run_under(self, fate: Does, call: Coroutine[Any, Any, Outcome]) -> Outcome:
+        """Run a call whose writes meet a fate."""
+        self.store.otherwise = fate
+        outcome = self.runner.run(call)
+        self.store.otherwise = Does.ANSWERS
+        return outcome
+
     @rule(
         job=st.sampled_from(JOBS),
         process=st.integers(0, PROCESSES - 1),
         fate=st.sampled_from(FATES),
     )
     def submit(self, job: str, process: int, fate: Does) -> None:
-        view = self.views[process]
-        route = view.configuration.routes.get(ROUTE.name)
+        route = self.route_at(process)
         if route is None:
             return
         record = JobRecord(id=job, route=ROUTE.name, steps=[StepRecord(count=1, cpu_millis=1)])
-        self.store.otherwise = fate
-        service = JobService(cast("Any", self.store), view)
-        outcome = self.runner.run(service.submit(route, record, monotonic() + CALL_S))
-        self.store.otherwise = Does.ANSWERS
+        call = self.service_at(process).submit(route, record, monotonic() + CALL_S)
+        outcome = self.run_under(fate, call)
         self.offered[job].append(route.max_attempts)
         if outcome is SubmissionOutcome.ACCEPTED:
             self.accepted.add(job)
@@ -206,16 +221,13 @@
         fate=st.sampled_from(FATES),
     )
     def cancel(self, job: str, process: int, fate: Does) -> None:
-        view = self.views[process]
-        route = view.configuration.routes.get(ROUTE.name)
+        route = self.route_at(process)
         if route is None:
             return
-        self.store.otherwise = fate
-        service = JobService(cast("Any", self.store), view)
-        outcome = self.runner.run(
-            service.cancel(route, AccountId(""), JobId(job), monotonic() + CALL_S)
+        call = self.service_at(process).cancel(
+            route, AccountId(""), JobId(job), monotonic() + CALL_S
         )
-        self.store.otherwise = Does.ANSWERS
+        outcome = self.run_under(fate, call)
         if outcome is not CancellationOutcome.UNKNOWN:
             self.cancelled.add(job)
 
@@ -276,14 +288,14 @@
     @invariant()
     def accepted_jobs_are_kept(self) -> None:
         """Ask each process for each accepted job."""
-        for view in getattr(self, "views", []):
-            self.runner.run(self.ask(view))
+        for process in range(len(getattr(self, "views", []))):
+            self.runner.run(self.ask(process))
 
-    async def ask(self, view: FleetView) -> None:
-        route = view.configuration.routes.get(ROUTE.name)
+    async def ask(self, process: int) -> None:
+        route = self.route_at(process)
         if route is None:
             return
-        service = JobService(cast("Any", self.store), view)
+        service = self.service_at(process)
         for job in self.accepted:
             found = await service.phase(route, AccountId(""), JobId(job), monotonic() + CALL_S)
             assert found.is_ok() and found.ok is not None, f"{job} is not known"
