--- a/standins/hosted/_fleet.py
+++ b/standins/hosted/_fleet.py
@@ -52,6 +52,8 @@
         self.pools: dict[str, str] = {}
         self.racks: dict[str, str] = {}
         self.workers: dict[str, str] = {}
+        """The worker that runs on each instance; instances without one are left out."""
+        self.spare_pools = frozenset({"idle"})
         self.orders: list[FleetOrder] = []
 
     def app(self) -> web.Application:
@@ -72,7 +74,7 @@
             {
                 "machine": name,
                 "pool": pool,
-                "state": self.busy.get(name, "up"),
+                "state": self._state(name),
                 "zone": self.hall_of(self.racks[name]),
                 "labels": ["a", self.racks[name]],
                 "capacity": {"cpu": 4000, "memMb": 8000},
@@ -82,6 +84,12 @@
         ]
         return web.json_response({"machines": machines, "nextToken": None})
 
+    def _state(self, instance: str) -> str:
+        """Return an instance's state; one that lacks a worker is down, unless it is a spare one."""
+        needs_worker = self.pools[instance] not in self.spare_pools
+        is_down = needs_worker and instance not in self.workers
+        return self.busy.get(instance, "down" if is_down else "up")
+
     async def _move(self, request: web.Request) -> web.StreamResponse:
         return await self._order(request, "moving")
 
--- a/standins/hosted/_world.py
+++ b/standins/hosted/_world.py
@@ -168,6 +168,7 @@
         if before is None:
             return
         worker = before.make_next_incarnation()
+        self.fleet.workers.pop(instance, None)
         await before.crash()
         await asyncio.sleep(down_s)
         worker.address = before.address
@@ -229,6 +230,7 @@
     async def crash_worker(self, instance: str) -> None:
         """Crash a worker without notice; its entry leaves the store."""
         worker = self.workers.pop(instance)
+        self.fleet.workers.pop(instance, None)
         await worker.crash()
         self.store.remove(("servers", "", worker.id))
 
@@ -251,7 +253,6 @@
 
     async def take_down(self, instance: str) -> None:
         """Crash the worker of an instance, if it has one."""
-        self.fleet.workers.pop(instance, None)
         if instance in self.workers:
             await self.crash_worker(instance)
 
