--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -11,7 +11,7 @@
 from pumicespur.jobs._advice_client import AdviceClient
 from pumicespur.jobs._allotment_exchange import AllotmentExchange
 from pumicespur.jobs._availability import tasks_to_move
-from pumicespur.jobs._job import Job, Task, TaskState, WorkerLoss
+from pumicespur.jobs._job import Job, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import progress_key
 from pumicespur.jobs._known_state import KnownState, start_timeout_s
@@ -19,9 +19,9 @@
 from pumicespur.jobs._pool_report import report_pool
 from pumicespur.jobs._pool_sizing import PoolSizer
 from pumicespur.jobs._throttle import choose_speed_changes
-from pumicespur.jobs.sessions import Restarts, WorkerSession
+from pumicespur.jobs.sessions import OrphanedTasks, Restarts, WorkerSession
 from pumicespur.jobs.submissions import SubmissionFollower
-from pumicespur.model import InstanceId, WorkerId, WorkerState, worker_name
+from pumicespur.model import WorkerId, WorkerState
 from pumicespur.store import Write
 from pumicespur.utils import METRICS, monotonic, now_ms
 
@@ -61,6 +61,9 @@
 MAX_EVACUATION_AGE_S = 3.0
 """Maximum age of the fleet leader's evacuation list; a few heartbeats."""
 
+MAX_ENDED_WORKERS_AGE_S = 3.0
+"""Maximum age of the fleet leader's report on ended workers; a few heartbeats."""
+
 WORKERS_POLL_INTERVAL_S = 0.01
 """Pause between checks whether the list of workers is known."""
 
@@ -110,6 +113,7 @@
         self.journal = Journal(table, ownership)
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self.restarts = Restarts(settings.workers, earlier_leases)
+        self.orphans = OrphanedTasks(self.pool, self.sessions, self.restarts, earlier_leases)
         self.request_report = request_report
         """Requests an immediate report to the other processes."""
         self.sizer = PoolSizer(self.pool, request_report)
@@ -184,7 +188,7 @@
                 self.ready = True
                 self.tasks.start_soon(self.submissions.follow)
                 self.tasks.start_soon(self.submissions.cleanup.run)
-                self.tasks.start_soon(self._requeue_unlisted)
+                self.tasks.start_soon(self._end_lost_runs)
                 self.tasks.start_soon(AdviceClient(self.pool, self.orders).run)
                 await self._run_rounds()
                 self.tasks.cancel_scope.cancel()
@@ -300,37 +304,25 @@
         """Drop the session of an ended incarnation."""
         self.sessions.pop(worker, None)
 
-    def _requeue_expired_starts(self, now: float) -> None:
-        """Requeue tasks whose worker restarted and has not been seen since, once that is safe."""
-        expired = self.restarts.take_expired(now)
-        if not expired:
+    async def _end_lost_runs(self) -> None:
+        """End the runs of workers without an answer once they are known to be over."""
+        while True:
+            now = monotonic()
+            self._apply_ended_workers(now)
+            if self.orphans.requeue_expired(now):
+                self.wake()
+            await anyio.sleep(MAX_ROUND_INTERVAL_S)
+
+    def _apply_ended_workers(self, now: float) -> None:
+        """Apply which workers the fleet leader has found to run on no instance."""
+        ended = self.view.ended_workers(MAX_ENDED_WORKERS_AGE_S)
+        if not ended.names or not self.table.clock.known:
             return
-        for job in list(self.pool.jobs.values()):
-            for task in job.tasks:
-                if task.worker in expired and not job.ended:
-                    self._requeue_lost(task, "its worker did not come back")
-
-    def _requeue_lost(self, task: Task, reason: str) -> None:
-        """Requeue a task that was lost with a worker without a session."""
-        assert task.worker is not None
-        log.info("start undone", job=task.job.id, task=task.name, reason=reason)
-        instance = InstanceId(worker_name(task.worker))
-        self.pool.note_lost_run(task, WorkerLoss(task.worker, instance, sole_suspect=False))
-        self.pool.requeue(task)
-
-    async def _requeue_unlisted(self) -> None:
-        """Requeue tasks on unlisted workers once all leases of earlier owners have expired."""
-        while monotonic() < self.earlier_leases.until:
-            await anyio.sleep(
-                min(MAX_ROUND_INTERVAL_S, max(0.0, self.earlier_leases.until - monotonic()))
-            )
-        for job in list(self.pool.jobs.values()):
-            for task in job.tasks:
-                if task.worker and task.worker not in self.sessions and not job.ended:
-                    self._requeue_lost(task, "worker not listed")
-        for worker in self.pool.inherited.keys() - self.sessions.keys():
-            self.pool.resolve_inherited(worker)
-        self.wake()
+        as_of = self.table.clock.latest_before(ended.as_of_ms)
+        for session in list(self.sessions.values()):
+            session.end_if_over(ended.names, as_of, now)
+        if self.orphans.requeue_ended(ended.names, as_of, now):
+            self.wake()
 
     def note_end(self, worker: WorkerId, end: EndedRun, now: float) -> None:
         """Process the end of a run; it is acknowledged once it is recorded."""
@@ -360,7 +352,6 @@
             if not self.stopping:
                 self._mark_evacuated_halls()
                 self._evacuate()
-                self._requeue_expired_starts(monotonic())
                 self._apply_configuration(monotonic())
                 self.allotments.apply_reports(monotonic())
                 if self._may_start(monotonic()):
@@ -535,4 +526,5 @@
         report = report_pool(self.pool, self.token)
         self.sizer.fill_report(report)
         report.parts = self.allotments.report()
+        report.missing_workers = list(self.orphans.names())
         return report
--- /dev/null
+++ b/pumicespur/jobs/sessions/_orphaned_tasks.py
@@ -0,0 +1,112 @@
+"""Tasks that are assigned to a worker without a session, until their runs are certainly over.
+
+They are inherited from an earlier owner, or their worker restarted and has not been seen since. No
+answer and no broken connection will tell what became of them, so each has a time at which it is
+requeued.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from pumicespur.jobs._job import WorkerLoss
+from pumicespur.model import InstanceId, WorkerName, worker_name
+
+if TYPE_CHECKING:
+    from collections.abc import Container, Sequence
+
+    from pumicespur.jobs._job import Task
+    from pumicespur.jobs._pool import PoolState
+    from pumicespur.jobs.sessions._lease import EarlierLeases
+    from pumicespur.jobs.sessions._restarts import Restarts
+    from pumicespur.model import WorkerId
+
+log = Logger(__name__)
+
+
+class OrphanedTasks:
+    """The tasks of a pool whose workers have no session, and since when."""
+
+    def __init__(
+        self,
+        pool: PoolState,
+        sessions: Container[WorkerId],
+        restarts: Restarts,
+        earlier: EarlierLeases,
+    ) -> None:
+        self.pool = pool
+        self.sessions = sessions
+        self.restarts = restarts
+        self.earlier = earlier
+        self.since: dict[WorkerId, float] = {}
+        """When each worker was first found to have tasks and no session (monotonic seconds)."""
+        self.taken_over_at: float | None = None
+        """When tasks were first looked for; those found then are an earlier owner's."""
+
+    def names(self) -> list[WorkerName]:
+        """Return the workers with tasks and without a session."""
+        return sorted({worker_name(worker) for worker in self.since})
+
+    def requeue_expired(self, now: float) -> bool:
+        """Requeue tasks whose workers hold no lease any more; return whether there were any."""
+        found = self._update(now)
+        expired = [worker for worker in found if now > self._leased_until(worker)]
+        self.restarts.take_expired(now)
+        self._requeue(found, expired, "its worker is not listed and all leases have expired")
+        if now > self.earlier.until:
+            for worker in [w for w in self.pool.inherited if w not in self.sessions]:
+                self.pool.resolve_inherited(worker)
+        return bool(expired)
+
+    def requeue_ended(self, ended: Container[WorkerName], since: float, now: float) -> bool:
+        """Requeue tasks of workers that had ended by a time; return whether there were any.
+
+        `since` is a monotonic time: only workers that were found without a session before it are
+        judged, so that a later incarnation is not taken for one that has ended.
+        """
+        found = self._update(now)
+        over = [w for w in found if worker_name(w) in ended and self.since[w] <= since]
+        self._requeue(found, over, "its worker has ended")
+        for worker in over:
+            self.pool.resolve_inherited(worker)
+        return bool(over)
+
+    def _update(self, now: float) -> dict[WorkerId, list[Task]]:
+        """Return the tasks by worker; note since when each worker has had no session."""
+        found: dict[WorkerId, list[Task]] = defaultdict(list)
+        for job in self.pool.jobs.values():
+            if job.ended:
+                continue
+            for task in job.tasks:
+                if task.worker and task.worker not in self.sessions:
+                    found[task.worker].append(task)
+        self.since = {worker: self.since.get(worker, now) for worker in found}
+        if self.taken_over_at is None:
+            self.taken_over_at = now
+        return found
+
+    def _leased_until(self, worker: WorkerId) -> float:
+        """Return when a worker without a session has certainly ended its runs."""
+        ended_at = self.restarts.ended.get(worker)
+        if ended_at is not None:
+            return ended_at + self.restarts.max_lease_s()
+        if self.since[worker] == self.taken_over_at:
+            return self.earlier.until
+        return max(self.earlier.until, self.since[worker] + self.restarts.max_lease_s())
+
+    def _requeue(
+        self, found: dict[WorkerId, list[Task]], workers: Sequence[WorkerId], reason: str
+    ) -> None:
+        for worker in workers:
+            del self.since[worker]
+            for task in found[worker]:
+                self._requeue_task(task, worker, reason)
+
+    def _requeue_task(self, task: Task, worker: WorkerId, reason: str) -> None:
+        log.info("start undone", job=task.job.id, task=task.name, worker=worker, reason=reason)
+        instance = InstanceId(worker_name(worker))
+        self.pool.note_lost_run(task, WorkerLoss(worker, instance, sole_suspect=False))
+        self.pool.requeue(task)
--- a/pumicespur/jobs/sessions/_restarts.py
+++ b/pumicespur/jobs/sessions/_restarts.py
@@ -73,7 +73,7 @@
         """
         if worker.name not in self.leased and not self._may_hold_earlier_lease(worker, now):
             return self.earlier
-        until = now + self._max_lease_s() + self.settings.call_timeout_s
+        until = now + self.max_lease_s() + self.settings.call_timeout_s
         return EarlierLeases(last_until=until, older_until=self.earlier.until)
 
     def _may_hold_earlier_lease(self, worker: Worker, now: float) -> bool:
@@ -81,15 +81,15 @@
         start_ms = start_time_ms(worker.id)
         if start_ms is None or self.earlier.until <= now:
             return False
-        return now_ms() - start_ms < (self._max_lease_s() + MAX_CLOCK_DIFFERENCE_S) * 1000
+        return now_ms() - start_ms < (self.max_lease_s() + MAX_CLOCK_DIFFERENCE_S) * 1000
 
-    def _max_lease_s(self) -> float:
+    def max_lease_s(self) -> float:
         """Return how long a worker runs at most after an order, in seconds on the local clock."""
         return self.settings.longest_lease_ms / 1000 / (1 - self.settings.clock_drift)
 
     def take_expired(self, now: float) -> set[WorkerId]:
         """Remove and return the ended incarnations whose last orders can no longer take effect."""
-        max_lease_s = self._max_lease_s()
+        max_lease_s = self.max_lease_s()
         found = {worker for worker, since in self.ended.items() if now - since > max_lease_s}
         for worker in found:
             del self.ended[worker]
--- a/pumicespur/jobs/sessions/_session.py
+++ b/pumicespur/jobs/sessions/_session.py
@@ -9,6 +9,7 @@
 from logbook import Logger
 
 from pumicespur.jobs._crash_attribution import (
+    COMMON_CAUSE_WINDOW_S,
     QUARANTINE_POLL_TIMEOUT_S,
     count_unproven_suspects,
     note_run_time,
@@ -23,13 +24,13 @@
 from pumicespur.utils import METRICS, monotonic
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
     from pumicespur.jobs._job import Task
     from pumicespur.jobs._pool import RunKey
     from pumicespur.jobs.sessions._interfaces import SessionOwner
     from pumicespur.jobs.sessions._lease import EarlierLeases
-    from pumicespur.model import ActiveRun, TaskName, Worker
+    from pumicespur.model import ActiveRun, TaskName, Worker, WorkerName
 
 log = Logger(__name__)
 
@@ -292,6 +293,22 @@
             if task.worker == self.id and not task.job.ended:
                 self.starts.requeue_if_unchanged(task, task.run, "the worker's lease has expired")
 
+    def end_if_over(self, ended: Container[WorkerName], as_of: float, now: float) -> None:
+        """End the session if its worker had ended by a time at which it was unreachable already.
+
+        Other workers that were lost with it may be noticed a little later, and tell whether one of
+        its tasks can have been the cause.
+        """
+        unreachable_since = self.load.unresponsive_since
+        if self.failures == 0 or unreachable_since > as_of or self.load.worker.name not in ended:
+            return
+        if now - unreachable_since < COMMON_CAUSE_WINDOW_S:
+            return
+        for task in self.starts.unconfirmed.tasks:
+            # The start may still be on its way to a later incarnation at the same address.
+            self.owner.note_revoked(self.id, (task.name, task.run))
+        self.end("it runs on no instance")
+
     def end(self, reason: str) -> None:
         """Note that this incarnation of the worker has ended with all its runs."""
         if self.gone:
--- a/pumicespur/maintenance/_fleet_leader.py
+++ b/pumicespur/maintenance/_fleet_leader.py
@@ -17,6 +17,7 @@
 from logbook import Logger
 
 from pumicespur.jobs import TARGET_UTILIZATION_RATIO, Journal, OwnershipLostError
+from pumicespur.maintenance._ended_workers import EndedWorkers
 from pumicespur.maintenance._intents import IntentLog, intent_validity_s
 from pumicespur.maintenance._peaks import min_peak_cpu_millis, reserved_sizes
 from pumicespur.maintenance._persisted_state import PersistedState
@@ -35,7 +36,7 @@
 from pumicespur.utils import monotonic, now_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from pumicespur.config import NodeSettings
     from pumicespur.jobs import Ownership
@@ -104,6 +105,9 @@
         self.request_report = request_report
         """Requests an immediate report to the other processes."""
         self.reported_evacuations: set[WorkerName] = set()
+        self.listed_workers = EndedWorkers()
+        self.ended_workers: list[WorkerName] = []
+        """Workers that owners miss or can't reach, and that have ended."""
         self.ready = False
         self.stopping = False
         self.stopped = anyio.Event()
@@ -152,6 +156,7 @@
                 self.instances = {instance.id: instance for instance in instances}
                 self.listed_at = requested_at
                 self.persisted.note_instances(instances)
+                self._note_ended_workers(instances)
             case Result(error=error):
                 log.warning("instances not listed", reason=str(error))
                 return
@@ -161,6 +166,16 @@
             )
         await self._rebalance()
 
+    def _note_ended_workers(self, instances: Sequence[Instance]) -> None:
+        """Tell owners at once when a worker that they can't reach has ended."""
+        self.listed_workers.note_list(instances, self.listed_at)
+        ended = self.listed_workers.find(self.reports.pools().values())
+        new = set(ended) - set(self.ended_workers)
+        self.ended_workers = ended
+        if new:
+            log.info("workers ended", workers=sorted(new))
+            self.request_report()
+
     def _are_evacuated_halls_known(self) -> bool:
         """Whether the evacuated data halls have been read, if this platform evacuates any.
 
--- a/pumicespur/node/_heartbeats.py
+++ b/pumicespur/node/_heartbeats.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from pumicespur.config import NodeSettings
+    from pumicespur.maintenance import FleetLeader
     from pumicespur.model import PoolId
     from pumicespur.node._owned_roles import OwnedRoles
     from pumicespur.platform import PlatformTable
@@ -152,17 +153,24 @@
                 await self.report_due.wait()
 
     async def _write_report(self) -> None:
-        leader = self.roles.fleet_leader
         now = monotonic()
         clock = self.table.clock
         record = DutyReport(
             process=self.process_id,
             pools=[owner.report() for owner in self.roles.pool_owners() if owner.ready],
-            evacuations=[] if leader is None else list(leader.workers_to_evacuate()),
-            fleet_token=0 if leader is None else leader.ownership.token,
             told_ms=clock.at_least_ms(now) if clock.known else 0,
         )
+        if self.roles.fleet_leader is not None:
+            self._add_leader_report(record, self.roles.fleet_leader)
         write = Write(process_row_key(REPORTS_TABLE, self.process_id), record.to_binary())
         written = await self.table.transact(Transaction([], [write]))
         if written.is_error():
             log.warning("report failed", reason=str(written.error))
+
+    def _add_leader_report(self, record: DutyReport, leader: FleetLeader) -> None:
+        record.fleet_token = leader.ownership.token
+        record.evacuations = list(leader.workers_to_evacuate())
+        as_of = leader.listed_workers.as_of
+        if self.table.clock.known and as_of is not None:
+            record.ended_workers = list(leader.ended_workers)
+            record.ended_as_of_ms = self.table.clock.at_least_ms(as_of)
--- a/pumicespur/store/_clock.py
+++ b/pumicespur/store/_clock.py
@@ -32,3 +32,7 @@
     def at_least_ms(self, now: float) -> int:
         """Return a lower bound of the clock's present time, in milliseconds."""
         return self.reading_ms + int((now - self.received_at) * 1000)
+
+    def latest_before(self, time_ms: int) -> float:
+        """Return the latest monotonic time that was certainly not after a time on the clock."""
+        return self.sent_at + (time_ms - self.reading_ms - 1) / 1000
--- a/pumicespur/view/__init__.py
+++ b/pumicespur/view/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pumicespur.view._view import (
+    EndedWorkers,
     FleetView,
     SeenOwner,
     SeenProcess,
@@ -10,4 +11,4 @@
     newest_reports,
 )
 
-__all__ = ["FleetView", "SeenOwner", "SeenProcess", "SeenReport", "newest_reports"]
+__all__ = ["EndedWorkers", "FleetView", "SeenOwner", "SeenProcess", "SeenReport", "newest_reports"]
--- a/pumicespur/view/_view.py
+++ b/pumicespur/view/_view.py
@@ -62,6 +62,14 @@
     return newest
 
 
+@dataclass(frozen=True)
+class EndedWorkers:
+    """Workers that ran on no instance at a time on the store's clock (ms); 0 for no word."""
+
+    names: frozenset[WorkerName] = frozenset()
+    as_of_ms: int = 0
+
+
 @dataclass
 class FleetView:
     """The known state of the fleet in one process; each part is updated by one task."""
@@ -153,9 +161,20 @@
         None if there is no recent report of a leader. A name covers all incarnations of a worker,
         since the instance is evacuated.
         """
+        newest = self._newest_leader_report(max_age_s)
+        return None if newest is None else {WorkerName(name) for name in newest.evacuations}
+
+    def ended_workers(self, max_age_s: float) -> EndedWorkers:
+        """Return the workers that have ended according to the newest fleet leader."""
+        newest = self._newest_leader_report(max_age_s)
+        if newest is None or not newest.ended_as_of_ms:
+            return EndedWorkers()
+        names = frozenset(WorkerName(name) for name in newest.ended_workers)
+        return EndedWorkers(names, newest.ended_as_of_ms)
+
+    def _newest_leader_report(self, max_age_s: float) -> DutyReport | None:
+        """Return the recent report of the newest fleet leader."""
         now = monotonic()
         fresh = [s.report for s in self.reports.values() if now - s.reported_at <= max_age_s]
         newest = max(fresh, key=lambda report: report.fleet_token, default=None)
-        if newest is None or not newest.fleet_token:
-            return None
-        return {WorkerName(name) for name in newest.evacuations}
+        return newest if newest is not None and newest.fleet_token else None
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -92,6 +92,7 @@
         self.workers_age_s = 0.0
         self.submissions_age_s = 0.0
         self.restarted: list[tuple[WorkerId, bool]] = []
+        self.revoked: list[Any] = []
 
     def known_state(self) -> KnownState:
         """Return state that is fresh unless the test sets ages."""
@@ -124,7 +125,8 @@
         self.restarted.append((worker, leased))
 
     def note_revoked(self, worker: WorkerId, run: Any) -> None:
-        """Do nothing."""
+        """Record the run."""
+        self.revoked.append(run)
 
     def drop_session(self, worker: WorkerId) -> None:
         """Do nothing."""
