A worker that has ended gets no second session while its entry is still listed

Its entry lapses seconds after its end. Until then each change of the list would have opened another session, which polls a worker that is gone. Its starts without a status count as orders that may reach a next incarnation under its name, as after a restart.

The new test fails without the change (0 restarts noted).

--- a/pumicespur/jobs/sessions/_session.py
+++ b/pumicespur/jobs/sessions/_session.py
@@ -304,9 +304,11 @@
             return
         if now - unreachable_since < COMMON_CAUSE_WINDOW_S:
             return
-        for task in self.starts.unconfirmed.tasks:
+        unconfirmed = self.starts.unconfirmed.tasks
+        for task in unconfirmed:
             # The start may still be on its way to a later incarnation at the same address.
             self.owner.note_revoked(self.id, (task.name, task.run))
+        self.owner.note_restart(self.id, leased=bool(unconfirmed))
         self.end("it runs on no instance")
 
     def end(self, reason: str) -> None:
--- a/tests/test_ended_workers.py
+++ b/tests/test_ended_workers.py
@@ -112,6 +112,12 @@
         self.session.end_if_over(ENDED, now, now)
         self.assertEqual([(self.task.name, 1)], self.owner.revoked)
 
+    async def test_no_session_is_opened_again_for_an_entry_that_has_not_lapsed_yet(self) -> None:
+        await self.session._poll(self.broken_at)
+        now = monotonic() + COMMON_CAUSE_WINDOW_S
+        self.session.end_if_over(ENDED, now, now)
+        self.assertEqual([(self.session.id, True)], self.owner.restarted)
+
 
 class OrphanedTasksTest(unittest.TestCase):
     """Tasks whose worker has no session are requeued, each by a time that is known before."""
