A worker's silence is noticed after one revocation without a response

Tasks of a worker that fell silent while an owner revoked its unresolved starts waited for a timeout of each of them before the silence was noticed: 6 s for a dozen starts, and the lease after that.

Cause: a session revokes starts one after the other within the handling of a status, each with a timeout of half a second, and polls only afterwards. Now no other stop follows one without a response.

tests.test_task_states.SilentWorkerTest failed before (12 stops in one poll) and passes now, with tests.test_worker_session and tests.test_incarnations_model (24 passed).

--- a/pumicespur/jobs/sessions/_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -211,12 +211,16 @@
         A stop revokes a run, so that a start that arrives later is refused. The run may have ended
         before the stop, so only a status requested after the stop was confirmed shows that it never
         began. Then the task is requeued.
+
+        After a stop without a response no other is sent, so that the next poll shows soon whether
+        the worker still responds.
         """
+        responds = True
         for task, start in list(self.unresolved.items()):
             if task.run != start.run or task.worker != self.id or (task.name, start.run) in running:
                 self.unresolved.pop(task, None)
             elif start.revoked_at is None and sent_at >= start.since:
-                await self._revoke(task, start)
+                responds = responds and await self._revoke(task, start)
             elif start.revoked_at is not None and sent_at >= start.revoked_at:
                 self.unresolved.pop(task, None)
                 self._note_lost_start(task, start)
@@ -230,14 +234,21 @@
                 task, WorkerLoss(earlier, self.load.instance, sole_suspect=False)
             )
 
-    async def _revoke(self, task: Task, start: UnresolvedStart) -> None:
-        """Revoke a run, so that the worker refuses its start if it arrives later."""
+    async def _revoke(self, task: Task, start: UnresolvedStart) -> bool:
+        """Revoke a run, so that the worker refuses its start if it arrives later.
+
+        Return whether the worker responded.
+        """
         stopped = await self.owner.orders.stop(
             self.load.worker, self.owner.token, task.name, start.run
         )
         if stopped.is_ok():
             start.revoked_at = monotonic()
             self.owner.note_revoked(self.id, (task.name, start.run))
+        match stopped:
+            case Result(error=AnswerLost() | Unavailable()):
+                return False
+        return True
 
     def requeue_if_unchanged(self, task: Task, run: int, reason: str) -> None:
         """Requeue a task unless it has ended or was assigned again since."""
