A worker that responded to its new owner holds no lease of earlier owners for longer than one lease

Long-running tasks of a worker that was lost within 12 s of a takeover, after it had responded to the new owner, waited until all leases of earlier owners had expired, 12 s after the takeover, wherever the list of instances did not tell that the worker had ended.

Cause: the time for which an earlier owner may renew leases behind the store's back counted for workers that obey it no more. Once a worker has responded under the new token, it refuses orders under older ones, so that what earlier owners granted lasts one lease from then on.

--- a/pumicespur/jobs/sessions/_lease.py
+++ b/pumicespur/jobs/sessions/_lease.py
@@ -5,6 +5,9 @@
 import math
 from dataclasses import dataclass
 
+FENCED_LEASE_MARGIN_S = 0.5
+"""Margin on the longest lease that an earlier owner has granted, for late timers."""
+
 
 @dataclass
 class EarlierLeases:
@@ -14,6 +17,9 @@
     """For the previous owner, which may still renew leases of workers that don't fence it yet."""
     older_until: float = 0.0
     """For all owners before the previous one."""
+    of_any_length: bool = False
+    """Whether they may have been granted to another incarnation of the worker, on whose clock they
+    would be shorter."""
 
     @property
     def until(self) -> float:
@@ -41,6 +47,15 @@
         self.clock_ms = clock_ms
         self.last_seen_at = now
 
+    def note_fenced(self, now: float, lease_s: float) -> None:
+        """Note that the worker has responded to this owner, so that it obeys no earlier one.
+
+        What earlier owners granted before that lasts for one lease at most, in seconds.
+        """
+        if not self.earlier.of_any_length:
+            until = now + lease_s / (1 - self.drift) + FENCED_LEASE_MARGIN_S
+            self.earlier = EarlierLeases(min(self.earlier.until, until))
+
     def grant(self, now: float, lease_s: float, at_most_s: float = math.inf) -> int | None:
         """Return a deadline on the worker's clock, or None before its clock is known.
 
--- a/pumicespur/jobs/sessions/_restarts.py
+++ b/pumicespur/jobs/sessions/_restarts.py
@@ -23,6 +23,20 @@
 """Time for which a worker may still execute an order that got no response."""
 
 
+def max_lease_s(settings: WorkerSettings) -> float:
+    """Return how long a worker runs at most after an order, in seconds on the local clock."""
+    return settings.longest_lease_ms / 1000 / (1 - settings.clock_drift)
+
+
+def started_recently(worker: Worker, settings: WorkerSettings) -> bool:
+    """Whether a worker may still run by an order that was meant for its previous incarnation."""
+    start_ms = start_time_ms(worker.id)
+    if start_ms is None:
+        return False
+    recent_s = max_lease_s(settings) + MAX_ORDER_DELAY_S + MAX_CLOCK_DIFFERENCE_S
+    return now_ms() - start_ms < recent_s * 1000
+
+
 class Restarts:
     """Ended incarnations of a pool's workers, and the runs to revoke on their next ones."""
 
@@ -74,7 +88,7 @@
         if worker.name not in self.leased and not self._may_hold_earlier_lease(worker, now):
             return self.earlier
         until = now + self.max_lease_s() + self.settings.call_timeout_s
-        return EarlierLeases(last_until=until, older_until=self.earlier.until)
+        return EarlierLeases(until, self.earlier.until, of_any_length=True)
 
     def _may_hold_earlier_lease(self, worker: Worker, now: float) -> bool:
         """Whether an earlier owner may have sent its last orders to the previous incarnation."""
@@ -85,12 +99,12 @@
 
     def max_lease_s(self) -> float:
         """Return how long a worker runs at most after an order, in seconds on the local clock."""
-        return self.settings.longest_lease_ms / 1000 / (1 - self.settings.clock_drift)
+        return max_lease_s(self.settings)
 
     def take_expired(self, now: float) -> set[WorkerId]:
         """Remove and return the ended incarnations whose last orders can no longer take effect."""
-        max_lease_s = self.max_lease_s()
-        found = {worker for worker, since in self.ended.items() if now - since > max_lease_s}
+        expired_at = now - self.max_lease_s()
+        found = {worker for worker, since in self.ended.items() if since < expired_at}
         for worker in found:
             del self.ended[worker]
         return found
--- a/pumicespur/jobs/sessions/_session.py
+++ b/pumicespur/jobs/sessions/_session.py
@@ -17,6 +17,7 @@
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs.sessions._lease import WorkerLease
+from pumicespur.jobs.sessions._restarts import started_recently
 from pumicespur.jobs.sessions._starts import WorkerStarts
 from pumicespur.jobs.sessions._stops import UnwantedRuns, mark_stalled
 from pumicespur.model import FENCED_REASON, OtherLife, Refused, StartedAgain, WorkerStatus
@@ -151,6 +152,8 @@
             case Result(tag="ok", ok=status):
                 self.failures = 0
                 self._log_inconsistencies(status, last_seen)
+                if self.lease.clock_ms is None and not started_recently(self.load.worker, settings):
+                    self.lease.note_fenced(monotonic(), settings.lease_s)
                 self.lease.note_clock(status.clock_ms, monotonic())
                 await self._apply_status(status, now)
                 return not self.starts.unresolved
