Runs of earlier owners stop counting against an account's limit once their worker has ended

After a takeover, long-running tasks of an account at its limit waited 12 s for runs that were over.

Cause: runs on a worker without a session are given back when its end is known, and its end is only asked for if it has tasks of open jobs; runs left by ended jobs on a worker that is gone counted until all leases of earlier owners had expired. And the inherited run of a worker that had started again counted beside the start that its next incarnation adopted, so twice.

Workers with inherited runs alone are now missed as those with tasks are, so that the fleet leader names them. A status of an incarnation ends the inherited runs of those before it; what it lists itself goes on counting under it.

--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -154,6 +154,20 @@
         if remaining:
             self.inherited[worker] = remaining
 
+    def resolve_earlier_incarnations(self, load: WorkerLoad, running: Container[RunKey]) -> None:
+        """Stop counting inherited runs of incarnations before the one that has responded.
+
+        Runs that this incarnation lists, as it executed their starts late, count as its own.
+        """
+        name, current = load.worker.name, load.worker.id
+        for earlier in [w for w in self.inherited if w != current and worker_name(w) == name]:
+            counted = {(task.name, task.run) for task in load.tasks}
+            keys = [run.key for run in self.inherited[earlier]]
+            listed = {key for key in keys if key in running and key not in counted}
+            self.resolve_inherited(earlier, listed)
+            if listed:
+                self.inherited.setdefault(current, []).extend(self.inherited.pop(earlier))
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration that is in force to the jobs that are known."""
         if configuration.version == self.configuration_version:
--- a/pumicespur/jobs/sessions/_orphaned_tasks.py
+++ b/pumicespur/jobs/sessions/_orphaned_tasks.py
@@ -1,8 +1,8 @@
-"""Tasks that are assigned to a worker without a session, until their runs are certainly over.
+"""Tasks and runs on a worker without a session, until these runs are certainly over.
 
 They are inherited from an earlier owner, or their worker restarted and has not been seen since. No
 answer and no broken connection will tell what became of them, so each has a time at which it is
-requeued.
+requeued, or counts no more if its job has ended.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 
 
 class OrphanedTasks:
-    """The tasks of a pool whose workers have no session, and since when."""
+    """The tasks and inherited runs of a pool whose workers have no session, and since when."""
 
     def __init__(
         self,
@@ -42,12 +42,13 @@
         self.restarts = restarts
         self.earlier = earlier
         self.since: dict[WorkerId, float] = {}
-        """When each worker was first found to have tasks and no session (monotonic seconds)."""
+        """When each worker was first found to have tasks or inherited runs, and no session
+        (monotonic seconds)."""
         self.taken_over_at: float | None = None
         """When tasks were first looked for; those found then are an earlier owner's."""
 
     def names(self) -> list[WorkerName]:
-        """Return the workers with tasks and without a session."""
+        """Return the workers with tasks or inherited runs and without a session."""
         return sorted({worker_name(worker) for worker in self.since})
 
     def requeue_expired(self, now: float) -> bool:
@@ -70,12 +71,13 @@
         found = self._update(now)
         over = [w for w in found if worker_name(w) in ended and self.since[w] <= since]
         self._requeue(found, over, "its worker has ended")
-        for worker in over:
-            self.pool.resolve_inherited(worker)
         return bool(over)
 
     def _update(self, now: float) -> dict[WorkerId, list[Task]]:
-        """Return the tasks by worker; note since when each worker has had no session."""
+        """Return the tasks by worker, with none for workers that have only inherited runs.
+
+        Note since when each worker has had no session.
+        """
         found: dict[WorkerId, list[Task]] = defaultdict(list)
         for job in self.pool.jobs.values():
             if job.ended:
@@ -83,6 +85,10 @@
             for task in job.tasks:
                 if task.worker and task.worker not in self.sessions:
                     found[task.worker].append(task)
+        for worker in self.pool.inherited:
+            if worker not in self.sessions:
+                # Its runs may all be of jobs that have ended; they count against account limits.
+                found.setdefault(worker, [])
         self.since = {worker: self.since.get(worker, now) for worker in found}
         if self.taken_over_at is None:
             self.taken_over_at = now
@@ -104,6 +110,7 @@
             del self.since[worker]
             for task in found[worker]:
                 self._requeue_task(task, worker, reason)
+            self.pool.resolve_inherited(worker)
 
     def _requeue_task(self, task: Task, worker: WorkerId, reason: str) -> None:
         log.info("start undone", job=task.job.id, task=task.name, worker=worker, reason=reason)
--- a/pumicespur/jobs/sessions/_session.py
+++ b/pumicespur/jobs/sessions/_session.py
@@ -212,6 +212,7 @@
                 self.owner.note_end(self.id, end, now)
         running = {(run.task, run.run): run for run in status.running}
         self.owner.pool.resolve_inherited(self.id, running)
+        self.owner.pool.resolve_earlier_incarnations(self.load, running)
         self._update_running_tasks(running, sent_at, now)
         self._note_unknown_runs(running)
         self.starts.unconfirmed.remove_confirmed(self.id, running)
