Long-running tasks that lost their run go first, and a worker is held for those that fit on none

Long-running tasks waited for a place in a full pool after their worker was lost: up to 15 s for one that takes three quarters of a worker, without a bound for one of a less urgent route, and without a bound for one on its last start before its job fails, which has to start quarantined.

Cause: nothing kept capacity for what goes first, so smaller tasks took each place that became free; a worker without free capacity was not reserved for quarantine either. And a step of a less urgent route stood behind the work of others for up to 20 s for each level, however long it had been without a run.

Steps with long-running tasks that lost their runs now come first. If one of these tasks fits on no worker, the worker with the least capacity to become free takes nothing else in that round; as that never grows, the task starts when the short tasks there have ended. Tasks that never ran, that fit no worker, that their account's limit stops, and gangs hold none.

tests.test_task_states.FreeCapacityTest: four of seven failed before (no start within 60 rounds), all pass now (9 rounds at most, 2 for the less urgent one, 14 for the quarantined one); with test_jobs, test_feasibility, test_placement, test_same_rack, test_evacuated_placement, test_limits, test_crash_attribution and test_late_work_between_pools 201 passed.

--- a/pumicespur/jobs/_crash_attribution.py
+++ b/pumicespur/jobs/_crash_attribution.py
@@ -90,10 +90,11 @@
     """Whether the rules of quarantine permit a task on a worker."""
     if needs_quarantine(task, now):
         return load.reserved and not has_unproven_tasks(load)
-    return not load.reserved and not _has_quarantined_task(load)
+    return not load.reserved and not has_quarantined_task(load)
 
 
-def _has_quarantined_task(load: WorkerLoad) -> bool:
+def has_quarantined_task(load: WorkerLoad) -> bool:
+    """Whether a worker has a quarantined task that is not proven yet."""
     return any(is_quarantined(task) for task in load.suspected_tasks)
 
 
@@ -117,7 +118,7 @@
         )
     available = [load for load in loads if load.can_accept_tasks(now)]
     slots = max(1, int(MAX_QUARANTINE_RATIO * len(available)))
-    slots -= sum(1 for load in available if _has_quarantined_task(load))
+    slots -= sum(1 for load in available if has_quarantined_task(load))
     for task in waiting:
         if slots <= 0:
             return
@@ -130,7 +131,7 @@
 def _can_quarantine(load: WorkerLoad, task: Task, now: float) -> bool:
     """Whether a worker may be reserved for a task until its other new tasks are proven."""
     group = task.group
-    if load.reserved or _has_quarantined_task(load) or not load.can_take(group, now):
+    if load.reserved or has_quarantined_task(load) or not load.can_take(group, now):
         return False
     if task.spec.same_rack and not group.permits_rack(load.worker.rack):
         return False
--- a/pumicespur/jobs/placement/_placement.py
+++ b/pumicespur/jobs/placement/_placement.py
@@ -17,6 +17,11 @@
     select_going_first,
 )
 from pumicespur.jobs._job import RunStability, TaskState
+from pumicespur.jobs.placement._held_workers import (
+    choose_worker_to_hold,
+    has_lost_runs,
+    must_run_again,
+)
 from pumicespur.jobs.placement._same_rack import choose_in_rack
 from pumicespur.utils import monotonic
 
@@ -42,13 +47,23 @@
 
 
 def order_groups(jobs: Iterable[Job], now_ms: float) -> list[StepGroup]:
-    """Return the groups that are ready to start tasks, the most urgent first."""
+    """Return the groups that are ready to start tasks, the most urgent first.
+
+    Long-running steps that lost runs come before all others.
+    """
     open_jobs = [job for job in jobs if not job.ended]
     groups = [group for job in open_jobs for group in job.ready_groups(now_ms)]
     groups = [group for group in groups if group.waiting()]
     long_overdue = [group for group in groups if is_long_overdue(group, now_ms)]
     going_first = select_going_first(long_overdue, open_jobs, now_ms) if long_overdue else set()
-    return sorted(groups, key=lambda group: _priority_key(group, now_ms, group in going_first))
+    lost = {group for group in groups if has_lost_runs(group)}
+    return sorted(
+        groups,
+        key=lambda group: (
+            group not in lost,
+            _priority_key(group, now_ms, group in going_first or group in lost),
+        ),
+    )
 
 
 def _priority_key(
@@ -87,13 +102,17 @@
         specs = [group.spec for group in groups]
         self.min_cpu_millis = min((0 if s.fills else s.cpu_millis for s in specs), default=0)
         self.min_memory_mb = min((spec.memory_mb for spec in specs), default=0)
+        self.held: list[WorkerLoad] = []
+        """Workers whose free capacity is held for tasks that do not fit yet."""
         self.available = self._find_available()
 
     def _find_available(self) -> list[WorkerLoad]:
         return [
             load
             for load in self.loads
-            if load.can_accept_tasks(self.now) and self._has_free_capacity(load)
+            if load.can_accept_tasks(self.now)
+            and self._has_free_capacity(load)
+            and load not in self.held
         ]
 
     def _has_free_capacity(self, load: WorkerLoad) -> bool:
@@ -130,6 +149,17 @@
         if any(load.hall_evacuated for load in self.loads):
             self.available = self._find_available()
 
+    def hold_for(self, task: Task) -> bool:
+        """Hold a worker for a task that does not fit yet; return whether there is one."""
+        others = [load for load in self.loads if load not in self.held]
+        load = choose_worker_to_hold(task, others, self.now)
+        if load is None:
+            return False
+        self.held.append(load)
+        if load in self.available:
+            self.available.remove(load)
+        return True
+
     def note_assigned(self, load: WorkerLoad) -> None:
         """Remove a worker once nothing more fits on it."""
         if not self._has_free_capacity(load):
@@ -173,6 +203,8 @@
     placed: list[Task] = []
     for task in waiting:
         load = choose_worker(task, candidates)
+        if load is None and _hold_worker(task, candidates, limits):
+            continue
         if load is None and needs_quarantine(task, candidates.now):
             continue
         if load is None:
@@ -186,6 +218,14 @@
     return placed
 
 
+def _hold_worker(task: Task, candidates: Candidates, limits: PoolLimits) -> bool:
+    """Hold a worker for a long-running task that lost its run; return whether one is held."""
+    if not must_run_again(task):
+        return False
+    account = task.job.account
+    return limits.allows(account, task.spec, candidates.now) and candidates.hold_for(task)
+
+
 def _is_packed(group: StepGroup) -> bool:
     spec = group.spec
     return not (spec.fills or spec.long_running or spec.same_rack)
--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -10,15 +10,27 @@
 
 from expression import Error, Result
 
-from pumicespur.jobs._job import TaskState
+from pumicespur.jobs._crash_attribution import LOSS_LIMIT, PROVEN_AFTER_S
+from pumicespur.jobs._job import TaskState, WorkerLoss
 from pumicespur.jobs.placement import assign
 from pumicespur.jobs.sessions import OrphanedTasks, Restarts
 from pumicespur.jobs.sessions._lease import EarlierLeases
 from pumicespur.jobs.sessions._session import WorkerSession
 from pumicespur.jobs.sessions._unconfirmed_starts import UnresolvedStart
-from pumicespur.model import AccountId, ActiveRun, TaskName, WorkerName, worker_id
+from pumicespur.model import (
+    AccountId,
+    ActiveRun,
+    Capacity,
+    ClientAccount,
+    InstanceId,
+    TaskName,
+    WorkerId,
+    WorkerName,
+    worker_id,
+)
 from pumicespur.schema.jobs_pb import (
     JobRecord,
+    JobTerms,
     LeftRun,
     ProgressRecord,
     StepRecord,
@@ -27,7 +39,7 @@
 from pumicespur.store import AnswerLost, ConnectionBroken
 from pumicespur.utils import monotonic, now_ms
 from tests.base import quiet_loop
-from tests.test_jobs import CONFIGURATION, make_record, make_worker, submit
+from tests.test_jobs import CONFIGURATION, finish, make_pool, make_record, make_worker, submit
 from tests.test_worker_session import ScriptedOrders, ScriptedOwner
 
 if TYPE_CHECKING:
@@ -35,6 +47,14 @@
 
 ACCOUNT = AccountId("account")
 
+ROUND_MS = 100
+
+SHORT_ROUNDS = 8
+"""Rounds for which a short task runs."""
+
+MAX_ROUNDS = 60
+"""Rounds after which a task without a run is late: six seconds."""
+
 
 class UnansweredStops(ScriptedOrders):
     """A worker that answers each poll and no stop."""
@@ -179,6 +199,110 @@
         self.assertEqual(0, self.used())
 
 
+class FullPool:
+    """A pool whose workers are full of one-core tasks that end in turn, with more waiting."""
+
+    def __init__(self, workers: int = 2) -> None:
+        self.pool = make_pool(*(make_worker(f"w-{number}") for number in range(workers)))
+        short = StepRecord(count=300, cpu_millis=1000, estimated_ms=SHORT_ROUNDS * ROUND_MS)
+        self.short = submit(self.pool, make_record(short, job="1" * 16))
+        self.round = 0
+        self.ends: dict[Task, int] = {}
+        """In which round each short task that runs ends."""
+
+    def play_round(self) -> list[Task]:
+        """End the short tasks whose time has come and place waiting ones; return these."""
+        for task in [task for task, end in self.ends.items() if end <= self.round]:
+            del self.ends[task]
+            finish(self.pool, task)
+        placed = self.pool.place(self.round * ROUND_MS / 1000, self.round * ROUND_MS)
+        for number, task in enumerate(placed):
+            task.state = TaskState.RUNNING
+            if task.job is self.short:
+                # The first ones end one after the other, so that no two places become free at once.
+                first = task.run == 1 and not self.round
+                self.ends[task] = self.round + (1 + number % 4 if first else SHORT_ROUNDS)
+        self.round += 1
+        return placed
+
+    def lose_long_running(self, record: JobRecord, losses: int = 0) -> list[Task]:
+        """Add a job whose tasks have lost their workers; return the tasks."""
+        job = submit(self.pool, record)
+        for task in job.tasks:
+            task.run = 1
+            for number in range(losses):
+                lost = f"lost-{number}"
+                task.losses.append(WorkerLoss(WorkerId(lost), InstanceId(lost), False))
+        return job.tasks
+
+    def rounds_until_placed(self, tasks: list[Task]) -> int:
+        """Return after how many rounds all tasks run; raise AssertionError if that is too late."""
+        began = self.round
+        while any(task.state is TaskState.WAITING for task in tasks):
+            self.play_round()
+            if self.round - began > MAX_ROUNDS:
+                raise AssertionError("tasks wait for free capacity")
+        return self.round - began
+
+
+class FreeCapacityTest(unittest.TestCase):
+    """Long-running tasks that lost their worker, in a pool that is full."""
+
+    def setUp(self) -> None:
+        self.full = FullPool()
+        for _ in range(SHORT_ROUNDS):
+            self.full.play_round()
+
+    def make_record(self, count: int = 1, cpu_millis: int = 3000, priority: int = 0) -> JobRecord:
+        """Make a long-running job of which each worker takes one task."""
+        step = StepRecord(count=count, cpu_millis=cpu_millis, long_running=True, max_per_worker=1)
+        record = make_record(step)
+        record.accepted_ms = self.full.round * ROUND_MS
+        record.terms = JobTerms(max_attempts=1, stretch=1.0, priority=priority)
+        return record
+
+    def test_smaller_tasks_do_not_take_each_place_that_becomes_free(self) -> None:
+        tasks = self.full.lose_long_running(self.make_record())
+        self.assertLessEqual(self.full.rounds_until_placed(tasks), SHORT_ROUNDS + 1)
+
+    def test_several_tasks_wait_for_their_places_at_the_same_time(self) -> None:
+        tasks = self.full.lose_long_running(self.make_record(count=2))
+        self.assertLessEqual(self.full.rounds_until_placed(tasks), SHORT_ROUNDS + 1)
+
+    def test_more_urgent_tasks_do_not_go_first(self) -> None:
+        tasks = self.full.lose_long_running(self.make_record(cpu_millis=1000, priority=2))
+        self.assertLessEqual(self.full.rounds_until_placed(tasks), 2)
+
+    def test_a_task_on_its_last_start_before_its_job_fails_gets_a_worker(self) -> None:
+        # It had to start quarantined, and no worker ever had free capacity to be reserved for it.
+        tasks = self.full.lose_long_running(self.make_record(), LOSS_LIMIT - 1)
+        bound = SHORT_ROUNDS + 1 + PROVEN_AFTER_S * 1000 / ROUND_MS
+        self.assertLessEqual(self.full.rounds_until_placed(tasks), bound)
+
+    def assert_short_tasks_go_on(self) -> None:
+        """Check that each place that becomes free is taken at once."""
+        for _ in range(2 * SHORT_ROUNDS):
+            self.full.play_round()
+            self.assertEqual(2 * 4, len(self.full.ends))
+
+    def test_a_task_that_fits_no_worker_keeps_none_free(self) -> None:
+        self.full.lose_long_running(self.make_record(cpu_millis=5000))
+        self.assert_short_tasks_go_on()
+
+    def test_a_task_that_its_accounts_limit_stops_keeps_no_worker_free(self) -> None:
+        record = self.make_record()
+        record.account = ACCOUNT
+        limit = ClientAccount(ACCOUNT, 1.0, Capacity(4000, 0))
+        self.full.pool.limits.set_accounts({ACCOUNT: limit})
+        self.full.pool.limits.usage.add(ACCOUNT, StepRecord(cpu_millis=4000), 1)
+        self.full.lose_long_running(record)
+        self.assert_short_tasks_go_on()
+
+    def test_a_task_that_never_ran_keeps_no_worker_free(self) -> None:
+        submit(self.full.pool, self.make_record())
+        self.assert_short_tasks_go_on()
+
+
 class SilentWorkerTest(SessionCase):
     """A worker that falls silent while its session waits within calls."""
 
