A confirmed run that its worker neither lists nor reports as ended is revoked and its task requeued

A long-running task counted as running for good if the end of its run was lost, as when a next incarnation of its worker executed the start and dropped that end, or a short one was sent stops that the worker refused.

Cause: of a confirmed run only its end was waited for. A status that was requested after the confirmation and names neither the run nor its end now makes the start unresolved: a stop revokes it, and its task is requeued if the status after that does not list it either, as for a start without a response. A status with 500 ends may leave out others and proves nothing.

--- a/pumicespur/jobs/sessions/_session.py
+++ b/pumicespur/jobs/sessions/_session.py
@@ -44,6 +44,9 @@
 LEASE_EXPIRY_MARGIN_S = 0.3
 """Extra time after a lease expires, for late timers and for the worker to end its tasks."""
 
+MAX_LISTED_ENDS = 500
+"""Most ends in one status; one with so many may leave out others."""
+
 ACTIVE_PERCENT = 100
 """Progress that a long-running task reports while it works."""
 
@@ -214,6 +217,8 @@
         self.owner.pool.resolve_inherited(self.id, running)
         self.owner.pool.resolve_earlier_incarnations(self.load, running)
         self._update_running_tasks(running, sent_at, now)
+        if len(status.ended) < MAX_LISTED_ENDS:
+            self.starts.doubt_unlisted(running, sent_at)
         self._note_unknown_runs(running)
         self.starts.unconfirmed.remove_confirmed(self.id, running)
         self._update_acknowledged()
--- a/pumicespur/jobs/sessions/_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -16,6 +16,8 @@
 from pumicespur.utils import METRICS, monotonic
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from pumicespur.jobs._job import Task
     from pumicespur.jobs._known_state import KnownState
     from pumicespur.jobs.sessions._interfaces import Session
@@ -205,6 +207,19 @@
         if start is not None and start.ordered_to is not None:
             self.owner.pool.retract_loss(task, start.ordered_to)
 
+    def doubt_unlisted(self, running: Container[tuple[TaskName, int]], sent_at: float) -> None:
+        """Treat confirmed runs as unresolved if a later status neither lists them nor their end.
+
+        `sent_at` is when that status was requested; ends in it have been processed.
+        """
+        for task in self.load.tasks:
+            if not task.is_current_run(self.id, task.run) or task.state is not TaskState.RUNNING:
+                continue
+            if task in self.unresolved or sent_at < task.first_seen_at:
+                continue
+            if (task.name, task.run) not in running:
+                self.unresolved[task] = UnresolvedStart(task.run, monotonic())
+
     async def resolve(self, running: dict[tuple[TaskName, int], ActiveRun], sent_at: float) -> None:
         """Determine whether starts without a response have begun.
 
--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -22,7 +22,9 @@
     ActiveRun,
     Capacity,
     ClientAccount,
+    EndedRun,
     InstanceId,
+    RunEnd,
     TaskName,
     WorkerId,
     WorkerName,
@@ -303,6 +305,48 @@
         self.assert_short_tasks_go_on()
 
 
+class UnlistedRunTest(SessionCase):
+    """A run that its worker confirmed and then neither lists nor reports as ended."""
+
+    async def begin(self) -> Task:
+        """Start a task; the worker confirms it."""
+        task = self.job.tasks[0]
+        assign(task, self.session.load)
+        await self.session.starts.order(task, task.run)
+        return task
+
+    async def test_its_task_does_not_count_as_running_for_good(self) -> None:
+        task = await self.begin()
+        for _ in range(3):
+            await self.poll()
+        self.assertEqual((1, TaskState.WAITING), (self.owner.orders.stops, task.state))
+
+    async def test_it_goes_on_if_a_later_status_lists_it(self) -> None:
+        task = await self.begin()
+        await self.poll()
+        self.owner.orders.running = [ActiveRun(task.name, 1, "", 100, 0.0)]
+        for _ in range(2):
+            await self.poll()
+        self.assertEqual((0, TaskState.RUNNING), (self.owner.orders.stops, task.state))
+
+    async def test_a_status_requested_before_the_start_proves_nothing(self) -> None:
+        requested_at = monotonic()
+        task = await self.begin()
+        await self.session._poll(requested_at)
+        self.assertEqual({}, self.session.starts.unresolved)
+        self.assertIs(TaskState.RUNNING, task.state)
+
+    async def test_a_status_that_may_lack_ends_proves_nothing(self) -> None:
+        task = await self.begin()
+        other = TaskName("2" * 16 + ".0.0.0")
+        self.owner.orders.ends = [
+            EndedRun(number, other, number, RunEnd.DONE, "") for number in range(1, 501)
+        ]
+        for _ in range(3):
+            await self.poll()
+        self.assertEqual((0, TaskState.RUNNING), (self.owner.orders.stops, task.state))
+
+
 class SilentWorkerTest(SessionCase):
     """A worker that falls silent while its session waits within calls."""
 
