A worker that a start did not reach gets no tasks for a second

A long-running task could be sent to the same worker again and again, 1.2 s each time, as long as that worker answered polls and left starts unanswered.

Cause: the least utilized worker is chosen, and one that never runs what it is sent stays that. A worker on which a start had to be revoked now pauses in placement as one that refuses as unhealthy does, so the task goes elsewhere. A start of an earlier owner or for an earlier incarnation says nothing of it.

tests.test_task_states.LostStartTest: two of three failed before (placed on the same worker at once), all pass now; with test_worker_session, test_ended_workers, test_incarnations_model and test_jobs 122 passed.

--- a/pumicespur/jobs/sessions/_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -29,7 +29,7 @@
 """Pause in placement on a worker that refused for lack of capacity; about one stop."""
 
 UNHEALTHY_PAUSE_S = 1.0
-"""Pause in placement on a worker that refused as unhealthy."""
+"""Pause in placement on a worker that refused as unhealthy, or that a start did not reach."""
 
 NO_CAPACITY = "room"
 """Reason of a worker that refuses a start for lack of capacity."""
@@ -239,6 +239,10 @@
             elif start.revoked_at is not None and sent_at >= start.revoked_at:
                 self.unresolved.pop(task, None)
                 self._note_lost_start(task, start)
+                if not task.inherited:
+                    # Otherwise the task may go to this worker each time, as it is hardly utilized.
+                    paused_until = monotonic() + UNHEALTHY_PAUSE_S
+                    self.load.paused_until = max(self.load.paused_until, paused_until)
                 self.requeue_if_unchanged(task, start.run, "start did not arrive")
 
     def _note_lost_start(self, task: Task, start: UnresolvedStart) -> None:
--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -16,6 +16,7 @@
 from pumicespur.jobs.sessions import OrphanedTasks, Restarts
 from pumicespur.jobs.sessions._lease import EarlierLeases
 from pumicespur.jobs.sessions._session import WorkerSession
+from pumicespur.jobs.sessions._starts import UNHEALTHY_PAUSE_S
 from pumicespur.jobs.sessions._unconfirmed_starts import UnresolvedStart
 from pumicespur.model import (
     AccountId,
@@ -305,6 +306,38 @@
         self.assert_short_tasks_go_on()
 
 
+class LostStartTest(SessionCase):
+    """A start that did not arrive at a worker which answers polls."""
+
+    async def resolve(self) -> None:
+        """Poll until the start is revoked and its task waits again."""
+        for _ in range(2):
+            await self.poll()
+        self.assertIs(TaskState.WAITING, self.job.tasks[0].state)
+
+    async def test_its_task_is_placed_on_another_worker(self) -> None:
+        # The same worker was the least utilized each time, as it never ran what it was sent.
+        self.owner.pool.add_worker(make_worker("x")).reachable = True
+        self.lose_answer(self.job.tasks[0])
+        await self.resolve()
+        (placed,) = self.owner.pool.place(monotonic(), 0.0)
+        self.assertEqual(WorkerId("x"), placed.worker)
+
+    async def test_the_worker_is_used_again_after_a_while(self) -> None:
+        self.lose_answer(self.job.tasks[0])
+        await self.resolve()
+        self.assertEqual([], self.owner.pool.place(monotonic(), 0.0))
+        (placed,) = self.owner.pool.place(monotonic() + UNHEALTHY_PAUSE_S, 0.0)
+        self.assertEqual(self.session.id, placed.worker)
+
+    async def test_a_start_of_an_earlier_owner_says_nothing_of_the_worker(self) -> None:
+        task = self.job.tasks[0]
+        task.run = 1
+        self.session.starts.adopt(task, monotonic())
+        await self.resolve()
+        self.assertEqual([task], self.owner.pool.place(monotonic(), 0.0))
+
+
 class UnlistedRunTest(SessionCase):
     """A run that its worker confirmed and then neither lists nor reports as ended."""
 
