The members of a gang are stopped when one of them has lost its worker

A gang starts as a whole, so a member that had lost its worker waited until all others had ended. Nothing of ours ended them: stops were only sent when a start was undone, once each.

A member that ended with its gang may be sent one stop too many.

--- a/pumicespur/jobs/sessions/_stops.py
+++ b/pumicespur/jobs/sessions/_stops.py
@@ -1,4 +1,4 @@
-"""Which runs on a worker are stopped: unwanted ones and stalled ones."""
+"""Which runs on a worker are stopped: unwanted ones, those of broken gangs, and stalled ones."""
 
 from __future__ import annotations
 
@@ -36,6 +36,15 @@
     return now - task.progressed_at > timeout_s
 
 
+def is_gang_broken(task: Task) -> bool:
+    """Whether a task runs in a gang of which a member waits, so that all have to start again."""
+    return task.spec.gang and any(other.state is TaskState.WAITING for other in task.group.tasks)
+
+
+def _is_wanted(task: Task, load: WorkerLoad, run: int) -> bool:
+    return task.is_current_run(load.worker.id, run) and not is_gang_broken(task)
+
+
 def mark_stalled(load: WorkerLoad, now: float) -> list[Task]:
     """Return stalled tasks, marked as stopping; they continue elsewhere from their checkpoint."""
     chosen = [
@@ -50,7 +59,7 @@
 
 @dataclass
 class UnwantedRuns:
-    """Unwanted runs on one worker: cancelled, failed or replaced ones."""
+    """Unwanted runs on one worker: cancelled, failed or replaced ones, and parts of gangs."""
 
     stops: dict[tuple[TaskName, int], float] = field(default_factory=dict)
     """When each was last ordered to stop (monotonic seconds)."""
@@ -66,7 +75,7 @@
         chosen = []
         for name, run in running:
             task = pool.find_task(name)
-            if task is not None and task.is_current_run(load.worker.id, run):
+            if task is not None and _is_wanted(task, load, run):
                 continue
             if now - self.stops.get((name, run), float("-inf")) < STOP_RETRY_DELAY_S:
                 continue
--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -306,6 +306,45 @@
         self.assert_short_tasks_go_on()
 
 
+class RecordingOwner(ScriptedOwner):
+    """A pool's owner that records what it is asked to run concurrently."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.spawned: list[tuple[Any, ...]] = []
+
+    def spawn(self, function: Any, *arguments: Any) -> None:
+        """Record the call."""
+        self.spawned.append(arguments)
+
+
+class BrokenGangTest(unittest.IsolatedAsyncioTestCase):
+    """A gang that lost one member, while the others are at work."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.owner = RecordingOwner()
+        sessions = [
+            WorkerSession(self.owner, make_worker(name), EarlierLeases(0.0)) for name in ("v", "w")
+        ]
+        job = submit(self.owner.pool, make_record(StepRecord(count=2, cpu_millis=100, gang=True)))
+        for task, session in zip(job.tasks, sessions, strict=True):
+            assign(task, session.load)
+            session.starts.confirm(task)
+        self.lost, self.other = job.tasks
+        self.lost_session, self.session = sessions
+        self.owner.orders.running = [ActiveRun(self.other.name, 1, "", 0, 0.0)]
+
+    async def test_the_others_are_stopped_so_that_it_starts_again(self) -> None:
+        self.lost_session.end("its instance runs another worker")
+        await self.session._poll(monotonic())
+        self.assertEqual([(self.other.name, 1)], [call[:2] for call in self.owner.spawned])
+
+    async def test_a_whole_gang_goes_on(self) -> None:
+        await self.session._poll(monotonic())
+        self.assertEqual([], self.owner.spawned)
+
+
 class LostStartTest(SessionCase):
     """A start that did not arrive at a worker which answers polls."""
 
