Long-running tasks that lost their run may start on workers that are left out after failures

A long-running task that lost its worker in a pool with little work waited up to 16 s, because a job whose tasks all failed had left out every other worker.

Cause: a worker is left out after three failures in a row, each time for twice as long, and its successes alone end that; nothing bounds how many workers are left out. If no worker takes a long-running task that lost its run and none can be held for it, it now goes to one that is left out after failures; short tasks wait as before, and a worker that leaves, is unreachable or has unknown runs is not used.

--- a/pumicespur/jobs/placement/_held_workers.py
+++ b/pumicespur/jobs/placement/_held_workers.py
@@ -1,14 +1,18 @@
-"""Workers whose free capacity is held for long-running tasks that lost theirs.
+"""Where long-running tasks that lost their worker go if none takes them at once.
 
-Without it, smaller tasks take each place that becomes free, and a larger one waits as long as the
-pool is full.
+A worker is held for them: otherwise smaller tasks take each place that becomes free, and a larger
+one waits as long as the pool is full. If none can be held, workers left out after failures will do.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from pumicespur.jobs._crash_attribution import has_quarantined_task, needs_quarantine
+from pumicespur.jobs._crash_attribution import (
+    has_quarantined_task,
+    needs_quarantine,
+    quarantine_allows,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -48,6 +52,21 @@
     )
 
 
+def takes_after_failures(load: WorkerLoad, task: Task, now: float) -> bool:
+    """Whether a worker that is left out after failures can take a task.
+
+    A job whose tasks all fail may leave out all workers of a pool.
+    """
+    return (
+        load.is_ejected(now)
+        and load.fits(task.spec)
+        and load.meets_constraints(task.group)
+        and quarantine_allows(load, task, now)
+        and (not task.spec.same_rack or task.group.permits_rack(load.worker.rack))
+        and (not task.job.needs_tickets or bool(task.group.ticket(load.worker.id, now)))
+    )
+
+
 def _can_hold(load: WorkerLoad, task: Task, now: float) -> bool:
     group = task.group
     if not load.can_accept_tasks(now) or not load.meets_constraints(group):
--- a/pumicespur/jobs/placement/_placement.py
+++ b/pumicespur/jobs/placement/_placement.py
@@ -21,6 +21,7 @@
     choose_worker_to_hold,
     has_lost_runs,
     must_run_again,
+    takes_after_failures,
 )
 from pumicespur.jobs.placement._same_rack import choose_in_rack
 from pumicespur.utils import monotonic
@@ -162,7 +163,7 @@
 
     def note_assigned(self, load: WorkerLoad) -> None:
         """Remove a worker once nothing more fits on it."""
-        if not self._has_free_capacity(load):
+        if load in self.available and not self._has_free_capacity(load):
             self.available.remove(load)
 
 
@@ -177,7 +178,7 @@
     candidates = Candidates(loads, groups, now, spread_halls)
     placed: list[Task] = []
     for group in groups:
-        if not candidates.available:
+        if not candidates.available and not has_lost_runs(group):
             break
         placed += _place_group(group, candidates, limits)
     return placed
@@ -203,8 +204,10 @@
     placed: list[Task] = []
     for task in waiting:
         load = choose_worker(task, candidates)
-        if load is None and _hold_worker(task, candidates, limits):
-            continue
+        if load is None and must_run_again(task):
+            if _hold_worker(task, candidates, limits):
+                continue
+            load = _choose_after_failures(task, candidates)
         if load is None and needs_quarantine(task, candidates.now):
             continue
         if load is None:
@@ -219,13 +222,21 @@
 
 
 def _hold_worker(task: Task, candidates: Candidates, limits: PoolLimits) -> bool:
-    """Hold a worker for a long-running task that lost its run; return whether one is held."""
-    if not must_run_again(task):
-        return False
+    """Hold a worker for a task that its account's limit permits; return whether one is held."""
     account = task.job.account
     return limits.allows(account, task.spec, candidates.now) and candidates.hold_for(task)
 
 
+def _choose_after_failures(task: Task, candidates: Candidates) -> WorkerLoad | None:
+    """Return the best worker among those that are left out after failures, or None."""
+    eligible = [
+        load for load in candidates.loads if takes_after_failures(load, task, candidates.now)
+    ]
+    if not eligible:
+        return None
+    return _choose_spread_out(task.group, eligible, candidates)
+
+
 def _is_packed(group: StepGroup) -> bool:
     spec = group.spec
     return not (spec.fills or spec.long_running or spec.same_rack)
--- a/pumicespur/jobs/sessions/_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -173,7 +173,9 @@
             return "the worker's room has shrunk"
         if self.load.hall_evacuated:
             return "its data hall is evacuated"
-        if not self.load.can_accept_tasks(now):
+        # A long-running task may be placed on a worker that is left out after failures.
+        is_permitted = task.spec.long_running and self.load.is_ejected(now)
+        if not self.load.can_accept_tasks(now) and not is_permitted:
             return "the worker takes no more tasks"
         if not self.load.has_label(task.spec):
             return "the worker has another label"
--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -12,6 +12,7 @@
 
 from pumicespur.jobs._crash_attribution import LOSS_LIMIT, PROVEN_AFTER_S
 from pumicespur.jobs._job import TaskState, WorkerLoss
+from pumicespur.jobs._worker_load import MIN_EJECT_FAILURES
 from pumicespur.jobs.placement import assign
 from pumicespur.jobs.sessions import OrphanedTasks, Restarts
 from pumicespur.jobs.sessions._lease import EarlierLeases
@@ -306,6 +307,62 @@
         self.assert_short_tasks_go_on()
 
 
+class EjectedWorkersTest(unittest.IsolatedAsyncioTestCase):
+    """A long-running task that lost its run, beside workers that are left out after failures."""
+
+    def setUp(self) -> None:
+        self.pool = make_pool(*(make_worker(name) for name in ("w-0", "w-1")))
+        record = make_record(StepRecord(count=1, cpu_millis=1000, long_running=True))
+        (self.task,) = submit(self.pool, record).tasks
+        self.task.run = 1
+
+    def eject(self, *names: str) -> None:
+        """Let a worker fail several tasks in a row."""
+        for name in names:
+            for _ in range(MIN_EJECT_FAILURES):
+                self.pool.loads[WorkerId(name)].note_result(False, 0.0)
+
+    def test_it_starts_although_all_are_left_out(self) -> None:
+        # A job whose tasks all failed left out all workers of an idle pool, for 16 s at last.
+        self.eject("w-0", "w-1")
+        self.assertEqual([self.task], self.pool.place(0.1, 100.0))
+
+    def test_a_worker_without_failures_is_preferred(self) -> None:
+        self.eject("w-0")
+        (placed,) = self.pool.place(0.1, 100.0)
+        self.assertEqual(WorkerId("w-1"), placed.worker)
+
+    def test_a_full_worker_without_failures_is_waited_for(self) -> None:
+        self.eject("w-0")
+        short = submit(self.pool, make_record(StepRecord(count=1, cpu_millis=4000), job="1" * 16))
+        assign(short.tasks[0], self.pool.loads[WorkerId("w-1")])
+        self.assertEqual([], self.pool.place(0.1, 100.0))
+
+    def test_short_tasks_wait(self) -> None:
+        self.eject("w-0", "w-1")
+        submit(self.pool, make_record(StepRecord(count=1, cpu_millis=1000), job="1" * 16))
+        self.assertEqual([self.task], self.pool.place(0.1, 100.0))
+
+    def test_a_worker_that_leaves_is_not_used(self) -> None:
+        self.eject("w-0", "w-1")
+        for load in self.pool.loads.values():
+            load.evacuating = True
+        self.assertEqual([], self.pool.place(0.1, 100.0))
+
+    async def test_its_start_is_not_withheld(self) -> None:
+        quiet_loop()
+        owner = ScriptedOwner()
+        session = WorkerSession(owner, make_worker("w"), EarlierLeases(0.0))
+        await session._poll(monotonic())
+        for _ in range(MIN_EJECT_FAILURES):
+            session.load.note_result(False, monotonic())
+        job = submit(owner.pool, make_record(StepRecord(count=1, long_running=True)))
+        job.tasks[0].run = 1
+        (task,) = owner.pool.place(monotonic(), 0.0)
+        await session.starts.order(task, task.run)
+        self.assertIs(TaskState.RUNNING, task.state)
+
+
 class RecordingOwner(ScriptedOwner):
     """A pool's owner that records what it is asked to run concurrently."""
 
