A task with a worker reserved for its quarantined start holds no other worker

tests.test_task_states.FreeCapacityTest.test_a_task_with_a_reserved_worker_keeps_no_other_free failed before (seven of eight places taken) and passes now; all 33 of the module pass.

--- a/pumicespur/jobs/placement/_held_workers.py
+++ b/pumicespur/jobs/placement/_held_workers.py
@@ -15,7 +15,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from pumicespur.jobs._job import StepGroup, Task
     from pumicespur.jobs._worker_load import WorkerLoad
@@ -38,12 +38,16 @@
     return any(must_run_again(task) for task in group.waiting())
 
 
-def choose_worker_to_hold(task: Task, loads: Iterable[WorkerLoad], now: float) -> WorkerLoad | None:
+def choose_worker_to_hold(task: Task, loads: Sequence[WorkerLoad], now: float) -> WorkerLoad | None:
     """Return the worker that can soonest take a task that now fits on none; None if none ever can.
 
     Long-running tasks stay where they are, all others end. It is the worker with the least capacity
     to become free: as nothing else starts there, that never grows from one round to the next.
     """
+    if needs_quarantine(task, now) and any(
+        load.reserved and load.can_take(task.group, now) for load in loads
+    ):
+        return None
     found = [load for load in loads if _can_hold(load, task, now)]
     return min(
         found,
--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -302,6 +302,16 @@
         self.full.lose_long_running(record)
         self.assert_short_tasks_go_on()
 
+    def test_a_task_with_a_reserved_worker_keeps_no_other_free(self) -> None:
+        # It waits there until other new tasks are proven.
+        reserved = self.full.pool.add_worker(make_worker("reserved"))
+        reserved.reachable = True
+        new = submit(self.full.pool, make_record(StepRecord(count=1, cpu_millis=100), job="2" * 16))
+        assign(new.tasks[0], reserved)
+        tasks = self.full.lose_long_running(self.make_record(), LOSS_LIMIT - 1)
+        self.assert_short_tasks_go_on()
+        self.assertEqual([TaskState.WAITING], [task.state for task in tasks])
+
     def test_a_task_that_never_ran_keeps_no_worker_free(self) -> None:
         submit(self.full.pool, self.make_record())
         self.assert_short_tasks_go_on()
