--- a/pumicespur/jobs/_worker_load.py
+++ b/pumicespur/jobs/_worker_load.py
@@ -135,15 +135,6 @@
         """Whether the worker can be given tasks now."""
         return self.is_open and not self.has_unknown_runs and now >= self.paused_until
 
-    def is_ejected(self, now: float) -> bool:
-        """Whether the worker would be given tasks now but for failures of earlier ones."""
-        return (
-            self.is_open
-            and not self.has_unknown_runs
-            and self.ejections > 0
-            and now < self.paused_until
-        )
-
     def note_cold(self, worker: Worker, now: float, *, is_new: bool) -> None:
         """Apply for how long an entry says that the worker is cold.
 
--- a/pumicespur/jobs/placement/_held_workers.py
+++ b/pumicespur/jobs/placement/_held_workers.py
@@ -56,13 +56,19 @@
     )
 
 
+def is_ejected(load: WorkerLoad, now: float) -> bool:
+    """Whether a worker would be given tasks now but for failures of earlier ones."""
+    is_usable = load.is_open and not load.has_unknown_runs
+    return is_usable and load.ejections > 0 and now < load.paused_until
+
+
 def takes_after_failures(load: WorkerLoad, task: Task, now: float) -> bool:
     """Whether a worker that is left out after failures can take a task.
 
     A job whose tasks all fail may leave out all workers of a pool.
     """
     return (
-        load.is_ejected(now)
+        is_ejected(load, now)
         and load.fits(task.spec)
         and load.meets_constraints(task.group)
         and quarantine_allows(load, task, now)
--- a/pumicespur/jobs/sessions/_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -10,6 +10,7 @@
 from pumicespur.jobs._job import TaskState, WorkerLoss
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs._known_state import start_timeout_s
+from pumicespur.jobs.placement import is_ejected
 from pumicespur.jobs.sessions._unconfirmed_starts import UnconfirmedStarts, UnresolvedStart
 from pumicespur.model import FENCED_REASON, OtherLife, Refused, StartOrder
 from pumicespur.store import AnswerLost, Unavailable
@@ -174,7 +175,7 @@
         if self.load.hall_evacuated:
             return "its data hall is evacuated"
         # A long-running task may be placed on a worker that is left out after failures.
-        is_permitted = task.spec.long_running and self.load.is_ejected(now)
+        is_permitted = task.spec.long_running and is_ejected(self.load, now)
         if not self.load.can_accept_tasks(now) and not is_permitted:
             return "the worker takes no more tasks"
         if not self.load.has_label(task.spec):
