--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -10,7 +10,9 @@
 
 from expression import Error, Result
 
+from pumicespur.jobs import Ownership, PoolOwner
 from pumicespur.jobs._crash_attribution import LOSS_LIMIT, PROVEN_AFTER_S
+from pumicespur.jobs._demand import MIN_WORKERS
 from pumicespur.jobs._job import TaskState, WorkerLoss
 from pumicespur.jobs._worker_load import MIN_EJECT_FAILURES
 from pumicespur.jobs.placement import assign
@@ -42,8 +44,9 @@
 )
 from pumicespur.store import AnswerLost, ConnectionBroken
 from pumicespur.utils import monotonic, now_ms
-from tests.base import quiet_loop
-from tests.test_jobs import CONFIGURATION, finish, make_pool, make_record, make_worker, submit
+from pumicespur.view import FleetView
+from tests.base import default_settings, quiet_loop
+from tests.test_jobs import CONFIGURATION, POOL, finish, make_pool, make_record, make_worker, submit
 from tests.test_worker_session import ScriptedOrders, ScriptedOwner
 
 if TYPE_CHECKING:
@@ -373,6 +376,42 @@
         self.assertIs(TaskState.RUNNING, task.state)
 
 
+class EmptyPoolTest(unittest.TestCase):
+    """What the owner of a pool without any worker requests from the fleet leader."""
+
+    def setUp(self) -> None:
+        nothing: Any = None
+        self.owner = PoolOwner(
+            default_settings(),
+            FleetView(),
+            nothing,
+            nothing,
+            Ownership(POOL, 1, "incarnation", monotonic()),
+            EarlierLeases(0.0),
+            lambda: None,
+        )
+
+    def requested_workers(self) -> tuple[int, int]:
+        report = self.owner.report()
+        return report.busy_workers, report.wanted_workers
+
+    def test_work_of_a_pool_that_lost_all_workers_is_given_some(self) -> None:
+        # It requested none, so its tasks had no run until the pool's next peak.
+        step = StepRecord(count=1, cpu_millis=1000, long_running=True)
+        submit(self.owner.pool, make_record(step))
+        self.assertEqual((MIN_WORKERS, MIN_WORKERS), self.requested_workers())
+
+    def test_a_widely_spread_step_is_given_a_worker_for_each_task(self) -> None:
+        step = StepRecord(count=9, cpu_millis=1000, long_running=True, max_per_worker=1)
+        submit(self.owner.pool, make_record(step))
+        self.assertEqual((10, 10), self.requested_workers())
+
+    def test_a_pool_without_work_is_given_none(self) -> None:
+        job = submit(self.owner.pool, make_record(StepRecord(count=1, cpu_millis=1000)))
+        self.owner.pool.cancel(job)
+        self.assertEqual((0, 0), self.requested_workers())
+
+
 class RecordingOwner(ScriptedOwner):
     """A pool's owner that records what it is asked to run concurrently."""
 
