An unreachable worker with runs of ended jobs alone is asked for as well

The second half of the fault with runs of earlier owners: a worker that is still listed has a session, and reports name it as unreachable only with its tasks, of which it has none if the jobs of its runs have ended. These runs counted against their account's limit until all leases of earlier owners had expired.

--- a/pumicespur/jobs/sessions/_orphaned_tasks.py
+++ b/pumicespur/jobs/sessions/_orphaned_tasks.py
@@ -48,8 +48,16 @@
         """When tasks were first looked for; those found then are an earlier owner's."""
 
     def names(self) -> list[WorkerName]:
-        """Return the workers with tasks or inherited runs and without a session."""
-        return sorted({worker_name(worker) for worker in self.since})
+        """Return the workers with tasks or inherited runs whose end nobody here will notice.
+
+        They have no session, or one with inherited runs that does not reach them.
+        """
+        unreachable = [worker for worker in self.pool.inherited if self._is_unreachable(worker)]
+        return sorted({worker_name(worker) for worker in (*self.since, *unreachable)})
+
+    def _is_unreachable(self, worker: WorkerId) -> bool:
+        load = self.pool.loads.get(worker)
+        return load is not None and not load.reachable
 
     def requeue_expired(self, now: float) -> bool:
         """Requeue tasks whose workers hold no lease any more; return whether there were any."""
--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -181,10 +181,11 @@
         await session._poll(monotonic())
         self.assertEqual(0, self.used())
 
-    def make_orphans(self) -> OrphanedTasks:
+    def make_orphans(self, *sessions: WorkerSession) -> OrphanedTasks:
         """Look for tasks and runs without a session, as their owner does after a takeover."""
         restarts = Restarts(self.owner.settings.workers, self.earlier)
-        orphans = OrphanedTasks(self.pool, set(), restarts, self.earlier)
+        ids = {session.id for session in sessions}
+        orphans = OrphanedTasks(self.pool, ids, restarts, self.earlier)
         orphans.requeue_expired(monotonic())
         return orphans
 
@@ -198,6 +199,17 @@
         self.assertTrue(orphans.requeue_ended({WorkerName("gone")}, now, now))
         self.assertEqual(1000, self.used())
 
+    async def test_a_listed_worker_with_runs_of_ended_jobs_alone_is_missed(self) -> None:
+        left = LeftRun(task="2" * 16 + ".0.0.0", run=1, worker="silent", cpu_millis=500)
+        self.pool.add_inherited_run(ACCOUNT, left)
+        session = WorkerSession(self.owner, make_worker("silent"), self.earlier)
+        self.owner.orders.faults = [ConnectionBroken("closed")]
+        await session._poll(monotonic())
+        orphans = self.make_orphans(session)
+        self.assertIn(WorkerName("silent"), orphans.names())
+        session.load.reachable = True
+        self.assertNotIn(WorkerName("silent"), orphans.names())
+
     async def test_runs_on_a_worker_that_never_comes_count_until_all_leases_expire(self) -> None:
         orphans = self.make_orphans()
         self.assertFalse(orphans.requeue_expired(self.earlier.until))
