--- a/tests/test_task_states.py
+++ b/tests/test_task_states.py
@@ -8,9 +8,10 @@
 import unittest
 from typing import TYPE_CHECKING, Any
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from pumicespur.jobs import Ownership, PoolOwner
+from pumicespur.jobs._advice_client import AdviceClient
 from pumicespur.jobs._crash_attribution import LOSS_LIMIT, PROVEN_AFTER_S
 from pumicespur.jobs._demand import MIN_WORKERS
 from pumicespur.jobs._job import TaskState, WorkerLoss
@@ -424,6 +425,30 @@
         self.assertEqual((0, 0), self.requested_workers())
 
 
+class NoTickets:
+    """An advice service that issues no ticket."""
+
+    async def request_tickets(self, *arguments: Any) -> Result[Any, Any]:
+        """Return no ticket."""
+        return Ok(({}, 1.0))
+
+
+class TicketTest(unittest.IsolatedAsyncioTestCase):
+    """Steps that wait for tickets of the advice service."""
+
+    async def test_a_step_that_gets_no_tickets_does_not_hold_up_the_others(self) -> None:
+        orders: Any = NoTickets()
+        pool = make_pool(make_worker("w"))
+        for job in ("1" * 16, "2" * 16):
+            step = StepRecord(count=1, cpu_millis=1000)
+            submit(pool, make_record(step, job=job)).needs_tickets = True
+        client = AdviceClient(pool, orders)
+        first = client._next_group()
+        assert first is not None
+        await client._request_tickets(first)
+        self.assertIsNot(first, client._next_group())
+
+
 class RecordingOwner(ScriptedOwner):
     """A pool's owner that records what it is asked to run concurrently."""
 
