--- a/pumicespur/jobs/sessions/_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -233,12 +233,12 @@
         After a stop without a response no other is sent, so that the next poll shows soon whether
         the worker still responds.
         """
-        responds = True
+        is_silent = False
         for task, start in list(self.unresolved.items()):
             if task.run != start.run or task.worker != self.id or (task.name, start.run) in running:
                 self.unresolved.pop(task, None)
             elif start.revoked_at is None and sent_at >= start.since:
-                responds = responds and await self._revoke(task, start)
+                is_silent = is_silent or await self._revoke(task, start)
             elif start.revoked_at is not None and sent_at >= start.revoked_at:
                 self.unresolved.pop(task, None)
                 self._note_lost_start(task, start)
@@ -259,7 +259,7 @@
     async def _revoke(self, task: Task, start: UnresolvedStart) -> bool:
         """Revoke a run, so that the worker refuses its start if it arrives later.
 
-        Return whether the worker responded.
+        Return whether the worker did not respond.
         """
         stopped = await self.owner.orders.stop(
             self.load.worker, self.owner.token, task.name, start.run
@@ -269,8 +269,8 @@
             self.owner.note_revoked(self.id, (task.name, start.run))
         match stopped:
             case Result(error=AnswerLost() | Unavailable()):
-                return False
-        return True
+                return True
+        return False
 
     def requeue_if_unchanged(self, task: Task, run: int, reason: str) -> None:
         """Requeue a task unless it has ended or was assigned again since."""
