--- a/pumicespur/jobs/sessions/_session.py
+++ b/pumicespur/jobs/sessions/_session.py
@@ -17,6 +17,7 @@
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs.sessions._lease import WorkerLease
+from pumicespur.jobs.sessions._restarts import started_recently
 from pumicespur.jobs.sessions._starts import WorkerStarts
 from pumicespur.jobs.sessions._stops import UnwantedRuns, mark_stalled
 from pumicespur.model import FENCED_REASON, OtherLife, Refused, StartedAgain, WorkerStatus
@@ -43,6 +44,9 @@
 LEASE_EXPIRY_MARGIN_S = 0.3
 """Extra time after a lease expires, for late timers and for the worker to end its tasks."""
 
+MAX_LISTED_ENDS = 500
+"""Most ends in one status; one with so many may leave out others."""
+
 ACTIVE_PERCENT = 100
 """Progress that a long-running task reports while it works."""
 
@@ -151,6 +155,8 @@
             case Result(tag="ok", ok=status):
                 self.failures = 0
                 self._log_inconsistencies(status, last_seen)
+                if self.lease.clock_ms is None and not started_recently(self.load.worker, settings):
+                    self.lease.note_fenced(monotonic(), settings.lease_s)
                 self.lease.note_clock(status.clock_ms, monotonic())
                 await self._apply_status(status, now)
                 return not self.starts.unresolved
@@ -209,7 +215,10 @@
                 self.owner.note_end(self.id, end, now)
         running = {(run.task, run.run): run for run in status.running}
         self.owner.pool.resolve_inherited(self.id, running)
+        self.owner.pool.resolve_earlier_incarnations(self.load, running)
         self._update_running_tasks(running, sent_at, now)
+        if len(status.ended) < MAX_LISTED_ENDS:
+            self.starts.doubt_unlisted(running, sent_at)
         self._note_unknown_runs(running)
         self.starts.unconfirmed.remove_confirmed(self.id, running)
         self._update_acknowledged()
--- a/pumicespur/jobs/sessions/_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -10,12 +10,15 @@
 from pumicespur.jobs._job import TaskState, WorkerLoss
 from pumicespur.jobs._journal import OwnershipLostError
 from pumicespur.jobs._known_state import start_timeout_s
+from pumicespur.jobs.placement import is_ejected
 from pumicespur.jobs.sessions._unconfirmed_starts import UnconfirmedStarts, UnresolvedStart
 from pumicespur.model import FENCED_REASON, OtherLife, Refused, StartOrder
 from pumicespur.store import AnswerLost, Unavailable
 from pumicespur.utils import METRICS, monotonic
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from pumicespur.jobs._job import Task
     from pumicespur.jobs._known_state import KnownState
     from pumicespur.jobs.sessions._interfaces import Session
@@ -27,7 +30,7 @@
 """Pause in placement on a worker that refused for lack of capacity; about one stop."""
 
 UNHEALTHY_PAUSE_S = 1.0
-"""Pause in placement on a worker that refused as unhealthy."""
+"""Pause in placement on a worker that refused as unhealthy, or that a start did not reach."""
 
 NO_CAPACITY = "room"
 """Reason of a worker that refuses a start for lack of capacity."""
@@ -171,7 +174,9 @@
             return "the worker's room has shrunk"
         if self.load.hall_evacuated:
             return "its data hall is evacuated"
-        if not self.load.can_accept_tasks(now):
+        # A long-running task may be placed on a worker that is left out after failures.
+        is_permitted = task.spec.long_running and is_ejected(self.load, now)
+        if not self.load.can_accept_tasks(now) and not is_permitted:
             return "the worker takes no more tasks"
         if not self.load.has_label(task.spec):
             return "the worker has another label"
@@ -205,21 +210,42 @@
         if start is not None and start.ordered_to is not None:
             self.owner.pool.retract_loss(task, start.ordered_to)
 
+    def doubt_unlisted(self, running: Container[tuple[TaskName, int]], sent_at: float) -> None:
+        """Treat confirmed runs as unresolved if a later status neither lists them nor their end.
+
+        `sent_at` is when that status was requested; ends in it have been processed.
+        """
+        for task in self.load.tasks:
+            if not task.is_current_run(self.id, task.run) or task.state is not TaskState.RUNNING:
+                continue
+            if task in self.unresolved or sent_at < task.first_seen_at:
+                continue
+            if (task.name, task.run) not in running:
+                self.unresolved[task] = UnresolvedStart(task.run, monotonic())
+
     async def resolve(self, running: dict[tuple[TaskName, int], ActiveRun], sent_at: float) -> None:
         """Determine whether starts without a response have begun.
 
         A stop revokes a run, so that a start that arrives later is refused. The run may have ended
         before the stop, so only a status requested after the stop was confirmed shows that it never
         began. Then the task is requeued.
+
+        After a stop without a response no other is sent, so that the next poll shows soon whether
+        the worker still responds.
         """
+        is_silent = False
         for task, start in list(self.unresolved.items()):
             if task.run != start.run or task.worker != self.id or (task.name, start.run) in running:
                 self.unresolved.pop(task, None)
             elif start.revoked_at is None and sent_at >= start.since:
-                await self._revoke(task, start)
+                is_silent = is_silent or await self._revoke(task, start)
             elif start.revoked_at is not None and sent_at >= start.revoked_at:
                 self.unresolved.pop(task, None)
                 self._note_lost_start(task, start)
+                if not task.inherited:
+                    # Otherwise the task may go to this worker each time, as it is hardly utilized.
+                    paused_until = monotonic() + UNHEALTHY_PAUSE_S
+                    self.load.paused_until = max(self.load.paused_until, paused_until)
                 self.requeue_if_unchanged(task, start.run, "start did not arrive")
 
     def _note_lost_start(self, task: Task, start: UnresolvedStart) -> None:
@@ -230,14 +256,21 @@
                 task, WorkerLoss(earlier, self.load.instance, sole_suspect=False)
             )
 
-    async def _revoke(self, task: Task, start: UnresolvedStart) -> None:
-        """Revoke a run, so that the worker refuses its start if it arrives later."""
+    async def _revoke(self, task: Task, start: UnresolvedStart) -> bool:
+        """Revoke a run, so that the worker refuses its start if it arrives later.
+
+        Return whether the worker did not respond.
+        """
         stopped = await self.owner.orders.stop(
             self.load.worker, self.owner.token, task.name, start.run
         )
         if stopped.is_ok():
             start.revoked_at = monotonic()
             self.owner.note_revoked(self.id, (task.name, start.run))
+        match stopped:
+            case Result(error=AnswerLost() | Unavailable()):
+                return True
+        return False
 
     def requeue_if_unchanged(self, task: Task, run: int, reason: str) -> None:
         """Requeue a task unless it has ended or was assigned again since."""
