What follows the end of a worker by the list: leases, late starts, lists in a row, unknown states

Where workers have no start time, a worker that came back under its id was left out for ten seconds. - The start of an earlier owner whose worker had ended was not revoked on the next incarnation, so the task could run twice if the start was carried out late. - A session that was over already was judged again, and revoked what its successor had adopted. - Two lists in a row could be 0.15 s apart, within the time by which an entry may be late. They lie 0.3 s apart now, and a worker must be missing from those between them as well. - An instance in a state that is not known counted as down. It now counts as one that may run. - A time on the store's clock that lies in the future no longer outweighs when a worker fell silent.

Not changed: with the list, a worker that closed its connections under one new task counts as crashed by it, also while its entry is still listed; without the list that was so only once the entry had lapsed.

--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -319,7 +319,7 @@
         ended = self.view.ended_workers(MAX_ENDED_WORKERS_AGE_S)
         if not ended.names or not self.table.clock.known:
             return
-        as_of = self.table.clock.latest_before(ended.as_of_ms)
+        as_of = min(now, self.table.clock.latest_before(ended.as_of_ms))
         for session in list(self.sessions.values()):
             session.end_if_over(ended.names, as_of, now)
         if self.orphans.requeue_ended(ended.names, as_of, now):
--- a/pumicespur/jobs/sessions/_orphaned_tasks.py
+++ b/pumicespur/jobs/sessions/_orphaned_tasks.py
@@ -70,14 +70,18 @@
                 self.pool.resolve_inherited(worker)
         return bool(expired)
 
-    def requeue_ended(self, ended: Container[WorkerName], since: float, now: float) -> bool:
+    def requeue_ended(self, ended: Container[WorkerName], as_of: float, now: float) -> bool:
         """Requeue tasks of workers that had ended by a time; return whether there were any.
 
-        `since` is a monotonic time: only workers that were found without a session before it are
+        Only workers that were found without a session before `as_of` (monotonic seconds) are
         judged, so that a later incarnation is not taken for one that has ended.
         """
         found = self._update(now)
-        over = [w for w in found if worker_name(w) in ended and self.since[w] <= since]
+        over = [w for w in found if worker_name(w) in ended and self.since[w] <= as_of]
+        for worker in over:
+            for task in found[worker]:
+                # The start may still be on its way to a later incarnation at the same address.
+                self.restarts.note_revoked(worker, (task.name, task.run), now)
         self._requeue(found, over, "its worker has ended")
         return bool(over)
 
--- a/pumicespur/jobs/sessions/_session.py
+++ b/pumicespur/jobs/sessions/_session.py
@@ -20,7 +20,14 @@
 from pumicespur.jobs.sessions._restarts import started_recently
 from pumicespur.jobs.sessions._starts import WorkerStarts
 from pumicespur.jobs.sessions._stops import UnwantedRuns, mark_stalled
-from pumicespur.model import FENCED_REASON, OtherLife, Refused, StartedAgain, WorkerStatus
+from pumicespur.model import (
+    FENCED_REASON,
+    OtherLife,
+    Refused,
+    StartedAgain,
+    WorkerStatus,
+    start_time_ms,
+)
 from pumicespur.store import AnswerLost, ConnectionBroken, NotListening, Unavailable
 from pumicespur.utils import METRICS, monotonic
 
@@ -309,15 +316,19 @@
         its tasks can have been the cause.
         """
         unreachable_since = self.load.unresponsive_since
-        if self.failures == 0 or unreachable_since > as_of or self.load.worker.name not in ended:
+        if self.gone or self.failures == 0 or self.load.worker.name not in ended:
+            return
+        if unreachable_since > as_of:
             return
         if now - unreachable_since < COMMON_CAUSE_WINDOW_S:
             return
-        unconfirmed = self.starts.unconfirmed.tasks
-        for task in unconfirmed:
+        for task in self.starts.unconfirmed.tasks:
             # The start may still be on its way to a later incarnation at the same address.
             self.owner.note_revoked(self.id, (task.name, task.run))
-        self.owner.note_restart(self.id, leased=bool(unconfirmed))
+        if start_time_ms(self.id) is not None:
+            # Without a start time, a later incarnation has the same id. The call that failed first
+            # carried a deadline, which may reach a later incarnation.
+            self.owner.note_restart(self.id, leased=True)
         self.end("it runs on no instance")
 
     def end(self, reason: str) -> None:
--- a/pumicespur/maintenance/_ended_workers.py
+++ b/pumicespur/maintenance/_ended_workers.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
 
 from pumicespur.model import InstanceState, WorkerName
 
@@ -16,45 +17,60 @@
     from pumicespur.model import Instance
     from pumicespur.schema.jobs_pb import PoolReport
 
+MIN_LIST_DISTANCE_S = 0.3
+"""Shortest time between two lists that are compared. An instance may be left out while the list
+changes, or appear late; two lists within that time may lack it for the same reason."""
 
-class EndedWorkers:
-    """The workers that ran on no instance in two lists in a row.
+RUNNING_STATES = frozenset({InstanceState.UP, InstanceState.UNKNOWN})
+"""States of instances whose worker may run."""
+
+
+class ListedWorkers(NamedTuple):
+    """The workers that may run by one list of instances."""
+
+    requested_at: float
+    """In monotonic seconds."""
+    names: frozenset[WorkerName]
 
-    One list is not enough: an instance may be left out of a page while the list changes.
-    """
+
+class EndedWorkers:
+    """The workers that ran on no instance in two lists, nor in any between them."""
 
     def __init__(self) -> None:
-        self.running: frozenset[WorkerName] = frozenset()
-        """Workers on instances that are up, in the newest list or the one before."""
-        self.newest: frozenset[WorkerName] = frozenset()
-        """Workers on instances that are up, in the newest list."""
-        self.as_of: float | None = None
-        """When the older of the two lists was requested (monotonic seconds); None before there are
-        two."""
-        self.listed_at: float | None = None
-        """When the newest list was requested (monotonic seconds)."""
+        self.lists: deque[ListedWorkers] = deque()
+        """The newest list that is old enough to be compared, and all later ones."""
 
     def note_list(self, instances: Iterable[Instance], requested_at: float) -> None:
         """Note a complete list of instances."""
-        listed = frozenset(
+        names = frozenset(
             instance.worker
             for instance in instances
-            if instance.worker is not None and instance.state is InstanceState.UP
+            if instance.worker is not None and instance.state in RUNNING_STATES
         )
-        self.running = self.newest | listed
-        self.newest = listed
-        self.as_of = self.listed_at
-        self.listed_at = requested_at
+        self.lists.append(ListedWorkers(requested_at, names))
+        while len(self.lists) > 1 and self._is_old(self.lists[1]):
+            self.lists.popleft()
+
+    def _is_old(self, listed: ListedWorkers) -> bool:
+        return self.lists[-1].requested_at - listed.requested_at >= MIN_LIST_DISTANCE_S
+
+    @property
+    def as_of(self) -> float | None:
+        """Return when the oldest list was requested, in monotonic seconds; None if it is new."""
+        if not self.lists or not self._is_old(self.lists[0]):
+            return None
+        return self.lists[0].requested_at
 
     def find(self, reports: Iterable[PoolReport]) -> list[WorkerName]:
-        """Return the ended ones among the workers with tasks that owners miss or can't reach.
+        """Return the ended ones among the workers that owners miss or can't reach.
 
         Without any worker in the lists, this platform does not tell what runs on its instances.
         """
-        if self.as_of is None or not self.running:
+        running = frozenset[WorkerName]().union(*(listed.names for listed in self.lists))
+        if self.as_of is None or not running:
             return []
         suspects = {name for report in reports for name in _find_suspects(report)}
-        return sorted(suspects - self.running)
+        return sorted(suspects - running)
 
 
 def _find_suspects(report: PoolReport) -> Iterable[WorkerName]:
--- a/pumicespur/model/_workers.py
+++ b/pumicespur/model/_workers.py
@@ -76,6 +76,8 @@
     MOVING = "moving"
     MAINTENANCE = "maintenance"
     DOWN = "down"
+    UNKNOWN = "unknown"
+    """The platform lists a state that is not known here."""
 
 
 @dataclass(frozen=True)
--- a/pumicespur/platform/_fleet.py
+++ b/pumicespur/platform/_fleet.py
@@ -153,7 +153,7 @@
     return Instance(
         id=InstanceId(machine.machine),
         pool=PoolId(machine.pool),
-        state=_STATES.get(machine.state, InstanceState.DOWN),
+        state=_STATES.get(machine.state, InstanceState.UNKNOWN),
         data_hall=DataHall(machine.zone),
         rack=find_rack(machine.labels),
         labels=frozenset(machine.labels),
--- a/pumicespur/schema/jobs_pb.py
+++ b/pumicespur/schema/jobs_pb.py
@@ -1169,7 +1169,8 @@
             repeated pumicespur.v1.PartReport parts = 9;
             ```
         missing_workers:
-            Names of workers with tasks that the store does not list for the pool.
+            Names of workers with runs whose end nobody in the pool will notice: those that the store does
+            not list for the pool, and unreachable ones that run only what earlier owners started.
 
             ```proto
             repeated string missing_workers = 10;
@@ -1357,14 +1358,15 @@
             int64 told_ms = 5;
             ```
         ended_workers:
-            Workers that their pools' owners can't reach and that run on no instance, as the fleet leader
-            has seen in the platform's list of instances.
+            Workers that their pools' owners miss or can't reach and that run on no instance, as the fleet
+            leader has seen in the platform's lists of instances.
 
             ```proto
             repeated string ended_workers = 6;
             ```
         ended_as_of_ms:
-            Lower bound of the store's clock when that list was requested, in milliseconds; 0 if not known.
+            Lower bound of the store's clock when the oldest of these lists was requested, in milliseconds;
+            0 if not known.
 
             ```proto
             int64 ended_as_of_ms = 7;
--- a/tests/test_ended_workers.py
+++ b/tests/test_ended_workers.py
@@ -10,7 +10,7 @@
 from pumicespur.jobs.placement import assign
 from pumicespur.jobs.sessions import EarlierLeases, OrphanedTasks, Restarts, WorkerSession
 from pumicespur.maintenance._ended_workers import EndedWorkers
-from pumicespur.model import Instance, InstanceState, WorkerId, WorkerName
+from pumicespur.model import Instance, InstanceState, WorkerId, WorkerName, worker_id
 from pumicespur.schema.jobs_pb import PoolReport, StepRecord, WorkerReport
 from pumicespur.store import ConnectionBroken, StoreClock
 from pumicespur.utils import monotonic
@@ -75,7 +75,8 @@
     async def asyncSetUp(self) -> None:
         quiet_loop()
         self.owner = ScriptedOwner()
-        self.session = WorkerSession(self.owner, make_worker("w"), EarlierLeases(1e9))
+        worker = make_worker(worker_id(WorkerName("w"), 1000))
+        self.session = WorkerSession(self.owner, worker, EarlierLeases(1e9))
         await self.session._poll(monotonic())
         job = submit(self.owner.pool, make_record(StepRecord(count=1, long_running=True)))
         (self.task,) = job.tasks
