Held workers: those that are free soonest, only for lost tasks, and within account limits

Now the one with room soonest by the expected ends of its tasks. - Tasks that never ran went first with a step of which one task had lost its run. Only those that lost their runs go first now; the others of the step keep their place. - More workers were held than the account's limit permits tasks. - A pause after a refused start was passed over on a worker that had ever been left out after failures, so that the same start was refused again and again. Both are told apart now (ejected_until). - A stop that gets no answer came first each time, so that other starts on the worker stayed unresolved.

One test stays red and is listed: no worker is held for a task that needs a ticket.

--- a/pumicespur/jobs/_limits.py
+++ b/pumicespur/jobs/_limits.py
@@ -154,6 +154,14 @@
         fits = used.share_of(limit) <= self.allotment_of(account).available or used.tasks <= 1
         return fits and not self.stale
 
+    def count_fitting(self, account: AccountId, task: StepRecord, count: int) -> int:
+        """Return how many of `count` more tasks fit an account's limit; one runs alone at least."""
+        limit = self.limit_of(account) if account else UNLIMITED
+        if limit == UNLIMITED:
+            return count
+        used = self.usage.of(account)
+        return max(used.count_fitting(limit, task, count), 0 if used.tasks else 1)
+
     def note_blocked(
         self, account: AccountId, task: StepRecord, count: int, batch_size: int = 1
     ) -> None:
--- a/pumicespur/jobs/_pool.py
+++ b/pumicespur/jobs/_pool.py
@@ -21,7 +21,12 @@
 from pumicespur.jobs._job import TaskState, explain_failure, make_job, update_ticket_need
 from pumicespur.jobs._limits import PoolLimits
 from pumicespur.jobs._worker_load import WorkerLoad
-from pumicespur.jobs.placement import order_groups, place_groups, review_racks
+from pumicespur.jobs.placement import (
+    has_lost_runs,
+    order_groups,
+    place_groups,
+    review_racks,
+)
 from pumicespur.model import JobId, RouteName, RunEnd, TaskName, WorkerId, worker_name
 from pumicespur.schema.jobs_pb import FailureRecord, JobPhase
 from pumicespur.utils import monotonic
@@ -386,7 +391,8 @@
         loads = list(self.loads.values())
         groups = order_groups(self.jobs.values(), now_ms)
         review_racks(groups, self.loads)
-        reserve_quarantine_workers(groups, loads, now)
+        lost_first = sorted(groups, key=lambda group: not has_lost_runs(group))
+        reserve_quarantine_workers(lost_first, loads, now)
         self.limits.begin_round()
         placed = place_groups(groups, loads, self.limits, now, self.spread_halls)
         for task in placed:
--- a/pumicespur/jobs/_worker_load.py
+++ b/pumicespur/jobs/_worker_load.py
@@ -72,7 +72,10 @@
     cold_until: float = 0.0
     """Monotonic time until which the worker is slow after its start, in seconds."""
     paused_until: float = 0.0
-    """Monotonic time until which it gets no new tasks after failures or a refusal, in seconds."""
+    """Monotonic time until which it gets no new tasks after a start that it did not take, in
+    seconds."""
+    ejected_until: float = 0.0
+    """Monotonic time until which it is left out after failures of its tasks, in seconds."""
     failures: int = 0
     ejections: int = 0
 
@@ -133,6 +136,10 @@
 
     def can_accept_tasks(self, now: float) -> bool:
         """Whether the worker can be given tasks now."""
+        return self.is_usable(now) and now >= self.ejected_until
+
+    def is_usable(self, now: float) -> bool:
+        """Whether the worker can be given tasks now, or could if its tasks had not failed."""
         return self.is_open and not self.has_unknown_runs and now >= self.paused_until
 
     def note_cold(self, worker: Worker, now: float, *, is_new: bool) -> None:
@@ -237,7 +244,7 @@
         if self.failures < MIN_EJECT_FAILURES:
             return False
         self.failures = 0
-        self.paused_until = now + min(MAX_EJECT_S, MIN_EJECT_S * 2**self.ejections)
+        self.ejected_until = now + min(MAX_EJECT_S, MIN_EJECT_S * 2**self.ejections)
         self.ejections += 1
         return True
 
--- a/pumicespur/jobs/placement/__init__.py
+++ b/pumicespur/jobs/placement/__init__.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
-from pumicespur.jobs.placement._held_workers import is_ejected
+from pumicespur.jobs.placement._held_workers import has_lost_runs, is_ejected
 from pumicespur.jobs.placement._placement import assign, order_groups, place_groups
 from pumicespur.jobs.placement._same_rack import review_racks
 
-__all__ = ["assign", "is_ejected", "order_groups", "place_groups", "review_racks"]
+__all__ = [
+    "assign",
+    "has_lost_runs",
+    "is_ejected",
+    "order_groups",
+    "place_groups",
+    "review_racks",
+]
--- a/pumicespur/jobs/placement/_held_workers.py
+++ b/pumicespur/jobs/placement/_held_workers.py
@@ -41,8 +41,8 @@
 def choose_worker_to_hold(task: Task, loads: Sequence[WorkerLoad], now: float) -> WorkerLoad | None:
     """Return the worker that can soonest take a task that now fits on none; None if none ever can.
 
-    Long-running tasks stay where they are, all others end. It is the worker with the least capacity
-    to become free: as nothing else starts there, that never grows from one round to the next.
+    Long-running tasks stay where they are, all others end. Among workers that are expected to have
+    room at the same time, it is the one with the least capacity to become free.
     """
     if needs_quarantine(task, now) and any(
         load.reserved and load.can_take(task.group, now) for load in loads
@@ -51,15 +51,18 @@
     found = [load for load in loads if _can_hold(load, task, now)]
     return min(
         found,
-        key=lambda load: (_missing_ratio(load, task.spec), load.worker.id),
+        key=lambda load: (
+            _expected_wait_s(load, task.spec, now),
+            _missing_ratio(load, task.spec),
+            load.worker.id,
+        ),
         default=None,
     )
 
 
 def is_ejected(load: WorkerLoad, now: float) -> bool:
     """Whether a worker would be given tasks now but for failures of earlier ones."""
-    is_usable = load.is_open and not load.has_unknown_runs
-    return is_usable and load.ejections > 0 and now < load.paused_until
+    return load.is_usable(now) and now < load.ejected_until
 
 
 def takes_after_failures(load: WorkerLoad, task: Task, now: float) -> bool:
@@ -97,6 +100,30 @@
     )
 
 
+def _expected_wait_s(load: WorkerLoad, spec: StepRecord, now: float) -> float:
+    """Return the time after which a task is expected to fit if nothing else starts there."""
+    free = [
+        total - used
+        for total, used in zip(
+            _capacity(load), (load.cpu_millis, load.memory_mb, load.accelerators), strict=True
+        )
+    ]
+    ending = [task for task in load.tasks if not task.spec.long_running]
+    ending.sort(key=lambda task: _remaining_s(task, now))
+    wait_s = 0.0
+    for task in ending:
+        if all(have >= need for have, need in zip(free, _needs(spec), strict=True)):
+            break
+        wait_s = _remaining_s(task, now)
+        free = [have + got for have, got in zip(free, _needs(task.spec), strict=True)]
+    return wait_s
+
+
+def _remaining_s(task: Task, now: float) -> float:
+    """Return the time that a task is expected to go on; none is known for an overdue one."""
+    return max(0.0, task.placed_at + task.spec.estimated_ms / 1000 - now)
+
+
 def _missing_ratio(load: WorkerLoad, spec: StepRecord) -> float:
     """Return how much of the worker must become free for a task, by its scarcest resource."""
     used = (load.cpu_millis, load.memory_mb, load.accelerators)
--- a/pumicespur/jobs/placement/_placement.py
+++ b/pumicespur/jobs/placement/_placement.py
@@ -48,23 +48,13 @@
 
 
 def order_groups(jobs: Iterable[Job], now_ms: float) -> list[StepGroup]:
-    """Return the groups that are ready to start tasks, the most urgent first.
-
-    Long-running steps that lost runs come before all others.
-    """
+    """Return the groups that are ready to start tasks, the most urgent first."""
     open_jobs = [job for job in jobs if not job.ended]
     groups = [group for job in open_jobs for group in job.ready_groups(now_ms)]
     groups = [group for group in groups if group.waiting()]
     long_overdue = [group for group in groups if is_long_overdue(group, now_ms)]
     going_first = select_going_first(long_overdue, open_jobs, now_ms) if long_overdue else set()
-    lost = {group for group in groups if has_lost_runs(group)}
-    return sorted(
-        groups,
-        key=lambda group: (
-            group not in lost,
-            _priority_key(group, now_ms, group in going_first or group in lost),
-        ),
-    )
+    return sorted(groups, key=lambda group: _priority_key(group, now_ms, group in going_first))
 
 
 def _priority_key(
@@ -174,16 +164,45 @@
     now: float,
     spread_halls: bool = False,
 ) -> list[Task]:
-    """Choose workers for the waiting tasks of groups, in the given order."""
+    """Choose workers for the waiting tasks of groups, in the given order.
+
+    Long-running tasks that lost their runs come before all others.
+    """
     candidates = Candidates(loads, groups, now, spread_halls)
     placed: list[Task] = []
     for group in groups:
-        if not candidates.available and not has_lost_runs(group):
+        if has_lost_runs(group):
+            placed += _place_lost_tasks(group, candidates, limits)
+    for group in groups:
+        if not candidates.available:
             break
         placed += _place_group(group, candidates, limits)
     return placed
 
 
+def _place_lost_tasks(group: StepGroup, candidates: Candidates, limits: PoolLimits) -> list[Task]:
+    """Choose workers for a group's long-running tasks that lost their runs, or hold some for them.
+
+    No more workers are held than the account's limit permits tasks.
+    """
+    account, spec, now = group.job.account, group.spec, candidates.now
+    placed: list[Task] = []
+    to_hold = limits.count_fitting(account, spec, len(group.tasks))
+    for task in group.waiting():
+        if not must_run_again(task) or not limits.allows(account, spec, now):
+            continue
+        load = choose_worker(task, candidates)
+        if load is None and to_hold > 0 and candidates.hold_for(task):
+            to_hold -= 1
+            continue
+        load = load or _choose_after_failures(task, candidates)
+        if load is not None:
+            _assign_with_ticket(task, load, now)
+            candidates.note_assigned(load)
+            placed.append(task)
+    return placed
+
+
 def _place_group(group: StepGroup, candidates: Candidates, limits: PoolLimits) -> list[Task]:
     """Choose workers for a group's waiting tasks; gangs are placed whole or not at all."""
     waiting = group.waiting()
@@ -204,10 +223,6 @@
     placed: list[Task] = []
     for task in waiting:
         load = choose_worker(task, candidates)
-        if load is None and must_run_again(task):
-            if _hold_worker(task, candidates, limits):
-                continue
-            load = _choose_after_failures(task, candidates)
         if load is None and needs_quarantine(task, candidates.now):
             continue
         if load is None:
@@ -221,12 +236,6 @@
     return placed
 
 
-def _hold_worker(task: Task, candidates: Candidates, limits: PoolLimits) -> bool:
-    """Hold a worker for a task that its account's limit permits; return whether one is held."""
-    account = task.job.account
-    return limits.allows(account, task.spec, candidates.now) and candidates.hold_for(task)
-
-
 def _choose_after_failures(task: Task, candidates: Candidates) -> WorkerLoad | None:
     """Return the best worker among those that are left out after failures, or None."""
     eligible = [
--- a/pumicespur/jobs/sessions/_starts.py
+++ b/pumicespur/jobs/sessions/_starts.py
@@ -239,6 +239,9 @@
                 self.unresolved.pop(task, None)
             elif start.revoked_at is None and sent_at >= start.since:
                 is_silent = is_silent or await self._revoke(task, start)
+                if is_silent:
+                    # Others come first next time, so that one stop does not hold them up for good.
+                    self.unresolved[task] = self.unresolved.pop(task)
             elif start.revoked_at is not None and sent_at >= start.revoked_at:
                 self.unresolved.pop(task, None)
                 self._note_lost_start(task, start)
