--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -16,9 +16,9 @@
 from pumicespur.jobs._keys import progress_key
 from pumicespur.jobs._known_state import KnownState, start_timeout_s
 from pumicespur.jobs._pool import PoolState
-from pumicespur.jobs._pool_report import report_pool
 from pumicespur.jobs._pool_sizing import PoolSizer
 from pumicespur.jobs._throttle import choose_speed_changes
+from pumicespur.jobs.reports import report_pool
 from pumicespur.jobs.sessions import OrphanedTasks, Restarts, WorkerSession
 from pumicespur.jobs.submissions import SubmissionFollower
 from pumicespur.model import WorkerId, WorkerState
--- a/pumicespur/jobs/_pool_sizing.py
+++ b/pumicespur/jobs/_pool_sizing.py
@@ -14,7 +14,7 @@
     count_required_workers,
     measure_demand,
 )
-from pumicespur.jobs._waiting_report import measure_waiting_work
+from pumicespur.jobs.reports import measure_waiting_work
 from pumicespur.utils import now_ms
 
 if TYPE_CHECKING:
--- a/tests/test_account_report.py
+++ b/tests/test_account_report.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from pumicespur.jobs._account_report import (
+from pumicespur.jobs.reports import (
     MAX_NAMED_ACCOUNTS,
     describe_accounts,
     describe_limit_block,
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -14,9 +14,9 @@
 
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs._known_state import KnownState, start_timeout_s, workers_max_age_s
-from pumicespur.jobs._pool_report import report_pool
 from pumicespur.jobs._worker_load import REPORT_VALIDITY_S
 from pumicespur.jobs.placement import assign
+from pumicespur.jobs.reports import report_pool
 from pumicespur.jobs.sessions._lease import EarlierLeases
 from pumicespur.jobs.sessions._session import WorkerSession
 from pumicespur.model import AccountId, Capacity, ClientAccount, ProcessId, WorkerState
--- a/tests/test_waiting_report.py
+++ b/tests/test_waiting_report.py
@@ -8,7 +8,7 @@
 from logbook import TestHandler
 
 from pumicespur.jobs._pool_sizing import PoolSizer
-from pumicespur.jobs._waiting_report import (
+from pumicespur.jobs.reports import (
     describe_waiting_work,
     measure_waiting_work,
     update_waiting_metrics,
