--- a/pumicespur/__main__.py
+++ b/pumicespur/__main__.py
@@ -207,7 +207,8 @@
 ) -> None:
     """Show the state of pools, waves and processes, or of one job and why it failed.
 
-    With --node alone, show the evacuated data halls that the node knows.
+    With --node alone, show the evacuated data halls that the node knows, and the long-running
+    tasks of its pools that have no run.
 
     Example: pumicespur status --json
 
@@ -218,7 +219,7 @@
     if job and not node:
         raise PumicespurError("--job needs --node; any node can report any job")
     if node and not job:
-        await status_command.evacuation_status(node, as_json=json)
+        await status_command.node_status(node, as_json=json)
         return
     if job:
         await status_command.job_status(node, job, as_json=json)
--- a/pumicespur/commands/explain.py
+++ b/pumicespur/commands/explain.py
@@ -27,6 +27,8 @@
         "configuration in force",
         "starts suspended",
         "starts resumed",
+        "long-running tasks without a run left out",
+        "long-running tasks that run again left out",
     }
 )
 """Events that carry no job id but may explain what happened to a job of the same pool."""
--- a/pumicespur/commands/status.py
+++ b/pumicespur/commands/status.py
@@ -1,4 +1,4 @@
-"""Show the state of pools, waves and processes, of one job, or of evacuated data halls."""
+"""Show the state of pools, waves and processes, of one job, or of what one node works on."""
 
 from __future__ import annotations
 
@@ -36,12 +36,22 @@
     print_table(("FIELD", "VALUE"), rows)
 
 
-async def evacuation_status(node: str, *, as_json: bool) -> None:
-    """Print the evacuated data halls that a node knows, and what its pools still run there."""
-    evacuations = (await _fetch(node, "/state")).get("evacuations")
+async def node_status(node: str, *, as_json: bool) -> None:
+    """Print the evacuated data halls that a node knows, and its long-running tasks without a run.
+
+    Both are told for the pools that the node owns.
+    """
+    state = await _fetch(node, "/state")
+    without_run = {pool: owned["without_run"] for pool, owned in state.get("owned", {}).items()}
     if as_json:
-        print(json.dumps(evacuations))
+        print(json.dumps((state.get("evacuations") or {}) | {"without_run": without_run}))
         return
+    _print_evacuations(state.get("evacuations"))
+    if without_run:
+        _print_without_run(without_run)
+
+
+def _print_evacuations(evacuations: dict[str, Any] | None) -> None:
     if evacuations is None or evacuations["age_s"] is None:
         print(
             "this node does not follow evacuations, or has not read them yet: it owns no pool and "
@@ -57,6 +67,28 @@
     print_table(("HALL", "SINCE VERSION", "POOL", "TASKS", "LONG-RUNNING", "LAST END IN S"), rows)
 
 
+def _print_without_run(pools: dict[str, dict[str, Any]]) -> None:
+    """Print the long-running tasks without a run, those that have waited longest first."""
+    count = sum(told["count"] for told in pools.values())
+    if not count:
+        print("every long-running task of this node's pools runs")
+        return
+    print(f"long-running tasks without a run: {count}")
+    tasks = [(pool, task) for pool, told in pools.items() for task in told["tasks"]]
+    rows = [
+        (
+            pool,
+            task["task"],
+            f"{'>' if task['at_least'] else ''}{task['for_s']}",
+            task.get("worker", "-"),
+            task.get("leases_end_in_s", "-"),
+            task["reason"],
+        )
+        for pool, task in sorted(tasks, key=lambda entry: -entry[1]["for_s"])
+    ]
+    print_table(("POOL", "TASK", "FOR S", "WORKER", "LEASES END IN S", "REASON"), rows)
+
+
 def _pool_rows(pools: dict[str, dict[str, Any]]) -> list[tuple[object, ...]]:
     """Return one row for each pool that still runs tasks, or a single one without a pool."""
     rows: list[tuple[object, ...]] = [
@@ -86,7 +118,7 @@
 
 def _as_text(value: object) -> str:
     if isinstance(value, list):
-        return ", ".join(map(str, value))
+        return ", ".join(map(_as_text, value))
     if isinstance(value, dict):
         return "; ".join(f"{name}: {_as_text(item)}" for name, item in value.items())
     return str(value)
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -18,7 +18,7 @@
 from pumicespur.jobs._pool import PoolState
 from pumicespur.jobs._pool_sizing import PoolSizer
 from pumicespur.jobs._throttle import choose_speed_changes
-from pumicespur.jobs.reports import report_pool
+from pumicespur.jobs.reports import MissingRuns, describe_inherited_runs, report_pool
 from pumicespur.jobs.sessions import OrphanedTasks, Restarts, WorkerSession
 from pumicespur.jobs.submissions import SubmissionFollower
 from pumicespur.model import WorkerId, WorkerState
@@ -121,6 +121,7 @@
             self.pool, table, view, settings, self.wake, self.sizer.note_arrival
         )
         self.allotments = AllotmentExchange(self.pool.limits, table, view, request_report)
+        self.missing_runs = MissingRuns(self)
         self.start_block_reason = ""
         """Why tasks are not placed at present; empty if they are."""
         self.has_evacuated_halls = False
@@ -212,6 +213,9 @@
 
     def _log_takeover(self) -> None:
         METRICS.takeovers.inc({})
+        self.missing_runs.note_takeover(now_ms())
+        listed = self.view.workers if self.view.workers_known else None
+        leased_s = max(0.0, self.earlier_leases.until - monotonic())
         log.info(
             "pool taken",
             pool=self.pool.pool,
@@ -219,6 +223,8 @@
             jobs=len(self.pool.jobs),
             ended=len(self.submissions.ended),
             submissions_version=self.submissions.table_progress.version,
+            earlier_leases_s=round(leased_s, 3),
+            **describe_inherited_runs(self.pool, listed),
         )
 
     def sync_workers(self) -> None:
--- a/pumicespur/jobs/reports/__init__.py
+++ b/pumicespur/jobs/reports/__init__.py
@@ -14,6 +14,7 @@
     describe_progress,
     update_evacuation_metrics,
 )
+from pumicespur.jobs.reports._missing_runs import MissingRuns, describe_inherited_runs
 from pumicespur.jobs.reports._pool import report_pool
 from pumicespur.jobs.reports._waiting_work import (
     describe_waiting_work,
@@ -23,9 +24,11 @@
 
 __all__ = [
     "MAX_NAMED_ACCOUNTS",
+    "MissingRuns",
     "describe_accounts",
     "describe_evacuated_hall",
     "describe_hall_block",
+    "describe_inherited_runs",
     "describe_limit_block",
     "describe_progress",
     "describe_waiting_work",
--- a/pumicespur/jobs/reports/_descriptions.py
+++ b/pumicespur/jobs/reports/_descriptions.py
@@ -80,7 +80,7 @@
     if job.ended or not evacuated:
         return {}
     groups = [group for group in job.ready_groups(now_ms) if group.waiting()]
-    blocked = [group for group in groups if _waits_for_hall(group, pool, evacuated, now)]
+    blocked = [group for group in groups if waits_for_hall(group, pool, evacuated, now)]
     if not blocked:
         return {}
     halls = sorted({load.worker.data_hall for load in evacuated})
@@ -88,7 +88,7 @@
     return {"waits_for_another_hall": {"tasks": tasks, "evacuated_halls": halls}}
 
 
-def _waits_for_hall(
+def waits_for_hall(
     group: StepGroup, pool: PoolState, evacuated: Iterable[WorkerLoad], now: float
 ) -> bool:
     """Whether workers of evacuated halls could take a step's tasks that no others take now.
--- a/pumicespur/node/_process.py
+++ b/pumicespur/node/_process.py
@@ -60,7 +60,7 @@
     from anyio.abc import TaskStatus
 
     from pumicespur.config import NodeSettings
-    from pumicespur.model import Configuration, KeyDigest, Route
+    from pumicespur.model import Configuration, KeyDigest, PoolId, Route
     from pumicespur.store import Fault, Row
 
 log = Logger(__name__)
@@ -224,6 +224,7 @@
                 METRICS.owned_jobs.set({"pool": owner.pool.pool}, len(owner.pool.jobs))
                 update_account_metrics(owner.pool)
                 update_waiting_metrics(owner.pool, now_ms())
+                owner.missing_runs.update(monotonic(), now_ms())
             if self.settings.workers.evacuate_ms:
                 self._update_evacuation_gauges()
             await anyio.sleep(GAUGE_INTERVAL_S)
@@ -280,6 +281,7 @@
                     "workers": len(owner.sessions),
                     "accounts": describe_accounts(owner.pool),
                     "waiting": describe_waiting_work(owner.pool, now_ms()),
+                    "without_run": owner.missing_runs.describe(monotonic()),
                 }
                 for pool, owner in self.controller.roles.owned.items()
                 if isinstance(owner, PoolOwner)
@@ -295,21 +297,32 @@
             lambda job: (
                 refused
                 if job is None
-                else describe_progress(name, *job) | self._describe_block(JobId(name))
+                else describe_progress(name, *job)
+                | self._describe_owner(job[0])
+                | self._describe_block(JobId(name))
             )
         )
 
+    def _describe_owner(self, pool: PoolId) -> dict[str, object]:
+        """Return which process knows what holds back a job of a pool, if any is known to."""
+        seen = self.view.owners.get(pool)
+        return {} if seen is None else {"owner": seen.record.process}
+
     def _describe_block(self, name: JobId) -> dict[str, object]:
         """Describe what holds back a job of a pool that this process owns.
 
-        It may be its account's limit or the evacuation of data halls.
+        It may be its account's limit, the evacuation of data halls, or what keeps its long-running
+        tasks from running.
         """
         for owner in self.controller.roles.pool_owners():
             job = owner.pool.jobs.get(name)
             if job is not None:
                 reports = self.view.fresh_reports(MAX_ALLOTMENT_REPORT_AGE_S)
-                return describe_limit_block(owner.pool, job, reports) | describe_hall_block(
-                    owner.pool, job, monotonic(), now_ms()
+                now = monotonic()
+                return (
+                    describe_limit_block(owner.pool, job, reports)
+                    | describe_hall_block(owner.pool, job, now, now_ms())
+                    | owner.missing_runs.describe_job(job, now)
                 )
         return {}
 
--- a/pumicespur/utils/_metrics.py
+++ b/pumicespur/utils/_metrics.py
@@ -52,6 +52,14 @@
             "pumicespur_longest_overdue_wait_seconds",
             "Longest wait of work that can no longer be in time, by pool.",
         )
+        self.tasks_without_run = Gauge(
+            "pumicespur_tasks_without_run",
+            "Long-running tasks of the pools owned that may run and have no known run, by pool.",
+        )
+        self.longest_time_without_run = Gauge(
+            "pumicespur_longest_time_without_run_seconds",
+            "Longest time for which one of these tasks has had no known run, by pool.",
+        )
         self.refused_keys = Counter(
             "pumicespur_refused_keys_total", "Calls refused for their key, by why."
         )
@@ -95,6 +103,8 @@
             self.account_allotment,
             self.waiting_tasks,
             self.longest_overdue_wait,
+            self.tasks_without_run,
+            self.longest_time_without_run,
             self.refused_keys,
             self.failed_reads,
             self.configuration_version,
@@ -107,12 +117,14 @@
             self.registry.register(series)
 
     def clear_pools(self) -> None:
-        """Drop the series of accounts and of waiting work, so that only those set again remain."""
+        """Drop the series of accounts and tasks by pool, so that only those set again remain."""
         for series in (
             self.account_cpu,
             self.account_allotment,
             self.waiting_tasks,
             self.longest_overdue_wait,
+            self.tasks_without_run,
+            self.longest_time_without_run,
         ):
             series.values.store.clear()
 
--- a/tests/test_evacuation_report.py
+++ b/tests/test_evacuation_report.py
@@ -78,7 +78,7 @@
             patch.object(status_command, "_fetch", AsyncMock(return_value=state)),
             contextlib.redirect_stdout(output),
         ):
-            await status_command.evacuation_status("http://node", as_json=False)
+            await status_command.node_status("http://node", as_json=False)
         return output.getvalue().splitlines()
 
     async def test_a_node_that_follows_none_does_not_claim_that_there_are_none(self) -> None:
