--- a/tests/test_missing_runs.py
+++ b/tests/test_missing_runs.py
@@ -482,6 +482,21 @@
         self.assertEqual(expected, describe_inherited_runs(self.pool, None))
 
 
+class TakeoverTest(OwnerCase):
+    """What an owner logs and notes when it takes its pool."""
+
+    async def test_the_time_until_earlier_leases_are_over_is_logged(self) -> None:
+        self.owner.earlier_leases.last_until = monotonic() + 3600.0
+        with TestHandler() as handler:
+            self.owner._log_takeover()
+        (line,) = [record for record in handler.records if record.message == "pool taken"]
+        self.assertAlmostEqual(3600.0, line.kwargs["earlier_leases_s"], delta=600.0)
+
+    async def test_tasks_that_an_earlier_owner_left_without_a_run_are_noted(self) -> None:
+        self.owner._log_takeover()
+        self.assertTrue(self.watch.missing[self.task].at_least)
+
+
 class CommandsTest(NodeCase):
     """What operators see of a node whose worker has ended with its task."""
 
