--- a/pumicespur/commands/explain.py
+++ b/pumicespur/commands/explain.py
@@ -18,6 +18,7 @@
 CONTEXT_EVENTS = frozenset(
     {
         "pool taken",
+        "workers known",
         "pool lost",
         "pool released",
         "commit not answered",
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -208,8 +208,12 @@
 
     async def _wait_for_workers(self) -> None:
         """Wait for the list of workers, since tasks on unlisted workers are requeued."""
+        if self.view.workers_known:
+            return
         while not self.view.workers_known and not self.stopping:
             await anyio.sleep(WORKERS_POLL_INTERVAL_S)
+        runs = describe_inherited_runs(self.pool, self.view.workers)
+        log.info("workers known", pool=self.pool.pool, token=self.token, **runs)
 
     def _log_takeover(self) -> None:
         METRICS.takeovers.inc({})
--- a/tests/test_missing_runs.py
+++ b/tests/test_missing_runs.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any, cast
 from unittest.mock import AsyncMock, patch
 
+import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from logbook import TestHandler
@@ -492,6 +493,16 @@
         (line,) = [record for record in handler.records if record.message == "pool taken"]
         self.assertAlmostEqual(3600.0, line.kwargs["earlier_leases_s"], delta=600.0)
 
+    async def test_runs_on_unlisted_workers_are_told_once_the_list_is_known(self) -> None:
+        self.task.worker, self.task.run, self.task.state = OTHER, 1, TaskState.STARTING
+        with TestHandler() as handler:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.owner._wait_for_workers)
+                await anyio.wait_all_tasks_blocked()
+                self.view.workers_known = True
+        (line,) = handler.records
+        self.assertEqual(("workers known", 1), (line.message, line.kwargs["unlisted_runs"]))
+
     async def test_tasks_that_an_earlier_owner_left_without_a_run_are_noted(self) -> None:
         self.owner._log_takeover()
         self.assertTrue(self.watch.missing[self.task].at_least)
