The least size of a pool with work is judged where its size is

The owner's report patched the size of a pool without workers with a stand-in capacity. The sizer now asks for the minimum itself, also when it decides whether to report at once. Same values: tests.test_task_states.EmptyPoolTest and the tests of jobs and maintenance pass.

--- a/pumicespur/jobs/_demand.py
+++ b/pumicespur/jobs/_demand.py
@@ -280,7 +280,12 @@
     cpu = (short.cpu_millis + long_running.cpu_millis) / max(1, capacity.cpu_millis)
     memory = (short.memory_mb + long_running.memory_mb) / max(1, capacity.memory_mb)
     by_demand = math.ceil(max(cpu, memory) / TARGET_UTILIZATION_RATIO)
-    return max(MIN_WORKERS, by_demand, _count_spread_workers(pool))
+    return max(by_demand, count_min_workers(pool))
+
+
+def count_min_workers(pool: PoolState) -> int:
+    """Return how many workers a pool with work requires, however small its demand is."""
+    return max(MIN_WORKERS, _count_spread_workers(pool))
 
 
 def _count_spread_workers(pool: PoolState) -> int:
--- a/pumicespur/jobs/_owner.py
+++ b/pumicespur/jobs/_owner.py
@@ -11,7 +11,6 @@
 from pumicespur.jobs._advice_client import AdviceClient
 from pumicespur.jobs._allotment_exchange import AllotmentExchange
 from pumicespur.jobs._availability import tasks_to_move
-from pumicespur.jobs._demand import Demand, count_required_workers
 from pumicespur.jobs._job import Job, Task, TaskState
 from pumicespur.jobs._journal import Journal, Ownership, OwnershipLostError
 from pumicespur.jobs._keys import progress_key
@@ -22,7 +21,7 @@
 from pumicespur.jobs.reports import MissingRuns, describe_inherited_runs, report_pool
 from pumicespur.jobs.sessions import OrphanedTasks, Restarts, WorkerSession
 from pumicespur.jobs.submissions import SubmissionFollower
-from pumicespur.model import Capacity, WorkerId, WorkerState
+from pumicespur.model import WorkerId, WorkerState
 from pumicespur.store import Write
 from pumicespur.utils import METRICS, monotonic, now_ms
 
@@ -536,14 +535,6 @@
         """Return the pool's report to other processes."""
         report = report_pool(self.pool, self.token)
         self.sizer.fill_report(report)
-        if not self.pool.loads:
-            report.busy_workers = report.wanted_workers = self._count_first_workers()
         report.parts = self.allotments.report()
         report.missing_workers = list(self.orphans.names())
         return report
-
-    def _count_first_workers(self) -> int:
-        """Return how many workers a pool without any needs to begin with its work."""
-        if all(job.ended for job in self.pool.jobs.values()):
-            return 0
-        return count_required_workers(self.pool, Demand(), Demand(), Capacity(1, 1))
--- a/pumicespur/jobs/_pool_sizing.py
+++ b/pumicespur/jobs/_pool_sizing.py
@@ -11,6 +11,7 @@
     Demand,
     DemandTracker,
     PoolDemand,
+    count_min_workers,
     count_required_workers,
     measure_demand,
 )
@@ -104,9 +105,13 @@
         return self._count_workers(Demand(cpu_millis, memory_mb))
 
     def _count_workers(self, short: Demand) -> int:
-        """Return how many workers of median capacity a demand requires; 0 if no worker is known."""
+        """Return how many workers of median capacity a demand requires.
+
+        Without any worker, whose capacity is not known, a pool with work requests its minimum.
+        """
         if not self.pool.loads:
-            return 0
+            has_work = any(not job.ended for job in self.pool.jobs.values())
+            return count_min_workers(self.pool) if has_work else 0
         capacities = [load.worker.capacity for load in self.pool.loads.values()]
         capacities.sort(key=lambda capacity: capacity.cpu_millis)
         return count_required_workers(
