--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
     FaultKind,
     Plan,
     draw_evacuation_plan,
+    draw_loss_plan,
     draw_overlapping_plan,
     draw_plan,
     load_plan,
@@ -33,7 +34,8 @@
     verdict = "FAILED" if outcome.findings else "held"
     print(
         f"seed {outcome.plan.seed}: {verdict}; {outcome.accepted} of {outcome.jobs} jobs accepted,"
-        f" {outcome.runs} runs, {outcome.took_s:.0f} s; {kinds}",
+        f" {outcome.runs} runs, {outcome.took_s:.0f} s (gaps up to {outcome.longest_gap_s:.1f} s);"
+        f" {kinds}",
         flush=True,
     )
     for finding in outcome.findings:
@@ -51,19 +53,23 @@
     at_once: int = 2,
     kinds: list[FaultKind] | None = None,
     evacuations: bool = False,
+    losses: bool = False,
     keep: Path = DEFAULT_ARTIFACTS_DIR,
     module: str = SUSPENDABLE_MODULE,
 ) -> int:
     """Run the plans of consecutive seeds, several at once; new seeds unless one is given.
 
     With `evacuations`, the plans evacuate data halls, alone or beside one other fault each;
-    `kinds` is then ignored.
+    `kinds` is then ignored. With `losses`, they end workers and owners for long, alone or beside
+    another fault, with demand by turns.
     """
     first = int(time.time()) % 10_000_000 if seed is None else seed
     deployment = Deployment(nodes=nodes, workers=workers)
     seeds = range(first, first + count)
     if evacuations:
         plans = [draw_evacuation_plan(number, length_s, deployment) for number in seeds]
+    elif losses:
+        plans = [draw_loss_plan(number, length_s, deployment) for number in seeds]
     else:
         plans = [draw_plan(number, length_s, deployment, kinds or ()) for number in seeds]
     outcomes = asyncio.run(_run_plans(plans, at_once, keep, module))
@@ -150,6 +156,9 @@
     Mutant.EVACUATED_HALLS_IGNORED: (FaultKind.EVACUATE_HALL,),
     Mutant.HALLS_EVACUATED_FOR_GOOD: (FaultKind.EVACUATE_HALL,),
     Mutant.EVACUATIONS_FORGOTTEN: (FaultKind.EVACUATE_HALL,),
+    Mutant.ENDED_WORKERS_IGNORED: (FaultKind.OWNER_LOST_WITH_WORKERS,),
+    Mutant.UNREACHABLE_COUNT_AS_ENDED: (FaultKind.WORKER_SILENT,),
+    Mutant.LISTS_AGELESS: (FaultKind.WORKER_RETURNS_DARK,),
 }
 """Faults that, when they overlap, reveal the safeguard that each mutant lacks."""
 
@@ -158,6 +167,16 @@
 """Mutants that show when their faults begin at random times, so that workers settle in between."""
 
 
+LOSSES = frozenset(
+    {
+        Mutant.ENDED_WORKERS_IGNORED,
+        Mutant.UNREACHABLE_COUNT_AS_ENDED,
+        Mutant.LISTS_AGELESS,
+    }
+)
+"""Mutants that show in plans with losses, whose faults have no companions then."""
+
+
 @app.command
 def mutants(
     *names: Mutant,
@@ -172,8 +191,7 @@
         if names and mutant not in names:
             continue
         for number in range(seed, seed + tries):
-            draw = draw_plan if mutant in SEPARATE_FAULTS else draw_overlapping_plan
-            plan = draw(number, length_s, Deployment(), kinds)
+            plan = _draw_mutant_plan(mutant, number, length_s, kinds)
             outcome = asyncio.run(
                 run_plan(plan, keep / mutant.value, f"soak.mutant {mutant.value}")
             )
@@ -186,5 +204,14 @@
     return 1 if missed else 0
 
 
+def _draw_mutant_plan(
+    mutant: Mutant, seed: int, length_s: float, kinds: tuple[FaultKind, ...]
+) -> Plan:
+    if mutant in LOSSES:
+        return draw_loss_plan(seed, length_s, Deployment(), kinds, companions=((),))
+    draw = draw_plan if mutant in SEPARATE_FAULTS else draw_overlapping_plan
+    return draw(seed, length_s, Deployment(), kinds)
+
+
 if __name__ == "__main__":
     sys.exit(app())
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -60,6 +60,13 @@
 TASK_CPU_MILLIS = 500
 """CPU capacity that each task requests."""
 
+HIGH_TURN_FACTOR = 5.0
+LOW_TURN_FACTOR = 1 / 20
+"""Rate of a caller in high and low turns of demand, relative to its mean."""
+
+HIGH_TURN_RATIO = (1 - LOW_TURN_FACTOR) / (HIGH_TURN_FACTOR - LOW_TURN_FACTOR)
+"""Share of time that is a high turn."""
+
 MAX_REPEATED_JOBS = 8
 """Newest accepted jobs of a caller whose ids it sends again."""
 
@@ -184,9 +191,23 @@
     async def run(self, until: float) -> None:
         """Act at random until the given monotonic time."""
         pause_s = self.plan.deployment.callers / self.plan.deployment.submissions_per_s / 2
+        began = monotonic()
         while monotonic() < until:
             await self._act()
-            await asyncio.sleep(self.random.uniform(0.2, 1.8) * pause_s)
+            drawn_s = self.random.uniform(0.2, 1.8) * pause_s
+            await self._pause(drawn_s, monotonic() - began)
+
+    async def _pause(self, mean_s: float, since_s: float) -> None:
+        """Pause as long as the turn of demand says, at most until the next turn."""
+        turn_s = self.plan.deployment.turn_s
+        if not turn_s:
+            await asyncio.sleep(mean_s)
+            return
+        into_s, high_s = since_s % turn_s, turn_s * HIGH_TURN_RATIO
+        factor, ends_s = (
+            (HIGH_TURN_FACTOR, high_s) if into_s < high_s else (LOW_TURN_FACTOR, turn_s)
+        )
+        await asyncio.sleep(min(mean_s / factor, ends_s - into_s))
 
     async def close(self) -> None:
         """Close all connections."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,7 +14,8 @@
 from soak._cuts import cut_fleet_leader
 from soak._evacuations import evacuate_halls
 from soak._leaving import DEPARTURE_KINDS, RECORD_KINDS, block_records, make_workers_leave
-from soak._plan import FaultKind
+from soak._losses import lose_or_return
+from soak._plan import LOSS_KINDS, FaultKind
 from soak._restarts import RESTART_KINDS, restart_workers
 from soak._routes import ROUTE_KINDS, disrupt_route, forget_history_repeatedly
 from soak._world import FOREIGN_PREFIX
@@ -59,6 +60,7 @@
 PLANNED_KINDS = frozenset(
     {
         FaultKind.STOP_NODE,
+        FaultKind.OWNERS_LEAVE,
         FaultKind.RELOAD_NODE,
         FaultKind.ROUTE_MOVES,
         FaultKind.ROUTE_AWAY,
@@ -162,6 +164,8 @@
                 await block_records(self.world, fault)
             case FaultKind.EVACUATE_HALL:
                 await evacuate_halls(self.world, fault)
+            case kind if kind in LOSS_KINDS:
+                await lose_or_return(self.world, fault)
             case kind if kind in RESTART_KINDS:
                 await restart_workers(self.world, fault)
             case FaultKind.FOREIGN_ENTRIES:
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -78,6 +78,13 @@
     """One hall, two whose evacuations overlap, or all of them, by the fault's strength."""
     EVACUATIONS_UNREAD = "readings of evacuations refused"
     EVACUATIONS_UNTOLD = "changes of the operators' table told to nobody"
+    WORKER_LOST = "worker ends for good"
+    WORKER_RETURNS_AND_IS_LOST = "worker starts again under its name and ends for good"
+    WORKER_RETURNS_DARK = "worker starts again and falls silent while instances can't be listed"
+    OWNER_LOST = "pool's owner killed for long"
+    OWNER_LOST_WITH_WORKERS = "pool's owner and workers lost together"
+    OWNERS_LEAVE = "owners stopped one after the other"
+    LOST_RETURN = "what was lost starts again"
     WORKER_CLOCK_SLOW = "worker's clock slow"
     WORKER_SHRINKS = "worker's room shrinks"
     FOREIGN_ENTRIES = "entries of other writers among the workers"
@@ -108,6 +115,48 @@
 """Faults that are drawn together with evacuations of data halls, in turn by seed."""
 
 
+LOSS_KINDS = (
+    FaultKind.WORKER_LOST,
+    FaultKind.WORKER_RETURNS_AND_IS_LOST,
+    FaultKind.WORKER_RETURNS_DARK,
+    FaultKind.OWNER_LOST,
+    FaultKind.OWNER_LOST_WITH_WORKERS,
+    FaultKind.OWNERS_LEAVE,
+    FaultKind.LOST_RETURN,
+)
+"""Faults that only plans with losses have; what they end stays away for long."""
+
+DRAWN_LOSSES = (*LOSS_KINDS[:-1], FaultKind.OWNER_LOST_WITH_WORKERS)
+"""Losses among which plans choose; the one that is named twice is more likely."""
+
+LOSS_COMPANIONS: tuple[tuple[FaultKind, ...], ...] = (
+    (),
+    (),
+    (FaultKind.STORE_SILENT,),
+    (FaultKind.STORE_REFUSES,),
+    (FaultKind.STORE_SLOW,),
+    (FaultKind.STORE_LOSES_ANSWERS,),
+    (FaultKind.STORE_FORGETS,),
+    (FaultKind.STORE_LINK_SILENT,),
+    (FaultKind.LIST_UNTOLD,),
+    (FaultKind.WORKER_SILENT,),
+    (FaultKind.WORKER_CRASH,),
+    (FaultKind.WORKER_RESTARTS,),
+    (FaultKind.RESTART_AT_TAKEOVER,),
+    (FaultKind.WORKERS_SCALED_IN,),
+    (FaultKind.WORKER_LINKS_RESET,),
+    (FaultKind.OWNERS_LEAVE,),
+)
+"""Faults that are drawn together with a loss."""
+
+CALM_S = 5.5
+"""Time without faults after each loss, beside a lease: enough for the check of long-running
+tasks."""
+
+MIN_RETURN_RATIO = 0.3
+"""Share of losses after which what was lost stays away for the rest of the plan."""
+
+
 @dataclass(frozen=True)
 class Deployment:
     """Number of processes, workers and callers in a run."""
@@ -119,6 +168,25 @@
     callers: int = 4
     submissions_per_s: float = 4.0
     """Rate over all callers together."""
+    turn_s: float = 0.0
+    """Length of a high and a low turn of demand together; 0 for a constant rate."""
+    task_s: float = 0.25
+    """Duration of a short task; long enough for faults to hit it."""
+    lease_s: float = 1.2
+    owner_silence_s: float = 1.5
+    longest_lease_ms: int = 3000
+    """Settings of the nodes."""
+
+
+LOSS_SETTINGS = ((1.2, 8.0, 3000), (3.5, 8.0, 8000))
+"""Lease (s), silence of an owner (s) and longest lease (ms) of plans with losses, in turn by seed:
+an owner's leases may last long after its end."""
+
+TURN_S = 12.0
+"""Length of a high and a low turn of demand in plans with losses."""
+
+LOSS_TASK_S = 0.8
+"""Duration of a short task there: in the high turn, more is asked for than the pool holds."""
 
 
 @dataclass(frozen=True)
@@ -158,8 +226,9 @@
     for kind in kinds:
         faults += _draw_series(source, length_s, [kind])
     if not kinds:
+        general_kinds = [kind for kind in FaultKind if kind not in LOSS_KINDS]
         for _ in range(source.randint(1, MAX_SERIES)):
-            faults += _draw_series(source, length_s, list(FaultKind))
+            faults += _draw_series(source, length_s, general_kinds)
     faults.sort(key=lambda fault: fault.at_s)
     return Plan(seed, deployment, length_s, tuple(faults))
 
@@ -188,6 +257,45 @@
     return draw_overlapping_plan(seed, length_s, deployment, (FaultKind.EVACUATE_HALL, *companions))
 
 
+def draw_loss_plan(
+    seed: int,
+    length_s: float,
+    deployment: Deployment,
+    kinds: Sequence[FaultKind] = DRAWN_LOSSES,
+    companions: Sequence[tuple[FaultKind, ...]] = LOSS_COMPANIONS,
+) -> Plan:
+    """Draw losses, alone or beside another fault, each followed by a calm time."""
+    lease_s, owner_silence_s, longest_lease_ms = LOSS_SETTINGS[seed % len(LOSS_SETTINGS)]
+    changed = replace(
+        deployment,
+        turn_s=TURN_S,
+        task_s=LOSS_TASK_S,
+        lease_s=lease_s,
+        owner_silence_s=owner_silence_s,
+        longest_lease_ms=longest_lease_ms,
+    )
+    source = random.Random(seed)
+    faults: list[Fault] = []
+    at_s = source.uniform(FIRST_FAULT_DELAY_S, FIRST_FAULT_DELAY_S + MAX_FAULT_S)
+    while not faults or at_s <= length_s:
+        beside = source.choice(companions)
+        for kind in (source.choice(kinds), *beside):
+            begins_s = at_s + source.uniform(0.0, MAX_FAULT_S / 2 if beside else MIN_FAULT_S)
+            faults.append(_draw_fault(source, kind, begins_s))
+        at_s += MAX_FAULT_S + lease_s + CALM_S
+        if source.random() >= MIN_RETURN_RATIO:
+            faults.append(_draw_fault(source, FaultKind.LOST_RETURN, at_s))
+            at_s += source.uniform(MIN_FAULT_S, MAX_FAULT_S)
+    faults.sort(key=lambda fault: fault.at_s)
+    return Plan(seed, changed, max(length_s, at_s), tuple(faults))
+
+
+def _draw_fault(source: random.Random, kind: FaultKind, at_s: float) -> Fault:
+    for_s = source.uniform(MIN_FAULT_S, MAX_FAULT_S)
+    target = source.randrange(1000)
+    return Fault(kind, round(at_s, 3), round(for_s, 3), target, source.random())
+
+
 def _draw_series(source: random.Random, length_s: float, kinds: Sequence[FaultKind]) -> list[Fault]:
     kind = source.choice(kinds)
     at_s = source.uniform(FIRST_FAULT_DELAY_S, length_s)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -11,6 +11,7 @@
 from soak._callers import Caller, JobKind
 from soak._checker import CONFIGURE_TIMEOUT_S, Checker, Finding
 from soak._faults import Injector
+from soak._long_running import Limits, LongRunningCheck
 from soak._plan import FaultKind, save_plan
 from soak._routes import SECOND_POOL, SECOND_POOL_WORKERS
 from soak._world import COLD_S, HALLS, INSTANCES_PER_RACK, SoakWorld
@@ -24,9 +25,15 @@
 CHECK_INTERVAL_S = 1.0
 """Interval between checks while a plan runs."""
 
+SAMPLE_INTERVAL_S = 0.1
+"""Interval between looks at which long-running tasks are at work."""
+
 SETTLE_TIMEOUT_S = 20.0
 """Time after the last fault by which everything must be in order; enough for some takeovers."""
 
+NODE_SETTINGS = ("lease_s", "owner_silence_s", "longest_lease_ms")
+"""Settings of nodes that a plan's deployment determines."""
+
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -40,6 +47,9 @@
     accepted: int
     runs: int
     took_s: float
+    longest_gap_s: float
+    """Longest time between two looks at the long-running tasks; long if the soak itself stood
+    still."""
 
 
 async def run_plan(
@@ -59,8 +69,12 @@
         callers += [Caller(n, plan, world) for n in range(plan.deployment.callers)]
         injector = Injector(world, callers)
         checker = Checker(world, callers, injector)
-        await _run_under_faults(plan, callers, injector, checker)
-        await _wait_until_settled(callers, checker)
+        long_running = LongRunningCheck(world, injector, Limits(plan.deployment.lease_s))
+        async with asyncio.TaskGroup() as tasks:
+            sampling = tasks.create_task(_check_long_running(long_running, checker))
+            await _run_under_faults(plan, callers, injector, checker)
+            await _wait_until_settled(callers, checker)
+            sampling.cancel()
         findings = sorted(checker.findings, key=lambda finding: finding.promise)
         if findings:
             _save_artifacts(plan, world, findings, artifacts_dir)
@@ -71,12 +85,16 @@
     jobs = [job for caller in callers for job in caller.jobs]
     accepted = sum(1 for job in jobs if job.accepted_at is not None)
     took_s = monotonic() - started
-    return Outcome(plan, findings, len(jobs), accepted, len(world.history), took_s)
+    return Outcome(
+        plan, findings, len(jobs), accepted, len(world.history), took_s, long_running.longest_gap_s
+    )
 
 
 async def _start_deployment(plan: Plan, world: SoakWorld) -> None:
     size = plan.deployment.workers
-    world.cold_s = COLD_S
+    world.task_s, world.cold_s = plan.deployment.task_s, COLD_S
+    for setting in NODE_SETTINGS:
+        world.node_settings[setting] = str(getattr(plan.deployment, setting))
     for number in range(size + plan.deployment.spares):
         rack = number // INSTANCES_PER_RACK
         world.halls[f"r1-{rack}"] = f"hall-{rack % HALLS}"
@@ -117,6 +135,12 @@
         checker.check()
 
 
+async def _check_long_running(check: LongRunningCheck, checker: Checker) -> None:
+    while True:
+        checker.findings.update(check.check(checker.jobs.values(), monotonic()))
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
 async def _wait_until_settled(callers: list[Caller], checker: Checker) -> None:
     """Wait until all work is done or the time limit is over; what is still open is a finding."""
     until = monotonic() + SETTLE_TIMEOUT_S
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import re
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
@@ -18,9 +19,6 @@
 MAINTENANCE_DURATION_S = 0.6
 """Duration of a move or maintenance; nodes are configured with a sixth, as a poor estimate."""
 
-TASK_DURATION_S = 0.25
-"""Duration of a short task; long enough for faults to hit it."""
-
 FOREIGN_PREFIX = "foreign-"
 """Prefix of the keys of entries that other writers put among the workers'."""
 
@@ -54,7 +52,6 @@
     def __init__(self, node_module: str) -> None:
         super().__init__()
         self.node_module = node_module
-        self.task_s = TASK_DURATION_S
         self.fleet.busy_s = MAINTENANCE_DURATION_S
         self.links: dict[str, NodeLinks] = {}
         self.started_nodes: list[Node] = []
@@ -62,6 +59,11 @@
         self.expected_ends: set[int] = set()
         """Ids of the processes that the soak ended on purpose."""
         self.account_history = AccountHistory()
+        self.node_settings: dict[str, str] = {}
+        """Settings of nodes that differ from the stand-ins'."""
+        self.lost_nodes: set[str] = set()
+        self.lost_instances: set[str] = set()
+        """What a fault has ended until another one starts it again."""
         self.absent_routes: set[str] = set()
         """Routes that are left out of the next configurations."""
         self.added_routes: dict[str, float] = {}
@@ -110,7 +112,12 @@
         links = self.links[name]
         own = {"store": links.store.address, "fleet": links.fleet.address}
         addresses = self.addresses | own
-        node = self.nodes.start(name, addresses, self.node_module)
+        node = self.nodes.prepare(name, addresses)
+        text = node.settings.read_text()
+        for setting, value in self.node_settings.items():
+            text = re.sub(rf"^{setting} = .*$", f"{setting} = {value}", text, flags=re.MULTILINE)
+        node.settings.write_text(text)
+        self.nodes.launch(node, self.node_module)
         self.started_nodes.append(node)
         return node
 
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -19,12 +19,14 @@
     _journal,
     _known_state,
     _limits,
+    _owner,
     _pool,
     _worker_load,
 )
 from pumicespur.jobs.placement import _placement
 from pumicespur.jobs.sessions import _lease, _session, _starts
 from pumicespur.jobs.submissions import _attempt, _service, terms_of
+from pumicespur.maintenance import _ended_workers
 from pumicespur.model import ANONYMOUS_ACCOUNT
 from pumicespur.node import (
     _evacuations,
@@ -33,7 +35,8 @@
     _table_follower,
 )
 from pumicespur.platform import _callers, _declarations, _http, _orders, _table
-from pumicespur.store import Transaction
+from pumicespur.store import Transaction, _clock
+from pumicespur.utils import monotonic
 
 
 class Mutant(Enum):
@@ -98,6 +101,12 @@
     """A data hall stays evacuated when its row is gone."""
     EVACUATIONS_FORGOTTEN = "evacuations-forgotten"
     """A reading leaves out the evacuations that an earlier one has shown."""
+    ENDED_WORKERS_IGNORED = "ended-workers-ignored"
+    """Owners ignore which workers have ended according to the fleet leader."""
+    UNREACHABLE_COUNT_AS_ENDED = "unreachable-count-as-ended"
+    """The fleet leader names each worker that owners can't reach, whether or not it is listed."""
+    LISTS_AGELESS = "lists-ageless"
+    """Owners take the fleet leader's word on ended workers for new, however old its lists are."""
 
 
 TRANSACTION = _journal.Journal._transaction
@@ -200,6 +209,12 @@
     return ADD_JOB(self, record, configuration, progress)
 
 
+def _name_suspects(self: _ended_workers.EndedWorkers, reports: Any) -> Any:
+    if self.as_of is None:
+        return []
+    return sorted({name for report in reports for name in _ended_workers._find_suspects(report)})
+
+
 def _clear_owners(self: _process_tracker.ProcessTracker, rows: Any, whole: bool) -> None:
     if whole:
         self.view.owners.clear()
@@ -262,6 +277,12 @@
             _replace(_evacuations.EvacuationFollower, "_decode", _keep_evacuations)
         case Mutant.EVACUATIONS_FORGOTTEN:
             _replace(_evacuations.EvacuationFollower, "_decode", _decode_new_evacuations)
+        case Mutant.ENDED_WORKERS_IGNORED:
+            _replace(_owner.PoolOwner, "_apply_ended_workers", lambda self, now: None)
+        case Mutant.UNREACHABLE_COUNT_AS_ENDED:
+            _replace(_ended_workers.EndedWorkers, "find", _name_suspects)
+        case Mutant.LISTS_AGELESS:
+            _replace(_clock.StoreClock, "latest_before", lambda self, time_ms: monotonic())
         case Mutant.LEAVING_NOT_ASKED_AGAIN:
             _replace(_starts.WorkerStarts, "_reason_to_withhold", lambda *arguments: "")
         case Mutant.OPEN_STARTS_FORGOTTEN:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,14 +17,19 @@
     Checker,
 )
 from soak._evacuations import evacuate_halls
-from soak._faults import Injector
+from soak._faults import FaultPeriod, Injector
+from soak._long_running import Limits, LongRunningCheck
+from soak._losses import MAX_OFFSET_S
 from soak._plan import (
+    DRAWN_LOSSES,
     EVACUATION_COMPANIONS,
+    LOSS_COMPANIONS,
     Deployment,
     Fault,
     FaultKind,
     Plan,
     draw_evacuation_plan,
+    draw_loss_plan,
     draw_overlapping_plan,
     draw_plan,
     load_plan,
@@ -32,7 +37,7 @@
 )
 from soak._run import run_plan
 from soak._world import SoakWorld
-from standins.hosted import NODE_MODULE, WORKER_CPU, Link, Passage, Run
+from standins.hosted import NODE_MODULE, WORKER_CPU, HostedWorker, Link, Passage, Run
 from tests.base import quiet_loop
 
 REGRESSIONS = Path(__file__).parent.parent / "soak" / "regressions"
@@ -44,6 +49,10 @@
 CI_LENGTH_S = 4.0
 CI_EVACUATION_LENGTH_S = 8.0
 """Long enough for submissions after the bound of an evacuation, 1.5 s."""
+CI_LOSS_SEEDS = (1, 2)
+"""Both find the mutant `ended-workers-ignored`, at a long and a short lease."""
+CI_LOSS_LENGTH_S = 1.0
+"""One loss; the plan's length follows from the calm time after it."""
 CI_BELIEF_LENGTH_S = 6.0
 CI_BELIEF_KINDS = {
     1: (FaultKind.ROUTE_MOVES, FaultKind.IDS_SENT_AGAIN, FaultKind.KILL_NODE),
@@ -81,6 +90,25 @@
             drawn,
         )
 
+    def test_each_loss_and_companion_is_drawn(self) -> None:
+        """Guards against a loss, or a fault beside it, that no seed draws."""
+        plans = [draw_loss_plan(seed, 10, Deployment()) for seed in range(200)]
+        drawn = {fault.kind for plan in plans for fault in plan.faults}
+        self.assertLessEqual({FaultKind.LOST_RETURN, *DRAWN_LOSSES}, drawn)
+        self.assertLessEqual({kind for kinds in LOSS_COMPANIONS for kind in kinds}, drawn)
+
+    def test_calm_after_each_loss_is_longer_than_the_check_needs(self) -> None:
+        """Guards against plans in which the check of long-running tasks never applies."""
+        kinds, companions = (FaultKind.OWNER_LOST_WITH_WORKERS,), ((),)
+        for seed in range(20):
+            plan = draw_loss_plan(seed, 40, Deployment(), kinds, companions)
+            begins = [fault.at_s for fault in plan.faults] + [plan.length_s]
+            for fault, next_s in zip(plan.faults, begins[1:], strict=True):
+                if fault.kind is FaultKind.OWNER_LOST_WITH_WORKERS:
+                    calm_s = next_s - (fault.at_s + MAX_OFFSET_S + fault.for_s)
+                    min_calm_s = Limits(plan.deployment.lease_s).min_calm_s
+                    self.assertGreater(calm_s, min_calm_s, f"seed {seed}")
+
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     """The loopback proxy between two parties."""
@@ -278,6 +306,83 @@
         )
 
 
+class LongRunningCheckTest(unittest.IsolatedAsyncioTestCase):
+    """Detection of long-running tasks that are away in calm; times are in monotonic seconds."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_loop()
+        self.world = SoakWorld(NODE_MODULE)
+        self.injector = Injector(self.world)
+        self.limits = Limits(lease_s=3.5)
+        self.check = LongRunningCheck(self.world, self.injector, self.limits)
+        self.job = SentJob(JOB, JobKind.LONG_RUNNING, [{"count": 1}])
+        self.job.exchanges.append(Exchange("POST", f"/quick/{JOB}", "node", 1, 9.9, 10.0, 200))
+        self.worker = HostedWorker("w-2", "main", "m-2", "r1-2", self.world.history)
+        self.world.workers["m-2"] = self.worker
+        run = Run(TASK, 1, "w-1", "lasts", "", 1, 10.1, 20.0, "gone")
+        self.world.history.append(run)
+
+    async def asyncTearDown(self) -> None:
+        self.world.nodes.close()
+
+    def findings_at(self, *times: float) -> int:
+        return sum(len(list(self.check.check([self.job], at))) for at in times)
+
+    def test_limits_are_the_platforms_at_its_lease(self) -> None:
+        self.assertEqual((6.0, 7.0), (self.limits.max_absence_s, self.limits.min_calm_s))
+
+    def test_task_that_is_away_too_long_is_found_once(self) -> None:
+        """Guards against an absence that is over before the end of the run."""
+        self.assertEqual(0, self.findings_at(20.1, 25.9))
+        self.assertEqual(1, self.findings_at(26.1, 26.2))
+
+    def test_task_that_never_ran_counts_from_its_acceptance(self) -> None:
+        self.world.history.clear()
+        self.assertEqual(0, self.findings_at(10.1, 15.9))
+        self.assertEqual(1, self.findings_at(16.1))
+
+    def test_task_that_runs_again_is_not_found(self) -> None:
+        self.assertEqual(0, self.findings_at(20.1))
+        self.world.history.append(Run(TASK, 2, "w-2", "lasts", "", 1, 25.0))
+        self.assertEqual(0, self.findings_at(26.1))
+
+    def test_task_of_a_cancelled_job_is_not_found(self) -> None:
+        self.job.exchanges.append(Exchange("DELETE", f"/quick/{JOB}", "node", 1, 19.0, 19.1, 200))
+        self.assertEqual(0, self.findings_at(20.1, 30.0))
+
+    def test_task_is_not_found_until_it_has_been_calm(self) -> None:
+        fault = Fault(FaultKind.STORE_SILENT, 0.0, 1.0, 0, 1.0)
+        self.injector.periods.append(FaultPeriod(fault, 22.0, 23.0))
+        self.assertEqual(0, self.findings_at(20.1, 22.5, 26.1, 29.9))
+        self.assertEqual(1, self.findings_at(30.1))
+
+    def test_task_is_not_found_until_there_has_been_room(self) -> None:
+        """Guards against findings on a worker that other long-running tasks fill."""
+        runs = [Run(f"{n:016x}.0.0.0", 1, "w-2", "lasts", "", 1, 5.0) for n in range(1, 8)]
+        self.world.history += runs
+        self.worker.running = {run.task: run for run in runs}
+        self.assertEqual(0, self.findings_at(20.1, 24.0))
+        self.worker.running.popitem()
+        self.assertEqual(0, self.findings_at(24.1, 29.9))
+        self.assertEqual(1, self.findings_at(30.1))
+
+    def test_short_tasks_take_no_room(self) -> None:
+        runs = [Run(f"{n:016x}.0.0.0", 1, "w-2", "short", "", 1, 19.0) for n in range(1, 9)]
+        self.world.history += runs
+        self.worker.running = {run.task: run for run in runs}
+        self.assertEqual(1, self.findings_at(20.1, 26.1))
+
+    def test_worker_with_a_task_of_the_same_step_has_no_room(self) -> None:
+        other = Run(f"{JOB}.0.0.1", 1, "w-2", "lasts", "", 1, 10.0)
+        self.world.history.append(other)
+        self.worker.running = {other.task: other}
+        self.assertEqual(0, self.findings_at(20.1, 30.0))
+
+    def test_task_is_not_found_while_all_halls_are_evacuated(self) -> None:
+        self.world.evacuations.begin(self.worker.hall)
+        self.assertEqual(0, self.findings_at(20.1, 30.0))
+
+
 class EvacuationFaultTest(unittest.IsolatedAsyncioTestCase):
     """Data halls that an evacuation fault closes, and opens again."""
 
@@ -344,6 +449,16 @@
             ]
         )
 
+    async def test_short_runs_with_losses(self) -> None:
+        """Guards against long-running tasks that stay away when worker and owner are lost."""
+        kinds, companions = (FaultKind.OWNER_LOST_WITH_WORKERS,), ((),)
+        await self.assert_promises_hold(
+            [
+                draw_loss_plan(seed, CI_LOSS_LENGTH_S, Deployment(), kinds, companions)
+                for seed in CI_LOSS_SEEDS
+            ]
+        )
+
     async def test_short_runs_that_show_what_a_process_cannot_know(self) -> None:
         """Guards against beliefs about routes, owners and orders that changed meanwhile."""
         await self.assert_promises_hold(
