--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,8 +34,8 @@
     verdict = "FAILED" if outcome.findings else "held"
     print(
         f"seed {outcome.plan.seed}: {verdict}; {outcome.accepted} of {outcome.jobs} jobs accepted,"
-        f" {outcome.runs} runs, {outcome.took_s:.0f} s (gaps up to {outcome.longest_gap_s:.1f} s);"
-        f" {kinds}",
+        f" {outcome.runs} runs, {outcome.took_s:.0f} s ({outcome.judged_s:.0f} s calm, gaps up to"
+        f" {outcome.longest_gap_s:.1f} s); {kinds}",
         flush=True,
     )
     for finding in outcome.findings:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -60,7 +60,6 @@
 PLANNED_KINDS = frozenset(
     {
         FaultKind.STOP_NODE,
-        FaultKind.OWNERS_LEAVE,
         FaultKind.RELOAD_NODE,
         FaultKind.ROUTE_MOVES,
         FaultKind.ROUTE_AWAY,
--- a/soak/_long_running.py
+++ b/soak/_long_running.py
@@ -30,6 +30,10 @@
 PLATFORM_MIN_CALM_S = 7.0
 """Time without faults up to that moment."""
 
+MAX_GAP_S = 0.4
+"""Time between two checks from which on the stand-ins count as silent: they run in this process,
+and nodes wait 0.3 s for an answer."""
+
 MIN_ROOM_TASKS = 2
 """Tasks for which a worker must have room to count as free for one."""
 
@@ -79,14 +83,16 @@
     checked_at: float = float("inf")
     longest_gap_s: float = 0.0
     """Longest time between two checks."""
+    judged_s: float = 0.0
+    """Time in which it was calm, so that tasks were judged."""
+    steady_since: float = 0.0
+    """Since when there has been no gap of over `MAX_GAP_S`."""
 
     def check(self, jobs: Iterable[SentJob], now: float) -> Iterator[Finding]:
         """Return tasks that have had no run for too long although nothing prevented one."""
-        self.longest_gap_s = max(self.longest_gap_s, now - self.checked_at)
-        self.checked_at = now
+        calm = self._note_time(now)
         self._read_history()
         self.pools.update((worker.id, worker.pool) for worker in self.world.serving_workers())
-        calm = self.injector.fault_free_since(now) <= now - self.limits.min_calm_s
         for job in jobs:
             if job.kind is not JobKind.LONG_RUNNING or job.accepted_at is None:
                 continue
@@ -98,6 +104,18 @@
                     absence.reported = True
                     yield Finding("long-running tasks run in calm", self._describe(task, now))
 
+    def _note_time(self, now: float) -> bool:
+        """Note the time of a check; return whether it has been calm for long enough."""
+        gap_s = max(0.0, now - self.checked_at)
+        self.checked_at = now
+        self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        if gap_s > MAX_GAP_S:
+            self.steady_since = now
+        calm_since = max(self.injector.fault_free_since(now), self.steady_since)
+        calm = calm_since <= now - self.limits.min_calm_s
+        self.judged_s += gap_s if calm else 0.0
+        return calm
+
     def _read_history(self) -> None:
         history = self.world.history
         for run in history[self.read :]:
--- a/soak/_losses.py
+++ b/soak/_losses.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import signal
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from pumicespur.maintenance import FLEET_ROLE
+from soak._leaving import make_workers_leave
 from soak._plan import FaultKind
 from standins.hosted import Passage
 
 if TYPE_CHECKING:
     from soak._plan import Fault
     from soak._world import SoakWorld
-    from standins.hosted import HostedWorker, Node
+    from standins.hosted import HostedWorker
 
 MAX_LOST_WORKERS = 2
 """Workers that are lost at the same time, as many as there are spare instances."""
@@ -34,10 +36,14 @@
 """Time for which a worker is down, in which it becomes known that it has ended."""
 
 MIN_LISTED_S = 0.6
-"""Least time after its end for which instances can still be listed."""
+MAX_LISTED_S = 1.4
+"""Time after its end for which instances can still be listed."""
+
+TASKS_MOVED_S = 2.0
+"""Time in which it gets tasks of workers that leave, before it falls silent."""
 
 SERVED_S = 0.7
-"""Time for which a worker that has started again serves before it ends or falls silent."""
+"""Time for which a worker that has started again serves before it ends."""
 
 SILENT_S = 3.0
 """Least time for which it is silent then; about a lease."""
@@ -139,18 +145,20 @@
 
 
 async def _return_dark(world: SoakWorld, fault: Fault) -> None:
-    """Start a worker again that is known to have ended, and let it fall silent.
+    """Start a worker again that is known to have ended, and let it fall silent with tasks.
 
-    What is known of its end grows old meanwhile, since no instances can be listed.
+    What is known of its end grows old meanwhile, since no instances can be listed. It gets tasks of
+    workers that leave.
     """
     for worker in _choose_workers(world, fault)[:1]:
         returning = asyncio.create_task(world.restart_worker(worker.instance, DOWN_S))
-        await asyncio.sleep(MIN_LISTED_S + fault.strength * (DOWN_S - MIN_LISTED_S))
+        await asyncio.sleep(MIN_LISTED_S + fault.strength * (MAX_LISTED_S - MIN_LISTED_S))
         fleet_links = [links.fleet for links in world.links.values()]
         for link in fleet_links:
             link.set_passage(Passage.NOTHING)
         await returning
-        await asyncio.sleep(SERVED_S)
+        leaving = asyncio.create_task(_let_others_leave(world, worker.instance, fault))
+        await asyncio.sleep(TASKS_MOVED_S)
         returned = world.workers.get(worker.instance)
         if returned is not None:
             returned.faults.silent = True
@@ -159,24 +167,30 @@
             returned.faults.silent = False
         for link in fleet_links:
             link.set_passage(Passage.BOTH_WAYS)
+        await leaving
+
+
+async def _let_others_leave(world: SoakWorld, instance: str, fault: Fault) -> None:
+    """Make half of the workers leave, but not the one of an instance."""
+    names = sorted(world.workers)
+    target = names.index(instance) + 1 if instance in names else fault.target
+    leave = replace(fault, kind=FaultKind.WORKERS_SCALED_IN, target=target, for_s=TASKS_MOVED_S)
+    await make_workers_leave(world, leave)
 
 
 async def _stop_owners_in_turn(world: SoakWorld, fault: Fault) -> None:
-    """Stop the owner, then its successor, and start them again."""
-    stopped: list[Node] = []
-    while len(stopped) < MAX_STOPPED_OWNERS:
+    """Stop the owner, then its successor; each starts again, and another node is always up."""
+    for _ in range(MAX_STOPPED_OWNERS):
         name = world.owner()
-        if name not in world.links or not _is_up(world, name):
+        others = [other for other in world.links if other != name and _is_up(world, other)]
+        if name not in world.links or not _is_up(world, name) or not others:
             break
         node = world.nodes.nodes[name]
         world.expected_ends.add(node.process.pid)
         node.send_signal(signal.SIGTERM)
         await asyncio.to_thread(node.process.wait)
-        stopped.append(node)
+        world.start_node(name)
         await asyncio.sleep(min(fault.for_s, MAX_OFFSET_S))
-    for node in stopped:
-        if world.nodes.nodes[node.name] is node:
-            world.start_node(node.name)
 
 
 async def _return_all(world: SoakWorld) -> None:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -47,9 +47,10 @@
     accepted: int
     runs: int
     took_s: float
+    judged_s: float
+    """Time in which it was calm, so that long-running tasks were judged."""
     longest_gap_s: float
-    """Longest time between two looks at the long-running tasks; long if the soak itself stood
-    still."""
+    """Longest time between two looks at them; long if the soak itself stood still."""
 
 
 async def run_plan(
@@ -83,10 +84,15 @@
             await caller.close()
         await world.close()
     jobs = [job for caller in callers for job in caller.jobs]
-    accepted = sum(1 for job in jobs if job.accepted_at is not None)
-    took_s = monotonic() - started
     return Outcome(
-        plan, findings, len(jobs), accepted, len(world.history), took_s, long_running.longest_gap_s
+        plan,
+        findings,
+        jobs=len(jobs),
+        accepted=sum(1 for job in jobs if job.accepted_at is not None),
+        runs=len(world.history),
+        took_s=monotonic() - started,
+        judged_s=long_running.judged_s,
+        longest_gap_s=long_running.longest_gap_s,
     )
 
 
