Soak: calm needs nodes that get the processor, and late writes count until they are done

A fault with late writes is now in force until the last one is done. Over 0.4 s, calm begins anew. A run prints the longest wait, and for how long it was calm.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,12 +30,14 @@
 
 
 def _print_outcome(outcome: Outcome) -> None:
+    steadiness = outcome.steadiness
     kinds = ", ".join(sorted({fault.kind.value for fault in outcome.plan.faults}))
     verdict = "FAILED" if outcome.findings else "held"
     print(
         f"seed {outcome.plan.seed}: {verdict}; {outcome.accepted} of {outcome.jobs} jobs accepted,"
         f" {outcome.runs} runs, {outcome.took_s:.0f} s ({outcome.judged_s:.0f} s calm, gaps up to"
-        f" {outcome.longest_gap_s:.1f} s); {kinds}",
+        f" {steadiness.longest_gap_s:.1f} s, waits up to {steadiness.longest_wait_s:.1f} s);"
+        f" {kinds}",
         flush=True,
     )
     for finding in outcome.findings:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -252,6 +252,8 @@
             job = await caller.submit_once()
             faults.late_share = 0.0
             await caller.cancel(job)
+        # The last late writes are done only then.
+        await asyncio.sleep(LATE_SUBMISSION_S)
 
     async def _change_account(self, fault: Fault) -> None:
         """Rotate a key, revoke one, or lower a limit for the fault's duration."""
@@ -350,6 +352,9 @@
         await asyncio.sleep(fault.for_s)
         faults.silent, faults.refuse_with, faults.slow_s = False, 0, 0.0
         faults.lose_share, faults.late_share = 0.0, 0.0
+        if fault.kind is FaultKind.STORE_WRITES_LATE:
+            # The last late writes are done only then.
+            await asyncio.sleep(MAX_LATE_S)
 
     async def _disrupt_worker(self, fault: Fault) -> None:
         workers = self.world.serving_workers()
--- a/soak/_long_running.py
+++ b/soak/_long_running.py
@@ -12,6 +12,7 @@
 
 from soak._callers import TASK_CPU_MILLIS, JobKind
 from soak._checker import Finding
+from soak._steadiness import Steadiness
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -30,10 +31,6 @@
 PLATFORM_MIN_CALM_S = 7.0
 """Time without faults up to that moment."""
 
-MAX_GAP_S = 0.4
-"""Time between two checks from which on the stand-ins count as silent: they run in this process,
-and nodes wait 0.3 s for an answer."""
-
 MIN_ROOM_TASKS = 2
 """Tasks for which a worker must have room to count as free for one."""
 
@@ -80,13 +77,9 @@
     """The pool of each worker that has been seen."""
     read: int = 0
     """Number of runs of the world's history that have been looked at."""
-    checked_at: float = float("inf")
-    longest_gap_s: float = 0.0
-    """Longest time between two checks."""
+    steadiness: Steadiness = field(default_factory=Steadiness)
     judged_s: float = 0.0
     """Time in which it was calm, so that tasks were judged."""
-    steady_since: float = 0.0
-    """Since when there has been no gap of over `MAX_GAP_S`."""
 
     def check(self, jobs: Iterable[SentJob], now: float) -> Iterator[Finding]:
         """Return tasks that have had no run for too long although nothing prevented one."""
@@ -106,12 +99,9 @@
 
     def _note_time(self, now: float) -> bool:
         """Note the time of a check; return whether it has been calm for long enough."""
-        gap_s = max(0.0, now - self.checked_at)
-        self.checked_at = now
-        self.longest_gap_s = max(self.longest_gap_s, gap_s)
-        if gap_s > MAX_GAP_S:
-            self.steady_since = now
-        calm_since = max(self.injector.fault_free_since(now), self.steady_since)
+        nodes = self.world.nodes.nodes.values()
+        gap_s = self.steadiness.note((node.process.pid for node in nodes), now)
+        calm_since = max(self.injector.fault_free_since(now), self.steadiness.steady_since)
         calm = calm_since <= now - self.limits.min_calm_s
         self.judged_s += gap_s if calm else 0.0
         return calm
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -21,6 +21,7 @@
     from pathlib import Path
 
     from soak._plan import Plan
+    from soak._steadiness import Steadiness
 
 CHECK_INTERVAL_S = 1.0
 """Interval between checks while a plan runs."""
@@ -49,8 +50,7 @@
     took_s: float
     judged_s: float
     """Time in which it was calm, so that long-running tasks were judged."""
-    longest_gap_s: float
-    """Longest time between two looks at them; long if the soak itself stood still."""
+    steadiness: Steadiness
 
 
 async def run_plan(
@@ -92,7 +92,7 @@
         runs=len(world.history),
         took_s=monotonic() - started,
         judged_s=long_running.judged_s,
-        longest_gap_s=long_running.longest_gap_s,
+        steadiness=long_running.steadiness,
     )
 
 
