--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -60,6 +60,13 @@
 TASK_CPU_MILLIS = 500
 """CPU capacity that each task requests."""
 
+HIGH_TURN_FACTOR = 5.0
+LOW_TURN_FACTOR = 1 / 20
+"""Rate of a caller in high and low turns of demand, relative to its mean."""
+
+HIGH_TURN_RATIO = (1 - LOW_TURN_FACTOR) / (HIGH_TURN_FACTOR - LOW_TURN_FACTOR)
+"""Share of time that is a high turn."""
+
 MAX_REPEATED_JOBS = 8
 """Newest accepted jobs of a caller whose ids it sends again."""
 
@@ -106,6 +113,8 @@
     exchanges: list[Exchange] = field(default_factory=list)
     account: str = ""
     """The job's client account; empty on the public route."""
+    cancel_began_at: float | None = None
+    """When the caller first began to cancel the job, whether or not there was an answer yet."""
 
     @property
     def path(self) -> str:
@@ -135,7 +144,9 @@
     @property
     def cancel_sent_at(self) -> float | None:
         """The time at which the caller first asked to cancel the job."""
-        return min((e.sent_at for e in self.exchanges if e.method == "DELETE"), default=None)
+        answered = [e.sent_at for e in self.exchanges if e.method == "DELETE"]
+        began = [] if self.cancel_began_at is None else [self.cancel_began_at]
+        return min(began + answered, default=None)
 
     @property
     def cancel_answered_at(self) -> float | None:
@@ -184,9 +195,23 @@
     async def run(self, until: float) -> None:
         """Act at random until the given monotonic time."""
         pause_s = self.plan.deployment.callers / self.plan.deployment.submissions_per_s / 2
+        began = monotonic()
         while monotonic() < until:
             await self._act()
-            await asyncio.sleep(self.random.uniform(0.2, 1.8) * pause_s)
+            drawn_s = self.random.uniform(0.2, 1.8) * pause_s
+            await self._pause(drawn_s, monotonic() - began)
+
+    async def _pause(self, mean_s: float, since_s: float) -> None:
+        """Pause as long as the turn of demand says, at most until the next turn."""
+        turn_s = self.plan.deployment.turn_s
+        if not turn_s:
+            await asyncio.sleep(mean_s)
+            return
+        into_s, high_s = since_s % turn_s, turn_s * HIGH_TURN_RATIO
+        factor, ends_s = (
+            (HIGH_TURN_FACTOR, high_s) if into_s < high_s else (LOW_TURN_FACTOR, turn_s)
+        )
+        await asyncio.sleep(min(mean_s / factor, ends_s - into_s))
 
     async def close(self) -> None:
         """Close all connections."""
@@ -248,6 +273,8 @@
 
     async def cancel(self, job: SentJob) -> None:
         """Cancel a job, which may be unknown to the node."""
+        if job.cancel_began_at is None:
+            job.cancel_began_at = monotonic()
         exchange = await self._send("DELETE", job.path, None, key=self._api_key(job.account))
         job.exchanges.append(exchange)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,7 +14,8 @@
 from soak._cuts import cut_fleet_leader
 from soak._evacuations import evacuate_halls
 from soak._leaving import DEPARTURE_KINDS, RECORD_KINDS, block_records, make_workers_leave
-from soak._plan import FaultKind
+from soak._losses import lose_or_return
+from soak._plan import LOSS_KINDS, FaultKind
 from soak._restarts import RESTART_KINDS, restart_workers
 from soak._routes import ROUTE_KINDS, disrupt_route, forget_history_repeatedly
 from soak._world import FOREIGN_PREFIX
@@ -162,6 +163,8 @@
                 await block_records(self.world, fault)
             case FaultKind.EVACUATE_HALL:
                 await evacuate_halls(self.world, fault)
+            case kind if kind in LOSS_KINDS:
+                await lose_or_return(self.world, fault)
             case kind if kind in RESTART_KINDS:
                 await restart_workers(self.world, fault)
             case FaultKind.FOREIGN_ENTRIES:
@@ -249,6 +252,8 @@
             job = await caller.submit_once()
             faults.late_share = 0.0
             await caller.cancel(job)
+        # The last late writes are done only then.
+        await asyncio.sleep(LATE_SUBMISSION_S)
 
     async def _change_account(self, fault: Fault) -> None:
         """Rotate a key, revoke one, or lower a limit for the fault's duration."""
@@ -347,6 +352,9 @@
         await asyncio.sleep(fault.for_s)
         faults.silent, faults.refuse_with, faults.slow_s = False, 0, 0.0
         faults.lose_share, faults.late_share = 0.0, 0.0
+        if fault.kind is FaultKind.STORE_WRITES_LATE:
+            # The last late writes are done only then.
+            await asyncio.sleep(MAX_LATE_S)
 
     async def _disrupt_worker(self, fault: Fault) -> None:
         workers = self.world.serving_workers()
