--- a/tests/test_long_running_model.py
+++ b/tests/test_long_running_model.py
@@ -636,7 +636,7 @@
     ) -> None:
         instance = self.busy_instance(index)
         name = instance.name
-        self.fleet.workers.die(instance, dark=False)
+        self.fleet.die(instance, dark=False, stays_listed=True)
         self.fleet.after(down_s, self.fleet.start_worker, instance, name, publish_s)
         self.pause(pause)
 
@@ -654,7 +654,7 @@
         self.fleet.pass_time(max(PAUSES_S))
         instance = self.assigned_instance()
         name = instance.name
-        self.fleet.workers.die(instance, dark=False)
+        self.fleet.die(instance, dark=False, stays_listed=True)
         self.fleet.pass_time(down_s)
         self.fleet.start_worker(instance, name, PUBLISH_S)
         self.fleet.pass_time(lives_s)
