A released pool still tells until when leases of earlier owners may last

A task could run twice at once: an owner that is cut off from the store together with a worker goes on renewing its leases for owner_silence_s; its successor releases the pool, and the owner after that waited for one lease only. Cause: the row of a released pool left out the time by which all earlier leases have expired, which every takeover writes and the next owner reads.

The time is part of the ownership now and is written at the release as well.

--- a/pumicespur/jobs/_journal.py
+++ b/pumicespur/jobs/_journal.py
@@ -40,6 +40,8 @@
     token: int
     incarnation: str
     acquired_at: float
+    leases_until_ms: int = 0
+    """Time on the store's clock by which the leases of all earlier owners have expired."""
 
 
 class Journal:
@@ -67,9 +69,17 @@
                     await anyio.sleep(MAX_RETRY_DELAY_S * random.uniform(0.5, 1.0))
 
     async def release(self, process: str) -> None:
-        """Release the pool, so that the next owner need not wait for this process to time out."""
+        """Release the pool, so that the next owner need not wait for this process to time out.
+
+        It still has to wait for the leases of the owners before this one.
+        """
         key = owner_key(self.ownership.pool)
-        record = OwnerRecord(process=process, incarnation=self.ownership.incarnation, released=True)
+        record = OwnerRecord(
+            process=process,
+            incarnation=self.ownership.incarnation,
+            released=True,
+            leases_until_ms=self.ownership.leases_until_ms,
+        )
         transaction = Transaction(
             [Condition(key, self.ownership.token)], [Write(key, record.to_binary())]
         )
--- a/pumicespur/node/_ownership_controller.py
+++ b/pumicespur/node/_ownership_controller.py
@@ -222,15 +222,16 @@
                 # The view may show a still newer owner by now.
                 self.tracker.apply_owner(Row(owner_key(pool), record.to_binary(), token))
                 self.takeover_policy.note_owned(pool)
-                self._start_owner(pool, owner, token, now)
+                ownership = Ownership(pool, token, self.incarnation, now, record.leases_until_ms)
+                self._start_owner(ownership, owner)
             case Result(error=error):
                 # If the store applied the takeover nevertheless, the row names this process, and
                 # the pool is taken again at the next check.
                 log.info("pool not taken", pool=pool, reason=str(error))
                 self.view.owners_to_read.add(pool)
 
-    def _start_owner(self, pool: PoolId, previous: SeenOwner, token: int, now: float) -> None:
-        ownership = Ownership(pool, token, self.incarnation, now)
+    def _start_owner(self, ownership: Ownership, previous: SeenOwner) -> None:
+        pool = ownership.pool
         owner: PoolOwner | FleetLeader
         if pool == FLEET_ROLE:
             # Wait until the previous leader's orders are older than the lease between leaders.
@@ -245,7 +246,7 @@
                 self.heartbeats.expedite_report,
             )
         else:
-            earlier = self.predecessors.track_leases(pool, previous, now)
+            earlier = self.predecessors.track_leases(pool, previous, ownership.acquired_at)
             owner = PoolOwner(
                 self.settings,
                 self.view,
--- a/tests/test_long_running_model.py
+++ b/tests/test_long_running_model.py
@@ -431,7 +431,7 @@
         )
         token = self.records.token = self.next_version()
         self.owner_row = SeenOwner(record, token, now)
-        ownership = Ownership(POOL, token, process.incarnation, now)
+        ownership = Ownership(POOL, token, process.incarnation, now, record.leases_until_ms)
         self.workers.note(f"{process.id} owns the pool, token {token}")
         self.owner = process
         self.running[process] = self.loop.create_task(process.own(ownership, previous))
