--- a/pumicespur/jobs/sessions/_orphaned_tasks.py
+++ b/pumicespur/jobs/sessions/_orphaned_tasks.py
@@ -44,8 +44,8 @@
         self.since: dict[WorkerId, float] = {}
         """When each worker was first found to have tasks or inherited runs, and no session
         (monotonic seconds)."""
-        self.taken_over_at: float | None = None
-        """When tasks were first looked for; those found then are an earlier owner's."""
+        self.inherited: frozenset[WorkerId] | None = None
+        """The workers found at the takeover that have had no session since; None before that."""
 
     def names(self) -> list[WorkerName]:
         """Return the workers with tasks or inherited runs whose end nobody here will notice.
@@ -102,8 +102,8 @@
                 # Its runs may all be of jobs that have ended; they count against account limits.
                 found.setdefault(worker, [])
         self.since = {worker: self.since.get(worker, now) for worker in found}
-        if self.taken_over_at is None:
-            self.taken_over_at = now
+        still = found.keys() if self.inherited is None else self.inherited & found.keys()
+        self.inherited = frozenset(still)
         return found
 
     def _leased_until(self, worker: WorkerId) -> float:
@@ -111,7 +111,7 @@
         ended_at = self.restarts.ended.get(worker)
         if ended_at is not None:
             return ended_at + self.restarts.max_lease_s()
-        if self.since[worker] == self.taken_over_at:
+        if self.inherited and worker in self.inherited:
             return self.earlier.until
         return max(self.earlier.until, self.since[worker] + self.restarts.max_lease_s())
 
--- a/pumicespur/maintenance/_ended_workers.py
+++ b/pumicespur/maintenance/_ended_workers.py
@@ -33,7 +33,7 @@
     names: frozenset[WorkerName]
 
 
-class EndedWorkers:
+class EndedWorkerFinder:
     """The workers that ran on no instance in two lists, nor in any between them."""
 
     def __init__(self) -> None:
--- a/pumicespur/maintenance/_fleet_leader.py
+++ b/pumicespur/maintenance/_fleet_leader.py
@@ -17,7 +17,7 @@
 from logbook import Logger
 
 from pumicespur.jobs import TARGET_UTILIZATION_RATIO, Journal, OwnershipLostError
-from pumicespur.maintenance._ended_workers import EndedWorkers
+from pumicespur.maintenance._ended_workers import EndedWorkerFinder
 from pumicespur.maintenance._intents import IntentLog, intent_validity_s
 from pumicespur.maintenance._peaks import min_peak_cpu_millis, reserved_sizes
 from pumicespur.maintenance._persisted_state import PersistedState
@@ -105,7 +105,7 @@
         self.request_report = request_report
         """Requests an immediate report to the other processes."""
         self.reported_evacuations: set[WorkerName] = set()
-        self.listed_workers = EndedWorkers()
+        self.listed_workers = EndedWorkerFinder()
         self.ended_workers: list[WorkerName] = []
         """Workers that owners miss or can't reach, and that have ended."""
         self.ready = False
--- a/soak/mutant.py
+++ b/soak/mutant.py
@@ -209,7 +209,7 @@
     return ADD_JOB(self, record, configuration, progress)
 
 
-def _name_suspects(self: _ended_workers.EndedWorkers, reports: Any) -> Any:
+def _name_suspects(self: _ended_workers.EndedWorkerFinder, reports: Any) -> Any:
     if self.as_of is None:
         return []
     return sorted({name for report in reports for name in _ended_workers._find_suspects(report)})
@@ -280,7 +280,7 @@
         case Mutant.ENDED_WORKERS_IGNORED:
             _replace(_owner.PoolOwner, "_apply_ended_workers", lambda self, now: None)
         case Mutant.UNREACHABLE_COUNT_AS_ENDED:
-            _replace(_ended_workers.EndedWorkers, "find", _name_suspects)
+            _replace(_ended_workers.EndedWorkerFinder, "find", _name_suspects)
         case Mutant.LISTS_AGELESS:
             _replace(_clock.StoreClock, "latest_before", lambda self, time_ms: monotonic())
         case Mutant.LEAVING_NOT_ASKED_AGAIN:
--- a/tests/test_ended_incarnations.py
+++ b/tests/test_ended_incarnations.py
@@ -11,7 +11,7 @@
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs.placement import assign
 from pumicespur.jobs.sessions import EarlierLeases, OrphanedTasks, Restarts, WorkerSession
-from pumicespur.maintenance._ended_workers import EndedWorkers
+from pumicespur.maintenance._ended_workers import EndedWorkerFinder
 from pumicespur.model import (
     WorkerId,
     WorkerName,
@@ -204,7 +204,7 @@
     """Lists of instances that prove nothing."""
 
     def setUp(self) -> None:
-        self.ended = EndedWorkers()
+        self.ended = EndedWorkerFinder()
         self.report = PoolReport(missing_workers=[NAME])
         self.other = replace(make_instance("m-1"), worker=WorkerName("other"))
 
--- a/tests/test_ended_workers.py
+++ b/tests/test_ended_workers.py
@@ -9,7 +9,7 @@
 from pumicespur.jobs._job import TaskState
 from pumicespur.jobs.placement import assign
 from pumicespur.jobs.sessions import EarlierLeases, OrphanedTasks, Restarts, WorkerSession
-from pumicespur.maintenance._ended_workers import EndedWorkers
+from pumicespur.maintenance._ended_workers import EndedWorkerFinder
 from pumicespur.model import Instance, InstanceState, WorkerId, WorkerName, worker_id
 from pumicespur.schema.jobs_pb import PoolReport, StepRecord, WorkerReport
 from pumicespur.store import ConnectionBroken, StoreClock
@@ -31,7 +31,7 @@
     """Which workers the lists of instances show to have ended."""
 
     def setUp(self) -> None:
-        self.ended = EndedWorkers()
+        self.ended = EndedWorkerFinder()
         self.other = replace(make_instance("m-1"), worker=WorkerName("other"))
         self.instance = replace(make_instance("m-2"), worker=WorkerName("w"))
 
--- a/tests/test_long_running_model.py
+++ b/tests/test_long_running_model.py
@@ -34,7 +34,7 @@
 from pumicespur.jobs._keys import owner_key, progress_key
 from pumicespur.jobs.sessions import OrphanedTasks, WorkerSession
 from pumicespur.maintenance import FLEET_ROLE, FleetLeader
-from pumicespur.maintenance._ended_workers import EndedWorkers
+from pumicespur.maintenance._ended_workers import EndedWorkerFinder
 from pumicespur.maintenance._fleet_leader import MAX_ROUND_INTERVAL_S
 from pumicespur.model import (
     Configuration,
@@ -761,7 +761,7 @@
 
 def update_once(orphans: OrphanedTasks, now: float) -> dict[WorkerId, list[Task]]:
     """Look for tasks without a session at the first time alone, as a mutant."""
-    is_first = orphans.taken_over_at is None
+    is_first = orphans.inherited is None
     known = set(orphans.since)
     found = UPDATE_ORPHANS(orphans, now)
     if is_first:
@@ -770,7 +770,7 @@
     return {worker: tasks for worker, tasks in found.items() if worker in known}
 
 
-def find_unreachable(ended: EndedWorkers, reports: Iterable[PoolReport]) -> list[WorkerName]:
+def find_unreachable(ended: EndedWorkerFinder, reports: Iterable[PoolReport]) -> list[WorkerName]:
     """Take every worker that owners miss or can't reach for ended, as a mutant."""
     another = frozenset({WorkerName("another")})
     ended.lists = deque(listed._replace(names=another) for listed in ended.lists)
@@ -778,7 +778,7 @@
 
 
 UPDATE_ORPHANS = OrphanedTasks._update
-FIND_ENDED = EndedWorkers.find
+FIND_ENDED = EndedWorkerFinder.find
 
 
 class ReleasedPoolTest(unittest.TestCase):
@@ -823,7 +823,7 @@
         self.assert_found(OrphanedTasks, "_update", update_once, "without a run")
 
     def test_finds_unreachable_workers_that_are_taken_for_ended(self) -> None:
-        self.assert_found(EndedWorkers, "find", find_unreachable, "runs twice")
+        self.assert_found(EndedWorkerFinder, "find", find_unreachable, "runs twice")
 
     def test_finds_a_session_that_outlives_its_lease(self) -> None:
         self.assert_found(WorkerSession, "_check_lease_expiry", ignore, "without a run")
