Test of scans during a check: the pool of an owner that is started is that of its ownership

The starting of an owner takes the ownership now instead of pool, token and time, so that the test compared ownerships with names of pools. What it checks is as before.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -615,7 +615,7 @@
         with (
             patch.object(self.tracker, "read_presence", self.read_presence),
             patch.object(self.tracker, "is_receiving", lambda now: True),
-            patch.object(self.controller, "_start_owner", lambda pool, *_: taken.append(pool)),
+            patch.object(self.controller, "_start_owner", lambda own, _: taken.append(own.pool)),
             patch.object(_ownership_controller.log, "exception") as logged,
         ):
             for _ in range(2 * self.MAX_EVENTS):
