--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A job scheduled once a minute for a month takes down each process that takes its pool."""
+"""The cancellation of a wide standing job ends all work of its pool, for good."""
 
 from __future__ import annotations
 
@@ -10,116 +10,85 @@
 from review.second import SECONDS_TO_FINISH, SmallDeployment, Step, find_lost, run_script
 
 if TYPE_CHECKING:
+    from review.second import SubmittedJob
     from standins.hosted import Node
 
-MEMORY_MB = 300
-"""`memoryMb` of Coulee: a process that goes over it is killed."""
-
-RESTART_S = 0.5
-"""Delay until a process that was killed is started again."""
-
-CHECK_INTERVAL_S = 0.05
-MONTH_OF_MINUTES = 30 * 24 * 60
-FEW = 8
-
-SCHEDULED = (Step(8, 500, work_s=0.5), Step(8, 500, work_s=0.5, fields={"dependsOn": [0]}))
-"""Two steps of eight tasks, as the means of Coulee's `tag-draw` and `harvest-tally`."""
+WORKERS = 8
+STANDING = Step(1200, 40, memory_mb=16, work_s=1.0, fields={"longRunning": True})
+"""48 of the pool's 128 cores, for as long as the job is not cancelled."""
 
 USUAL = (Step(4, 1000, work_s=0.5), Step(4, 1000, work_s=0.5, fields={"dependsOn": [0]}))
-TRAFFIC_S = 40.0
 INTERVAL_S = 0.5
-KILLS_FOR_FAULT = 3
-
-
-class MemoryLimit:
-    """The platform's limit on memory: kills a process that goes over it, and starts it again."""
-
-    def __init__(self, deployment: SmallDeployment) -> None:
-        self.deployment = deployment
-        self.kills: dict[str, int] = {}
-        self.peak_mb: dict[str, int] = {}
-        self.restarts: list[asyncio.TimerHandle] = []
-
-    def end(self) -> None:
-        """Start no process again from now on."""
-        for restart in self.restarts:
-            restart.cancel()
-
-    async def enforce(self) -> None:
-        """Check all processes until cancelled."""
-        while True:
-            for node in list(self.deployment.nodes.nodes.values()):
-                self._check(node)
-            await asyncio.sleep(CHECK_INTERVAL_S)
-
-    def _check(self, node: Node) -> None:
-        used_mb = resident_mb(node.process.pid)
-        self.peak_mb[node.name] = max(used_mb, self.peak_mb.get(node.name, 0))
-        if used_mb <= MEMORY_MB or node.process.poll() is not None:
-            return
-        self.deployment.note(f"process {node.name} takes {used_mb} MB and is killed")
-        self.kills[node.name] = self.kills.get(node.name, 0) + 1
-        node.process.kill()
-        node.process.wait()
-        loop = asyncio.get_running_loop()
-        self.restarts.append(loop.call_later(RESTART_S, self._restart, node))
-
-    def _restart(self, node: Node) -> None:
-        self.deployment.note(f"process {node.name} is started again")
-        self.deployment.nodes.launch(node, self.deployment.node_module)
-
-
-def resident_mb(process_id: int) -> int:
-    """Return the memory that a process has resident, in MB; 0 if it has ended."""
-    try:
-        status = Path(f"/proc/{process_id}/status").read_text()
-    except OSError:
-        # The process has ended between two checks.
-        return 0
-    lines = (line for line in status.splitlines() if line.startswith("VmRSS:"))
-    return next((int(line.split()[1]) // 1024 for line in lines), 0)
+BEFORE_START_S = 2.0
+"""Until the owner of the pool has reached all workers."""
+
+MAX_START_S = 40.0
+BEFORE_CANCEL_S = 3.0
+AFTER_CANCEL_S = 16.0
+
+STOPPED_AFTER_S = 3.0 + 0.4
+"""`cancel_ms` and `stop_ms` of Coulee after the ack of a cancelling, no task of it may run."""
 
 
 async def scenario(deployment: SmallDeployment, trouble: bool) -> list[str]:
-    """Send usual jobs all the time, and one that is scheduled for a long time."""
-    await deployment.add_workers(8)
+    """Start a wide standing job, send usual jobs from then on, and cancel the standing one."""
+    await deployment.add_workers(WORKERS)
     nodes = await deployment.start_nodes(3)
-    limit = MemoryLimit(deployment)
-    enforcing = asyncio.create_task(limit.enforce())
-    await send_usual(deployment, nodes, 3.0)
-    scheduled = await deployment.submit_job(
-        nodes,
-        SCHEDULED,
-        schedule={
-            "repeatCount": MONTH_OF_MINUTES if trouble else FEW,
-            "initialDelayMs": deployment.time_of_day_ms() + 1000,
-            "intervalMs": 60_000,
-        },
-    )
-    await send_usual(deployment, nodes, TRAFFIC_S)
+    await asyncio.sleep(BEFORE_START_S)
+    standing = await deployment.submit_job(nodes, (STANDING,))
+    started_by = monotonic() + MAX_START_S
+    while count_running(deployment, standing) < STANDING.count and monotonic() < started_by:
+        await asyncio.sleep(0.2)
+    deployment.note(f"{count_running(deployment, standing)} tasks of {standing.id} run")
+    traffic = asyncio.create_task(send_usual(deployment, nodes))
+    await asyncio.sleep(BEFORE_CANCEL_S)
+    if trouble:
+        await deployment.cancel_job(nodes, standing)
+    await asyncio.sleep(AFTER_CANCEL_S)
+    traffic.cancel()
     await asyncio.sleep(SECONDS_TO_FINISH)
-    usual = [job for job in deployment.jobs.values() if job is not scheduled]
+    return await judge(deployment, nodes, standing)
+
+
+async def judge(
+    deployment: SmallDeployment, nodes: list[Node], standing: SubmittedJob
+) -> list[str]:
+    """Return where the rules LOST and UNASKED were broken."""
+    for at, row, size in deployment.store.refused_rows[:3]:
+        text = f"the store refused a row of {size} bytes: {row}"
+        deployment.events.append((at, text))
+    usual = [job for job in deployment.jobs.values() if job is not standing]
     found = find_lost(deployment, monotonic())
-    verdict = [
-        lost.describe(deployment.started_at) for lost in found if scheduled.id not in lost.what
-    ]
+    verdict = [lost.describe(deployment.started_at) for lost in found]
     states = await asyncio.gather(*(deployment.state_of(nodes, job) for job in usual))
-    enforcing.cancel()
-    limit.end()
-    deployment.note(f"memory at its peak, in MB: {limit.peak_mb}")
     unfinished = sum(1 for state in states if state != "completed")
     if unfinished:
-        verdict.insert(0, f"LOST: {unfinished} of {len(usual)} usual jobs are not completed")
-    often = [name for name, kills in limit.kills.items() if kills >= KILLS_FOR_FAULT]
-    if len(often) >= 2:
-        verdict.insert(0, f"Fault: over the memory limit three times or more: {limit.kills}")
+        verdict.insert(0, f"LOST: {unfinished} of {len(usual)} usual jobs never complete")
+    if standing.cancel_confirmed_at is not None:
+        limit = standing.cancel_confirmed_at + STOPPED_AFTER_S
+        late = [
+            run
+            for run in deployment.history
+            if run.task.startswith(standing.id)
+            and run.started_at < limit
+            and (run.ended_at is None or run.ended_at > limit)
+        ]
+        if late:
+            verdict.insert(
+                0, f"UNASKED: {len(late)} tasks run on {STOPPED_AFTER_S} s after the cancelling"
+            )
     return verdict
 
 
-async def send_usual(deployment: SmallDeployment, nodes: list[Node], for_s: float) -> None:
-    """Send a usual job at each interval."""
-    until = monotonic() + for_s
-    while monotonic() < until:
+def count_running(deployment: SmallDeployment, job: SubmittedJob) -> int:
+    """Return how many tasks of a job run now."""
+    running = (run for worker in deployment.all_workers for run in worker.running)
+    return sum(1 for task in running if task.startswith(job.id))
+
+
+async def send_usual(deployment: SmallDeployment, nodes: list[Node]) -> None:
+    """Send a usual job at each interval until cancelled."""
+    while True:
         await deployment.submit_job(nodes, USUAL)
         await asyncio.sleep(INTERVAL_S)
 
